Serve one request of each class from caller to upstream

Cause: the repository was empty; nothing could be measured or proved.

Ruled out: answering from a static settings file on each host, because hosts keep nothing and a file would let a configuration revert at a restart. The configuration comes from the platform's table and object store from the start.

Conclusion: the whole path stands; placement has no slots, shares or scores yet, and submits have no register yet.

--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,67 @@
+// Package admin serves operators: metrics, health and readiness.
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const shutdownTimeout = 2 * time.Second
+
+// Server answers operators.
+type Server struct {
+	http     *http.Server
+	registry *prometheus.Registry
+}
+
+// NewServer returns a server; ready tells whether the host takes work.
+func NewServer(ready func() bool) *Server {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return &Server{
+		http:     &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second},
+		registry: registry,
+	}
+}
+
+// Registry returns the registry for the metrics of the process.
+func (s *Server) Registry() *prometheus.Registry { return s.registry }
+
+// Run serves the listener until Shutdown is called.
+func (s *Server) Run(listener net.Listener) error {
+	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	return nil
+}
+
+// Shutdown ends the server.
+func (s *Server) Shutdown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down operator server: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"filberthold/model"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// ParseSettings decodes the settings of a process. Unknown keys are errors.
+// The file name is used in error messages only.
+func ParseSettings(file string, text []byte) (Settings, error) {
+	settings := Settings{
+		Log:       LogSettings{Format: "text", Level: "info"},
+		Placement: Steered,
+	}
+	if err := decodeStrict(file, text, &settings); err != nil {
+		return Settings{}, fmt.Errorf("parse settings: %w", err)
+	}
+	return settings, nil
+}
+
+// ParseDeployment decodes and checks the configuration of a deployment.
+func ParseDeployment(file string, text []byte, revision uint64) (*model.Deployment, error) {
+	document, err := ParseDocument(file, text)
+	if err != nil {
+		return nil, err
+	}
+	deployment, err := document.Build(revision)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return deployment, nil
+}
+
+// ParseDocument decodes the configuration of a deployment. Unknown keys are
+// errors.
+func ParseDocument(file string, text []byte) (Document, error) {
+	var document Document
+	if err := decodeStrict(file, text, &document); err != nil {
+		return Document{}, fmt.Errorf("parse deployment: %w", err)
+	}
+	return document, nil
+}
+
+// Encode returns the TOML form of a deployment's configuration.
+func Encode(document Document) ([]byte, error) {
+	text, err := toml.Marshal(document)
+	if err != nil {
+		return nil, fmt.Errorf("encode deployment: %w", err)
+	}
+	return text, nil
+}
+
+func decodeStrict(file string, text []byte, into any) error {
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		first := unknown.Errors[0]
+		line, column := first.Position()
+		return fmt.Errorf("%s:%d:%d: unknown key %q", file, line, column, first.Key())
+	}
+	var malformed *toml.DecodeError
+	if errors.As(err, &malformed) {
+		line, column := malformed.Position()
+		return fmt.Errorf("%s:%d:%d: %w", file, line, column, err)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return nil
+}
+
+// Build converts the document to a deployment.
+func (doc Document) Build(revision uint64) (*model.Deployment, error) {
+	parts := model.DeploymentParts{
+		Name:     doc.Name,
+		Revision: revision,
+		Delays: model.NewDelays(time.Duration(doc.Delays.BetweenZones),
+			time.Duration(doc.Delays.BetweenRegions), time.Duration(doc.Delays.ToClients)),
+	}
+	for _, zone := range doc.AvailabilityZones {
+		parts.Zones = append(parts.Zones, model.NewZone(model.ZoneName(zone.Name), model.RegionName(zone.Region)))
+	}
+	for _, service := range doc.Services {
+		built, err := service.build()
+		if err != nil {
+			return nil, fmt.Errorf("service %q: %w", service.Name, err)
+		}
+		parts.Services = append(parts.Services, built)
+	}
+	for _, endpoint := range doc.Endpoints {
+		parts.Endpoints = append(parts.Endpoints, endpoint.build())
+	}
+	for _, host := range doc.Hosts {
+		parts.Hosts = append(parts.Hosts, host.build())
+	}
+	for _, link := range doc.Links {
+		parts.Links = append(parts.Links, model.NewLink(model.RegionName(link.Between[0]),
+			model.RegionName(link.Between[1]), link.BitsPerSecond))
+	}
+	for _, block := range doc.Blocks {
+		prefix, err := netip.ParsePrefix(block.Prefix)
+		if err != nil {
+			return nil, fmt.Errorf("client block %q: %w", block.Prefix, err)
+		}
+		parts.Blocks = append(parts.Blocks, model.NewBlock(prefix, model.SiteName(block.Site)))
+	}
+	for _, plan := range doc.Plans {
+		parts.Plans = append(parts.Plans, plan.build())
+	}
+	deployment, err := model.NewDeployment(parts)
+	if err != nil {
+		return nil, fmt.Errorf("build deployment: %w", err)
+	}
+	return deployment, nil
+}
+
+func (doc ServiceDocument) build() (model.Service, error) {
+	class, err := model.ParseClass(doc.Class)
+	if err != nil {
+		return model.Service{}, fmt.Errorf("parse class: %w", err)
+	}
+	return model.NewService(model.ServiceParts{
+		Name:            model.ServiceName(doc.Name),
+		Class:           class,
+		DefaultTimeout:  time.Duration(doc.DefaultTimeout),
+		QueueLimit:      doc.QueueLimit,
+		ShiftCapPercent: doc.ShiftCapPercent,
+		SlowStart:       time.Duration(doc.SlowStart),
+	}), nil
+}
+
+func (doc EndpointDoc) build() model.Endpoint {
+	return model.NewEndpoint(model.EndpointParts{
+		Name:        model.EndpointName(doc.Name),
+		Service:     model.ServiceName(doc.Service),
+		Zone:        model.ZoneName(doc.AvailabilityZone),
+		Address:     doc.Address,
+		Slots:       doc.Slots,
+		Connections: doc.Connections,
+	})
+}
+
+func (doc HostDocument) build() model.Host {
+	return model.NewHost(model.HostParts{
+		Name:            model.HostName(doc.Name),
+		Zone:            model.ZoneName(doc.AvailabilityZone),
+		Site:            model.SiteName(doc.Site),
+		CallerAddress:   doc.CallerAddress,
+		PeerAddress:     doc.PeerAddress,
+		OperatorAddress: doc.OperatorAddress,
+		Stopped:         doc.Stopped,
+	})
+}
+
+func (doc PlanDocument) build() model.Plan {
+	return model.NewPlan(model.PlanParts{
+		Name:                 model.PlanName(doc.Name),
+		Kind:                 model.PlanKind(doc.Kind),
+		Service:              model.ServiceName(doc.Service),
+		From:                 model.RegionName(doc.From),
+		To:                   model.RegionName(doc.To),
+		Start:                doc.Start,
+		RatePercentPerMinute: doc.RatePercentPerMinute,
+		CapPercent:           doc.CapPercent,
+	})
+}
--- /dev/null
+++ b/entry/dispatcher.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"filberthold/place"
+	"filberthold/ring"
+)
+
+const (
+	// eventCapacity bounds the events that wait for placement. Arrivals are
+	// refused when it is full; reports of finished work wait for room.
+	eventCapacity = 4096
+	// decisionCapacity bounds the decisions that wait for one exchange.
+	decisionCapacity = 16
+)
+
+// Dispatcher owns the placement core and runs it on a single goroutine.
+type Dispatcher struct {
+	log    *slog.Logger
+	core   *place.Core
+	events *ring.Ring[place.Event]
+	mu     sync.Mutex
+	// open holds the decision channel of each request that is being served.
+	open map[place.RequestID]chan place.Decision
+}
+
+// NewDispatcher returns a dispatcher for a placement core.
+func NewDispatcher(log *slog.Logger, core *place.Core) *Dispatcher {
+	return &Dispatcher{
+		log:    log,
+		core:   core,
+		events: ring.New[place.Event](eventCapacity),
+		open:   make(map[place.RequestID]chan place.Decision),
+	}
+}
+
+// Open hands a request to placement and returns its decisions in order.
+func (d *Dispatcher) Open(_ context.Context, request place.Request) (<-chan place.Decision, error) {
+	decisions := make(chan place.Decision, decisionCapacity)
+	d.mu.Lock()
+	d.open[request.ID] = decisions
+	d.mu.Unlock()
+	if !d.events.TryPut(place.Arrived{Request: request}) {
+		d.Close(request.ID)
+		return nil, fmt.Errorf("open request: %d events wait for placement", eventCapacity)
+	}
+	return decisions, nil
+}
+
+// Report hands an event to placement.
+func (d *Dispatcher) Report(ctx context.Context, event place.Event) error {
+	if err := d.events.Put(ctx, event); err != nil {
+		return fmt.Errorf("report event: %w", err)
+	}
+	return nil
+}
+
+// Close ends the delivery of decisions for a request.
+func (d *Dispatcher) Close(id place.RequestID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.open, id)
+}
+
+// loop applies events to the core until ctx ends.
+func (d *Dispatcher) loop(ctx context.Context) error {
+	for {
+		event, err := d.events.Get(ctx)
+		if err != nil {
+			return fmt.Errorf("wait for event: %w", err)
+		}
+		for _, decision := range d.core.Apply(event, time.Now()) {
+			d.logDecision(decision)
+			d.hand(decision)
+		}
+	}
+}
+
+func (d *Dispatcher) hand(decision place.Decision) {
+	d.mu.Lock()
+	decisions, exists := d.open[decision.For()]
+	d.mu.Unlock()
+	if !exists {
+		return
+	}
+	select {
+	case decisions <- decision:
+	default:
+		d.log.Error("decision dropped: exchange does not take decisions", "request", decision.For())
+	}
+}
+
+func (d *Dispatcher) logDecision(decision place.Decision) {
+	switch decision := decision.(type) {
+	case place.Send:
+		d.log.Info("send", "request", decision.Request, "attempt", decision.Number, "endpoint", decision.Endpoint,
+			"hedge", decision.Hedge, "reason", decision.Reason, "alternatives", decision.Alternatives)
+	case place.Wait:
+		d.log.Info("wait", "request", decision.Request, "position", decision.Position, "reason", decision.Reason)
+	case place.Refuse:
+		d.log.Info("refuse", "request", decision.Request, "outcome", decision.Outcome, "reason", decision.Reason)
+	case place.Deliver:
+		d.log.Info("deliver", "request", decision.Request, "attempt", decision.Attempt)
+	case place.Cancel:
+		d.log.Info("cancel", "request", decision.Request, "attempt", decision.Attempt, "reason", decision.Reason)
+	}
+}
--- /dev/null
+++ b/fakes/ledger.go
@@ -0,0 +1,66 @@
+package fakes
+
+import "sync"
+
+// Ledger counts what upstream endpoints really executed. All endpoints of a
+// deployment share one ledger.
+type Ledger struct {
+	mu           sync.Mutex
+	executions   map[string]int
+	startedCount int
+	rejected     int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{executions: make(map[string]int)}
+}
+
+func (l *Ledger) started(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startedCount++
+	if key != "" {
+		l.executions[key]++
+	}
+}
+
+func (l *Ledger) overcommitted() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rejected++
+}
+
+// Executions returns how often the request with an idempotency key ran.
+func (l *Ledger) Executions(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.executions[key]
+}
+
+// Started returns how many requests were executed.
+func (l *Ledger) Started() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.startedCount
+}
+
+// Rejected returns how many requests met an endpoint without a free slot.
+func (l *Ledger) Rejected() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rejected
+}
+
+// Doubled returns the idempotency keys that ran more than once.
+func (l *Ledger) Doubled() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var keys []string
+	for key, count := range l.executions {
+		if count > 1 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/fakes/platform.go
@@ -0,0 +1,207 @@
+// Package fakes provides small stand-ins for the outside systems of
+// filberthold: the platform, upstream endpoints and callers. They keep their
+// own counts, so that tests and the demo do not rely on what filberthold says
+// about itself.
+package fakes
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"filberthold/plat"
+)
+
+// Platform is a stand-in for the platform's table, object store and host list.
+type Platform struct {
+	mu      sync.Mutex
+	rows    map[string]plat.Row
+	objects map[string][]byte
+	members map[string]plat.Member
+	// writes counts transactions and stored objects that took effect.
+	writes int
+	// reads counts answered reads.
+	reads int
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{
+		rows:    make(map[string]plat.Row),
+		objects: make(map[string][]byte),
+		members: make(map[string]plat.Member),
+	}
+}
+
+// SetMember adds or changes a member of the host list.
+func (p *Platform) SetMember(member plat.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members[member.Name] = member
+}
+
+// Writes returns how many writes took effect.
+func (p *Platform) Writes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.writes
+}
+
+// ServeHTTP answers the platform's protocol.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(plat.TimeHeader, time.Now().UTC().Format(time.RFC3339Nano))
+	switch {
+	case r.Method == http.MethodGet && r.URL.Path == "/table":
+		p.listRows(w, r.URL.Query().Get("prefix"))
+	case r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/table/"):
+		p.getRow(w, strings.TrimPrefix(r.URL.Path, "/table/"))
+	case r.Method == http.MethodPost && r.URL.Path == "/transactions":
+		p.commit(w, r)
+	case r.Method == http.MethodGet && r.URL.Path == "/objects":
+		p.listObjects(w, r.URL.Query().Get("prefix"))
+	case r.Method == http.MethodGet && strings.HasPrefix(r.URL.Path, "/objects/"):
+		p.getObject(w, strings.TrimPrefix(r.URL.Path, "/objects/"))
+	case r.Method == http.MethodPut && strings.HasPrefix(r.URL.Path, "/objects/"):
+		p.putObject(w, r, strings.TrimPrefix(r.URL.Path, "/objects/"))
+	case r.Method == http.MethodGet && r.URL.Path == "/hosts":
+		p.listMembers(w)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (p *Platform) listRows(w http.ResponseWriter, prefix string) {
+	p.mu.Lock()
+	list := plat.RowList{Rows: []plat.Row{}}
+	for key, row := range p.rows {
+		if strings.HasPrefix(key, prefix) {
+			list.Rows = append(list.Rows, row)
+		}
+	}
+	p.reads++
+	p.mu.Unlock()
+	slices.SortFunc(list.Rows, func(a, b plat.Row) int { return strings.Compare(a.Key, b.Key) })
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (p *Platform) getRow(w http.ResponseWriter, key string) {
+	p.mu.Lock()
+	row, exists := p.rows[key]
+	p.reads++
+	p.mu.Unlock()
+	if !exists {
+		http.Error(w, "absent", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, row)
+}
+
+func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
+	var transaction plat.Transaction
+	if err := json.NewDecoder(r.Body).Decode(&transaction); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	result := p.apply(transaction)
+	if len(result.Conflicts) > 0 {
+		writeJSON(w, http.StatusConflict, result)
+		return
+	}
+	writeJSON(w, http.StatusOK, result)
+}
+
+func (p *Platform) apply(transaction plat.Transaction) plat.TransactionResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var result plat.TransactionResult
+	for _, write := range transaction.Writes {
+		if row := p.rows[write.Key]; row.Version != write.IfVersion {
+			row.Key = write.Key
+			result.Conflicts = append(result.Conflicts, row)
+		}
+	}
+	if len(result.Conflicts) > 0 {
+		return result
+	}
+	for _, write := range transaction.Writes {
+		row := plat.Row{Key: write.Key, Version: write.IfVersion + 1, Value: write.Value}
+		p.rows[write.Key] = row
+		result.Versions = append(result.Versions, row.Version)
+	}
+	p.writes++
+	return result
+}
+
+func (p *Platform) listObjects(w http.ResponseWriter, prefix string) {
+	p.mu.Lock()
+	list := plat.ObjectList{Names: []string{}}
+	for name := range p.objects {
+		if strings.HasPrefix(name, prefix) {
+			list.Names = append(list.Names, name)
+		}
+	}
+	p.reads++
+	p.mu.Unlock()
+	slices.Sort(list.Names)
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, name string) {
+	p.mu.Lock()
+	body, exists := p.objects[name]
+	p.reads++
+	p.mu.Unlock()
+	if !exists {
+		http.Error(w, "absent", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request, name string) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	_, exists := p.objects[name]
+	if !exists {
+		p.objects[name] = body
+		p.writes++
+	}
+	p.mu.Unlock()
+	if exists {
+		http.Error(w, "exists", http.StatusPreconditionFailed)
+		return
+	}
+	w.WriteHeader(http.StatusCreated)
+}
+
+func (p *Platform) listMembers(w http.ResponseWriter) {
+	p.mu.Lock()
+	list := plat.MemberList{Members: []plat.Member{}, AsOf: time.Now().UTC()}
+	for _, member := range p.members {
+		list.Members = append(list.Members, member)
+	}
+	p.reads++
+	p.mu.Unlock()
+	slices.SortFunc(list.Members, func(a, b plat.Member) int { return strings.Compare(a.Name, b.Name) })
+	writeJSON(w, http.StatusOK, list)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("encode answer: %v", err), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/local/cluster.go
@@ -0,0 +1,261 @@
+// Package local runs a whole deployment in one process on loopback addresses:
+// the platform stand-in, upstream stand-ins and entry hosts.
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"filberthold/common"
+	"filberthold/config"
+	"filberthold/entry"
+	"filberthold/fakes"
+	"filberthold/model"
+	"filberthold/plat"
+)
+
+// Options describe a cluster.
+type Options struct {
+	Document config.Document
+	// Hosts bounds the number of entry hosts that are started; 0 starts all.
+	Hosts       int
+	Placement   config.PlacementMode
+	ServiceTime map[model.Class]time.Duration
+	Log         io.Writer
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	options    Options
+	deployment *model.Deployment
+	platform   *fakes.Platform
+	ledger     *fakes.Ledger
+	upstreams  map[model.EndpointName]*fakes.Upstream
+	hosts      map[model.HostName]*runningHost
+	servers    []*http.Server
+	group      sync.WaitGroup
+}
+
+type runningHost struct {
+	host      *entry.Host
+	listeners entry.Listeners
+	stop      context.CancelFunc
+	// done is closed when the host has stopped; err is set before.
+	done chan struct{}
+	err  error
+}
+
+// Start opens all sockets on free loopback ports and starts everything.
+func Start(options Options) (*Cluster, error) {
+	cluster := &Cluster{
+		options:   options,
+		platform:  fakes.NewPlatform(),
+		ledger:    fakes.NewLedger(),
+		upstreams: make(map[model.EndpointName]*fakes.Upstream),
+		hosts:     make(map[model.HostName]*runningHost),
+	}
+	if err := cluster.start(); err != nil {
+		return nil, errors.Join(err, cluster.Close())
+	}
+	return cluster, nil
+}
+
+func (c *Cluster) start() error {
+	platformAddress, err := c.startPlatform()
+	if err != nil {
+		return fmt.Errorf("start platform stand-in: %w", err)
+	}
+	document := c.options.Document
+	endpointListeners, err := bindEndpoints(&document)
+	if err != nil {
+		return fmt.Errorf("bind endpoints: %w", err)
+	}
+	hostListeners, err := bindHosts(&document, c.options.Hosts)
+	if err != nil {
+		return fmt.Errorf("bind hosts: %w", err)
+	}
+	c.deployment, err = document.Build(1)
+	if err != nil {
+		return fmt.Errorf("build deployment: %w", err)
+	}
+	if err := publish(platformAddress, document); err != nil {
+		return fmt.Errorf("publish configuration: %w", err)
+	}
+	c.startUpstreams(endpointListeners)
+	for name, listeners := range hostListeners {
+		if err := c.startHost(name, listeners, platformAddress); err != nil {
+			return fmt.Errorf("start host %q: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startPlatform() (string, error) {
+	listener, err := listenLoopback()
+	if err != nil {
+		return "", err
+	}
+	c.serve(listener, c.platform)
+	return listener.Addr().String(), nil
+}
+
+func (c *Cluster) startUpstreams(listeners map[model.EndpointName]net.Listener) {
+	for _, endpoint := range c.deployment.Endpoints() {
+		service, _ := c.deployment.Service(endpoint.Service())
+		upstream := fakes.NewUpstream(endpoint, service.Class(), c.ledger, c.options.ServiceTime[service.Class()])
+		c.upstreams[endpoint.Name()] = upstream
+		c.serve(listeners[endpoint.Name()], upstream)
+	}
+}
+
+func (c *Cluster) startHost(name model.HostName, listeners entry.Listeners, platformAddress string) error {
+	host, _ := c.deployment.Host(name)
+	settings := config.Settings{
+		Host:             string(name),
+		AvailabilityZone: string(host.Zone()),
+		CallerAddress:    host.CallerAddress(),
+		PeerAddress:      host.PeerAddress(),
+		OperatorAddress:  host.OperatorAddress(),
+		PlatformAddress:  platformAddress,
+		Log:              config.LogSettings{Format: "text", Level: "info"},
+		Placement:        c.options.Placement,
+	}
+	base, err := common.NewBase(settings, c.options.Log)
+	if err != nil {
+		return fmt.Errorf("make base: %w", err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	running := &runningHost{host: entry.NewHost(base), listeners: listeners, stop: stop, done: make(chan struct{})}
+	c.hosts[name] = running
+	go running.run(ctx)
+	return nil
+}
+
+func (r *runningHost) run(ctx context.Context) {
+	defer close(r.done)
+	r.err = r.host.Serve(ctx, r.listeners)
+}
+
+// serve answers a listener until the cluster is closed.
+func (c *Cluster) serve(listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	c.servers = append(c.servers, server)
+	c.group.Go(func() { _ = server.Serve(listener) })
+}
+
+// Deployment returns the deployment with the addresses in use.
+func (c *Cluster) Deployment() *model.Deployment { return c.deployment }
+
+// Platform returns the platform stand-in.
+func (c *Cluster) Platform() *fakes.Platform { return c.platform }
+
+// Ledger returns what the upstream stand-ins executed.
+func (c *Cluster) Ledger() *fakes.Ledger { return c.ledger }
+
+// Upstream returns the stand-in of an endpoint.
+func (c *Cluster) Upstream(name model.EndpointName) *fakes.Upstream { return c.upstreams[name] }
+
+// StopHost stops an entry host gracefully and waits for it.
+func (c *Cluster) StopHost(name model.HostName) error {
+	running := c.hosts[name]
+	running.stop()
+	<-running.done
+	return running.err
+}
+
+// WaitReady waits until all entry hosts have adopted the configuration.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	for name, running := range c.hosts {
+		if err := running.host.WaitReady(ctx); err != nil {
+			return fmt.Errorf("wait for host %q: %w", name, err)
+		}
+	}
+	return nil
+}
+
+// Close stops everything.
+func (c *Cluster) Close() error {
+	var errs []error
+	for name := range c.hosts {
+		errs = append(errs, c.StopHost(name))
+	}
+	for _, server := range c.servers {
+		errs = append(errs, server.Close())
+	}
+	c.group.Wait()
+	return errors.Join(errs...)
+}
+
+func bindEndpoints(document *config.Document) (map[model.EndpointName]net.Listener, error) {
+	endpoints := make([]config.EndpointDoc, len(document.Endpoints))
+	listeners := make(map[model.EndpointName]net.Listener, len(endpoints))
+	for i, endpoint := range document.Endpoints {
+		listener, err := listenLoopback()
+		if err != nil {
+			return nil, err
+		}
+		endpoint.Address = listener.Addr().String()
+		endpoints[i] = endpoint
+		listeners[model.EndpointName(endpoint.Name)] = listener
+	}
+	document.Endpoints = endpoints
+	return listeners, nil
+}
+
+func bindHosts(document *config.Document, limit int) (map[model.HostName]entry.Listeners, error) {
+	hosts := document.Hosts
+	if limit > 0 && limit < len(hosts) {
+		hosts = hosts[:limit]
+	}
+	bound := make([]config.HostDocument, len(hosts))
+	listeners := make(map[model.HostName]entry.Listeners, len(hosts))
+	for i, host := range hosts {
+		callers, err := listenLoopback()
+		if err != nil {
+			return nil, err
+		}
+		operators, err := listenLoopback()
+		if err != nil {
+			return nil, err
+		}
+		host.CallerAddress = callers.Addr().String()
+		host.OperatorAddress = operators.Addr().String()
+		bound[i] = host
+		listeners[model.HostName(host.Name)] = entry.Listeners{Callers: callers, Operators: operators}
+	}
+	document.Hosts = bound
+	return listeners, nil
+}
+
+func listenLoopback() (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen on loopback: %w", err)
+	}
+	return listener, nil
+}
+
+func publish(platformAddress string, document config.Document) error {
+	text, err := config.Encode(document)
+	if err != nil {
+		return err
+	}
+	client := plat.NewClient(platformAddress)
+	defer client.Close()
+	ctx := context.Background()
+	const first = 1
+	if err := client.PutObject(ctx, "config/"+strconv.Itoa(first), text); err != nil {
+		return fmt.Errorf("store revision: %w", err)
+	}
+	if _, err := client.Commit(ctx, plat.Write{Key: entry.HeadKey, Value: []byte(strconv.Itoa(first))}); err != nil {
+		return fmt.Errorf("accept revision: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command filberthold steers requests from callers to upstreams.
+package main
+
+import (
+	"os"
+
+	"filberthold/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/plat/client.go
@@ -0,0 +1,144 @@
+package plat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// Client talks to the platform. An error other than ErrAbsent, ErrExists and
+// ConflictError leaves open whether a write took effect.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for the platform at an IP address and port.
+func NewClient(address string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get returns a row, or ErrAbsent.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	if err := c.call(ctx, http.MethodGet, "/table/"+url.PathEscape(key), nil, &row); err != nil {
+		return Row{}, fmt.Errorf("get row %q: %w", key, err)
+	}
+	return row, nil
+}
+
+// List returns the rows whose keys have a prefix, in order of key.
+func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
+	var list RowList
+	if err := c.call(ctx, http.MethodGet, "/table?prefix="+url.QueryEscape(prefix), nil, &list); err != nil {
+		return nil, fmt.Errorf("list rows %q: %w", prefix, err)
+	}
+	return list.Rows, nil
+}
+
+// Commit applies a transaction and returns the new versions of its rows. It
+// returns a ConflictError if a row has changed.
+func (c *Client) Commit(ctx context.Context, writes ...Write) ([]uint64, error) {
+	body, err := json.Marshal(Transaction{Writes: writes})
+	if err != nil {
+		return nil, fmt.Errorf("encode transaction: %w", err)
+	}
+	var result TransactionResult
+	if err := c.call(ctx, http.MethodPost, "/transactions", body, &result); err != nil {
+		return nil, fmt.Errorf("commit %d writes: %w", len(writes), err)
+	}
+	return result.Versions, nil
+}
+
+// PutObject stores an object under a new name, or returns ErrExists.
+func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
+	if err := c.call(ctx, http.MethodPut, "/objects/"+url.PathEscape(name), body, nil); err != nil {
+		return fmt.Errorf("put object %q: %w", name, err)
+	}
+	return nil
+}
+
+// Object returns the contents of an object, or ErrAbsent.
+func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
+	var body []byte
+	if err := c.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(name), nil, &body); err != nil {
+		return nil, fmt.Errorf("get object %q: %w", name, err)
+	}
+	return body, nil
+}
+
+// ObjectNames returns the names of the objects with a prefix, sorted.
+func (c *Client) ObjectNames(ctx context.Context, prefix string) ([]string, error) {
+	var list ObjectList
+	if err := c.call(ctx, http.MethodGet, "/objects?prefix="+url.QueryEscape(prefix), nil, &list); err != nil {
+		return nil, fmt.Errorf("list objects %q: %w", prefix, err)
+	}
+	return list.Names, nil
+}
+
+// Members returns the platform's list of hosts.
+func (c *Client) Members(ctx context.Context) (MemberList, error) {
+	var list MemberList
+	if err := c.call(ctx, http.MethodGet, "/hosts", nil, &list); err != nil {
+		return MemberList{}, fmt.Errorf("get host list: %w", err)
+	}
+	return list, nil
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make platform request: %w", err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("call platform: %w", err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return fmt.Errorf("read platform answer: %w", err)
+	}
+	return decodeAnswer(response.StatusCode, answer, into)
+}
+
+func decodeAnswer(status int, answer []byte, into any) error {
+	switch status {
+	case http.StatusOK, http.StatusCreated:
+	case http.StatusNotFound:
+		return ErrAbsent
+	case http.StatusPreconditionFailed:
+		return ErrExists
+	case http.StatusConflict:
+		var result TransactionResult
+		if err := json.Unmarshal(answer, &result); err != nil {
+			return fmt.Errorf("decode conflict: %w", err)
+		}
+		return NewConflictError(result.Conflicts)
+	default:
+		return fmt.Errorf("platform answered status %s", strconv.Itoa(status))
+	}
+	if raw, isRaw := into.(*[]byte); isRaw {
+		*raw = answer
+		return nil
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return fmt.Errorf("decode platform answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/plat/types.go
@@ -0,0 +1,95 @@
+// Package plat is the client of the platform: its transactional table, its
+// object store and its list of hosts. The protocol is HTTP/1.1 with JSON.
+package plat
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// TimeHeader carries the platform's clock in RFC 3339 form with nanoseconds.
+const TimeHeader = "Platform-Time"
+
+// ErrAbsent is returned for a row or an object that does not exist.
+var ErrAbsent = errors.New("not found on the platform")
+
+// ErrExists is returned when an object of that name has been stored before.
+var ErrExists = errors.New("object exists on the platform")
+
+// Row is a row of the table. Version 0 stands for an absent row.
+type Row struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// Write sets a row if its version is still IfVersion; 0 means that the row
+// must be absent.
+type Write struct {
+	Key       string `json:"key"`
+	IfVersion uint64 `json:"ifVersion"`
+	Value     []byte `json:"value"`
+}
+
+// Transaction is a list of writes that take effect together or not at all.
+type Transaction struct {
+	Writes []Write `json:"writes"`
+}
+
+// TransactionResult holds the new versions in the order of the writes, or the
+// rows whose versions differ.
+type TransactionResult struct {
+	Versions  []uint64 `json:"versions,omitempty"`
+	Conflicts []Row    `json:"conflicts,omitempty"`
+}
+
+// RowList is the answer to a listing.
+type RowList struct {
+	Rows []Row `json:"rows"`
+}
+
+// ObjectList is the answer to a listing of objects.
+type ObjectList struct {
+	Names []string `json:"names"`
+}
+
+// MemberState tells whether a member of the host list takes new work.
+type MemberState string
+
+const (
+	// Live members take new work.
+	Live MemberState = "live"
+	// Leaving members finish what they have and take no new work.
+	Leaving MemberState = "leaving"
+)
+
+// Member is an entry host or an upstream endpoint on the host list.
+type Member struct {
+	Name        string      `json:"name"`
+	Kind        string      `json:"kind"`
+	Incarnation string      `json:"incarnation"`
+	State       MemberState `json:"state"`
+}
+
+// MemberList is the platform's list of hosts, which lags behind reality.
+type MemberList struct {
+	Members []Member  `json:"members"`
+	AsOf    time.Time `json:"asOf"`
+}
+
+// ConflictError reports the rows that kept a transaction from taking effect.
+type ConflictError struct {
+	rows []Row
+}
+
+// NewConflictError returns an error for the rows whose versions differ.
+func NewConflictError(rows []Row) *ConflictError { return &ConflictError{rows: rows} }
+
+// Rows returns the current contents of the rows that differ.
+func (e *ConflictError) Rows() []Row { return e.rows }
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("transaction conflicts with %d changed rows", len(e.rows))
+}
