Add the demo: a deployment in one process, disturbed under load

Cause: a newcomer had no way to see the program work, and no run counted what upstreams executed against what callers were told.

Ruled out: counting doubled and lost requests from our own log. The upstream stand-in keeps its own ledger, and the report compares it with the callers' answers.

Conclusion: the harness works; it says nothing yet about crashes, outages or stragglers, which the stand-ins cannot bring about so far.

--- /dev/null
+++ b/bench/load.go
@@ -0,0 +1,152 @@
+// Package bench drives a local deployment with a seeded load and measures
+// what callers and upstreams saw.
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"filberthold/fakes"
+	"filberthold/local"
+	"filberthold/model"
+)
+
+// Load describes the arrivals of one run.
+type Load struct {
+	Seed     uint64
+	Duration time.Duration
+	// PerSecond is the mean arrival rate of each service.
+	PerSecond map[model.ServiceName]float64
+	// Customers is the number of different customers.
+	Customers int
+	// Patience is how long a caller waits for a job of each class.
+	Patience map[model.Class]time.Duration
+}
+
+// Driver sends a load to a cluster.
+type Driver struct {
+	cluster *local.Cluster
+	load    Load
+	callers []*fakes.Caller
+	report  *Report
+	jobs    sync.WaitGroup
+	// limit bounds the jobs in flight, so that a stuck run ends.
+	limit chan struct{}
+}
+
+const (
+	// jobsInFlight bounds the jobs that are in flight at the same time.
+	jobsInFlight = 4096
+	// callersPerBlock is the number of callers in each client block.
+	callersPerBlock = 2
+)
+
+// NewDriver returns a driver with callers in every client block.
+func NewDriver(cluster *local.Cluster, load Load) *Driver {
+	driver := &Driver{
+		cluster: cluster,
+		load:    load,
+		report:  NewReport(),
+		limit:   make(chan struct{}, jobsInFlight),
+	}
+	var seeds []string
+	for _, host := range cluster.Deployment().Hosts() {
+		seeds = append(seeds, host.CallerAddress())
+	}
+	for i, block := range cluster.Deployment().Blocks() {
+		for j := range callersPerBlock {
+			address := block.Prefix().Addr().As4()
+			address[3] = byte(j + 1)
+			seed := load.Seed + uint64(i*callersPerBlock+j)
+			driver.callers = append(driver.callers, fakes.NewCaller(seeds, net.IP(address[:]), seed))
+		}
+	}
+	return driver
+}
+
+// Run sends the whole load, waits for every job and returns the report.
+func (d *Driver) Run(ctx context.Context) *Report {
+	var arrivals sync.WaitGroup
+	for i, service := range d.cluster.Deployment().Services() {
+		rate := d.load.PerSecond[service.Name()]
+		if rate <= 0 {
+			continue
+		}
+		stream := &arrivalStream{
+			driver:  d,
+			service: service,
+			rate:    rate,
+			random:  rand.New(rand.NewPCG(d.load.Seed, uint64(i))),
+			until:   time.Now().Add(d.load.Duration),
+		}
+		arrivals.Go(func() { stream.run(ctx) })
+	}
+	arrivals.Wait()
+	d.jobs.Wait()
+	for _, caller := range d.callers {
+		caller.Close()
+	}
+	d.report.count(d.cluster)
+	return d.report
+}
+
+// arrivalStream produces the jobs of one service at exponential intervals,
+// whether or not earlier jobs have ended.
+type arrivalStream struct {
+	driver  *Driver
+	service model.Service
+	rate    float64
+	random  *rand.Rand
+	until   time.Time
+	number  int
+}
+
+func (s *arrivalStream) run(ctx context.Context) {
+	next := time.Now()
+	for ctx.Err() == nil {
+		next = next.Add(time.Duration(s.random.ExpFloat64() / s.rate * float64(time.Second)))
+		if next.After(s.until) {
+			return
+		}
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-timer.C:
+			s.start(ctx)
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+func (s *arrivalStream) start(ctx context.Context) {
+	s.number++
+	job := fakes.Job{
+		Service:  s.service.Name(),
+		Class:    s.service.Class(),
+		Customer: model.CustomerName(fmt.Sprintf("customer-%d", s.random.IntN(max(1, s.driver.load.Customers)))),
+		Path:     fmt.Sprintf("/item/%d", s.random.IntN(1000)),
+		Deadline: time.Now().Add(s.driver.load.Patience[s.service.Class()]),
+	}
+	if job.Class == model.Submit {
+		job.Key = fmt.Sprintf("%s-%d-%d", s.service.Name(), s.driver.load.Seed, s.number)
+		job.Body = bytes.Repeat([]byte(job.Key), 8)
+	}
+	caller := s.driver.callers[s.random.IntN(len(s.driver.callers))]
+	select {
+	case s.driver.limit <- struct{}{}:
+	default:
+		s.driver.report.skip(job.Class)
+		return
+	}
+	s.driver.jobs.Go(func() {
+		defer func() { <-s.driver.limit }()
+		started := time.Now()
+		result := caller.Do(ctx, job)
+		s.driver.report.add(job, result, time.Since(started))
+	})
+}
--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,177 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"filberthold/fakes"
+	"filberthold/local"
+	"filberthold/model"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// ClassReport counts the jobs of one class.
+type ClassReport struct {
+	Jobs    int `json:"jobs"`
+	Served  int `json:"served"`
+	NotRun  int `json:"notRun"`
+	NotSent int `json:"notSent"`
+	Unknown int `json:"unknown"`
+	Pending int `json:"pending"`
+	// Wrong counts served jobs whose body was not the whole right answer.
+	Wrong int `json:"wrong"`
+	// Skipped counts arrivals that the driver itself could not start.
+	Skipped int                     `json:"skipped"`
+	latency *hdrhistogram.Histogram // microseconds
+}
+
+// Quantile returns a latency quantile of served jobs, in percent.
+func (r *ClassReport) Quantile(percent float64) time.Duration {
+	return time.Duration(r.latency.ValueAtQuantile(percent)) * time.Microsecond
+}
+
+// Report is what callers and upstream stand-ins saw in one run.
+type Report struct {
+	mu      sync.Mutex
+	classes map[model.Class]*ClassReport
+	// submits holds the outcome that the caller got for each idempotency key.
+	submits     map[string]model.Outcome
+	doubled     int
+	lost        int
+	falseNotRun int
+	rejected    int
+	started     int
+	storeWrites int
+}
+
+// NewReport returns an empty report.
+func NewReport() *Report {
+	report := &Report{classes: make(map[model.Class]*ClassReport), submits: make(map[string]model.Outcome)}
+	for _, class := range model.Classes() {
+		report.classes[class] = &ClassReport{latency: hdrhistogram.New(1, int64(10*time.Minute/time.Microsecond), 3)}
+	}
+	return report
+}
+
+// Class returns the counts of a class.
+func (r *Report) Class(class model.Class) *ClassReport { return r.classes[class] }
+
+// Doubled returns how many idempotency keys ran more than once.
+func (r *Report) Doubled() int { return r.doubled }
+
+// Lost returns how many submits were answered as served but never ran.
+func (r *Report) Lost() int { return r.lost }
+
+// FalseNotRun returns how many submits ran although the answer was notRun.
+func (r *Report) FalseNotRun() int { return r.falseNotRun }
+
+// Truncated returns how many served answers were not whole and right.
+func (r *Report) Truncated() int {
+	wrong := 0
+	for _, class := range r.classes {
+		wrong += class.Wrong
+	}
+	return wrong
+}
+
+// Rejected returns how many requests met an endpoint without a free slot.
+func (r *Report) Rejected() int { return r.rejected }
+
+// StoreWrites returns how many writes the platform's store took.
+func (r *Report) StoreWrites() int { return r.storeWrites }
+
+// ExtraLoad returns the executions at upstreams beyond one for each job, as a
+// part of the jobs.
+func (r *Report) ExtraLoad() float64 {
+	jobs := 0
+	for _, class := range r.classes {
+		jobs += class.Jobs
+	}
+	if jobs == 0 {
+		return 0
+	}
+	return max(0, float64(r.started-jobs)/float64(jobs))
+}
+
+// Sound reports whether nothing was doubled, lost, truncated or refused
+// falsely as not run.
+func (r *Report) Sound() bool {
+	return r.doubled == 0 && r.lost == 0 && r.falseNotRun == 0 && r.Truncated() == 0
+}
+
+func (r *Report) skip(class model.Class) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.classes[class].Skipped++
+}
+
+func (r *Report) add(job fakes.Job, result fakes.JobResult, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	class := r.classes[job.Class]
+	class.Jobs++
+	if job.Key != "" {
+		r.submits[job.Key] = result.Outcome
+	}
+	switch result.Outcome {
+	case model.Served:
+		class.Served++
+		_ = class.latency.RecordValue(max(1, latency.Microseconds()))
+		if !fakes.IsWholeAnswer(job, result.Body, fakes.DefaultExportBytes) {
+			class.Wrong++
+		}
+	case model.NotRun:
+		class.NotRun++
+	case model.NotSent:
+		class.NotSent++
+	case model.Pending:
+		class.Pending++
+	case model.Unknown:
+		class.Unknown++
+	}
+}
+
+// count compares what callers were told with what upstreams executed.
+func (r *Report) count(cluster *local.Cluster) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ledger := cluster.Ledger()
+	r.doubled = len(ledger.Doubled())
+	r.started = ledger.Started()
+	r.rejected = ledger.Rejected()
+	r.storeWrites = cluster.Platform().Writes()
+	for key, outcome := range r.submits {
+		executions := ledger.Executions(key)
+		if outcome == model.Served && executions == 0 {
+			r.lost++
+		}
+		if outcome == model.NotRun && executions > 0 {
+			r.falseNotRun++
+		}
+	}
+}
+
+// WriteTable prints the counts by class.
+func (r *Report) WriteTable(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "class\tjobs\tserved\tnotRun\tnotSent\tpending\tunknown\twrong\tp50\tp99\t")
+	for _, class := range model.Classes() {
+		counts := r.classes[class]
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t\n", class, counts.Jobs, counts.Served,
+			counts.NotRun, counts.NotSent, counts.Pending, counts.Unknown, counts.Wrong,
+			counts.Quantile(50).Round(100*time.Microsecond), counts.Quantile(99).Round(100*time.Microsecond))
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	_, err := fmt.Fprintf(out, "doubled %d, lost %d, truncated %d, falsely not run %d, no free slot %d, extra upstream load %.1f%%\n",
+		r.doubled, r.lost, r.Truncated(), r.falseNotRun, r.rejected, 100*r.ExtraLoad())
+	if err != nil {
+		return fmt.Errorf("write totals: %w", err)
+	}
+	return nil
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -39,6 +39,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand())
+	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand())
 	return root
 }
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -1,9 +1,6 @@
 package fakes
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -35,7 +32,7 @@
 		ledger:      ledger,
 		slots:       make(chan struct{}, endpoint.Slots()),
 		serviceTime: serviceTime,
-		exportBytes: 1 << 20,
+		exportBytes: DefaultExportBytes,
 	}
 }
 
@@ -107,8 +104,7 @@
 
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, body []byte) {
 	if u.class != model.Export {
-		digest := sha256.Sum256(append([]byte(r.URL.Path+"\n"), body...))
-		_, _ = fmt.Fprintf(w, "%s %s\n", r.URL.Path, hex.EncodeToString(digest[:8]))
+		_, _ = w.Write(ShortAnswer(r.URL.Path, body))
 		return
 	}
 	content := ExportContent(r.URL.Path, u.exportBytes)
@@ -116,13 +112,3 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	_, _ = w.Write(content)
 }
-
-// ExportContent returns the bytes of an export, which depend on its path only.
-func ExportContent(path string, size int) []byte {
-	digest := sha256.Sum256([]byte(path))
-	content := make([]byte, size)
-	for i := range content {
-		content[i] = digest[i%len(digest)] + byte(i>>8)
-	}
-	return content
-}
