Give the platform stand-in fault switches

Failure tests need outages, limits and lost answers that are off by default. SetLatency, SetLimits (429), SetDown, SetCutOff (by Platform-Caller header), LoseAnswers and SetMemberLag cover them. The client names its process in Platform-Caller and reports ErrLimited and ErrUnavailable.

A header was chosen over a listener for each caller because the host name is already in the settings. An outage that hangs is a long latency.

--- a/entry/host.go
+++ b/entry/host.go
@@ -51,7 +51,7 @@
 	upstreams := upstrm.NewClient(model.ZoneName(settings.AvailabilityZone))
 	return &Host{
 		base:       base,
-		platform:   plat.NewClient(settings.PlatformAddress),
+		platform:   plat.NewNamedClient(settings.PlatformAddress, settings.Host),
 		dispatcher: dispatcher,
 		directory:  directory,
 		upstreams:  upstreams,
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -19,10 +19,12 @@
 
 // Platform is a stand-in for the platform's table, object store and host list.
 type Platform struct {
+	faults  platformFaults
 	mu      sync.Mutex
 	rows    map[string]plat.Row
 	objects map[string][]byte
-	members map[string]plat.Member
+	// memberChanges is the history of the host list, oldest first.
+	memberChanges []memberChange
 	// writes counts transactions and stored objects that took effect.
 	writes int
 	// reads counts answered reads.
@@ -34,7 +36,6 @@
 	return &Platform{
 		rows:    make(map[string]plat.Row),
 		objects: make(map[string][]byte),
-		members: make(map[string]plat.Member),
 	}
 }
 
@@ -42,7 +43,7 @@
 func (p *Platform) SetMember(member plat.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members[member.Name] = member
+	p.memberChanges = append(p.memberChanges, memberChange{at: time.Now(), member: member})
 }
 
 // Writes returns how many writes took effect.
@@ -55,6 +56,9 @@
 // ServeHTTP answers the platform's protocol.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(plat.TimeHeader, time.Now().UTC().Format(time.RFC3339Nano))
+	if !p.faults.admit(w, r) {
+		return
+	}
 	switch {
 	case r.Method == http.MethodGet && r.URL.Path == "/table":
 		p.listRows(w, r.URL.Query().Get("prefix"))
@@ -108,6 +112,7 @@
 		return
 	}
 	result := p.apply(transaction)
+	p.faults.loseAnswer()
 	if len(result.Conflicts) > 0 {
 		writeJSON(w, http.StatusConflict, result)
 		return
@@ -176,6 +181,7 @@
 		p.writes++
 	}
 	p.mu.Unlock()
+	p.faults.loseAnswer()
 	if exists {
 		http.Error(w, "exists", http.StatusPreconditionFailed)
 		return
@@ -184,9 +190,12 @@
 }
 
 func (p *Platform) listMembers(w http.ResponseWriter) {
+	p.faults.mu.Lock()
+	asOf := time.Now().Add(-p.faults.memberLag)
+	p.faults.mu.Unlock()
 	p.mu.Lock()
-	list := plat.MemberList{Members: []plat.Member{}, AsOf: time.Now().UTC()}
-	for _, member := range p.members {
+	list := plat.MemberList{Members: []plat.Member{}, AsOf: asOf.UTC()}
+	for _, member := range p.membersAsOf(asOf) {
 		list.Members = append(list.Members, member)
 	}
 	p.reads++
--- a/plat/client.go
+++ b/plat/client.go
@@ -15,10 +15,14 @@
 const maxAnswerBytes = 64 << 20
 
 // Client talks to the platform. An error other than ErrAbsent, ErrExists and
-// ConflictError leaves open whether a write took effect.
+// ConflictError leaves open whether a write took effect. ErrExists may also
+// follow a write of the same call that took effect, because net/http sends a
+// PUT again when a reused connection breaks.
 type Client struct {
 	base string
-	http *http.Client
+	// caller names this process to the platform; it may be empty.
+	caller string
+	http   *http.Client
 }
 
 // NewClient returns a client for the platform at an IP address and port.
@@ -27,6 +31,13 @@
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
 }
 
+// NewNamedClient returns a client that names its process in CallerHeader.
+func NewNamedClient(address, caller string) *Client {
+	client := NewClient(address)
+	client.caller = caller
+	return client
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
@@ -102,6 +113,9 @@
 	if err != nil {
 		return fmt.Errorf("make platform request: %w", err)
 	}
+	if c.caller != "" {
+		request.Header.Set(CallerHeader, c.caller)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return fmt.Errorf("call platform: %w", err)
@@ -127,6 +141,10 @@
 			return fmt.Errorf("decode conflict: %w", err)
 		}
 		return NewConflictError(result.Conflicts)
+	case http.StatusTooManyRequests:
+		return ErrLimited
+	case http.StatusServiceUnavailable:
+		return ErrUnavailable
 	default:
 		return fmt.Errorf("platform answered status %s", strconv.Itoa(status))
 	}
--- a/plat/types.go
+++ b/plat/types.go
@@ -11,12 +11,21 @@
 // TimeHeader carries the platform's clock in RFC 3339 form with nanoseconds.
 const TimeHeader = "Platform-Time"
 
+// CallerHeader names the process that calls the platform.
+const CallerHeader = "Platform-Caller"
+
 // ErrAbsent is returned for a row or an object that does not exist.
 var ErrAbsent = errors.New("not found on the platform")
 
 // ErrExists is returned when an object of that name has been stored before.
 var ErrExists = errors.New("object exists on the platform")
 
+// ErrLimited is returned when a rate limit of the platform refused a call.
+var ErrLimited = errors.New("rate limit of the platform")
+
+// ErrUnavailable is returned when the platform is in an outage.
+var ErrUnavailable = errors.New("platform is unavailable")
+
 // Row is a row of the table. Version 0 stands for an absent row.
 type Row struct {
 	Key     string `json:"key"`
