Accept revisions by compare-and-swap and adopt only higher ones

The head row held only a number, so a host could not tell a wrong body, and nothing kept racing operators apart.

Accept stores the body under the first free number after the base, because a number whose operator died before changing the head would otherwise block everyone. Head and config/accepted/NUMBER change in one transaction, so that a lost answer can be settled even after another operator has moved the head on; the head alone does not tell. The loser gets the keys that differ.

--- a/cmds/fakes.go
+++ b/cmds/fakes.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"filberthold/config"
-	"filberthold/entry"
 	"filberthold/fakes"
 	"filberthold/model"
 	"filberthold/plat"
+	"filberthold/revise"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
@@ -37,10 +37,7 @@
 			group, ctx := errgroup.WithContext(command.Context())
 			group.Go(func() error { return serve(ctx, listener, fakes.NewPlatform()) })
 			client := plat.NewClient(listener.Addr().String())
-			if err := client.PutObject(ctx, "config/1", text); err != nil {
-				return fmt.Errorf("store first revision: %w", err)
-			}
-			if _, err := client.Commit(ctx, plat.Write{Key: entry.HeadKey, Value: []byte("1")}); err != nil {
+			if _, err := revise.Accept(ctx, client, 0, text); err != nil {
 				return fmt.Errorf("accept first revision: %w", err)
 			}
 			return group.Wait()
--- a/entry/host.go
+++ b/entry/host.go
@@ -7,13 +7,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"strconv"
-	"time"
 
 	"filberthold/admin"
 	"filberthold/caller"
 	"filberthold/common"
-	"filberthold/config"
 	"filberthold/model"
 	"filberthold/place"
 	"filberthold/plat"
@@ -22,15 +19,6 @@
 	"golang.org/x/sync/errgroup"
 )
 
-const (
-	// headPollInterval keeps 680 hosts at 227 reads a second of the store.
-	headPollInterval = 3 * time.Second
-	// firstPollInterval applies until a first revision has been adopted.
-	firstPollInterval = 200 * time.Millisecond
-	// HeadKey is the row that holds the number of the accepted revision.
-	HeadKey = "config/head"
-)
-
 // Host is one entry host process.
 type Host struct {
 	base       *common.Base
@@ -112,50 +100,3 @@
 	stopWorking()
 	return errors.Join(err, h.operators.Shutdown())
 }
-
-// loopConfiguration polls the platform for a newer revision.
-func (h *Host) loopConfiguration(ctx context.Context) error {
-	for {
-		if err := h.refresh(ctx); err != nil {
-			h.base.Log().Warn("configuration not refreshed", "error", err)
-		}
-		interval := headPollInterval
-		if h.directory.Deployment() == nil {
-			interval = firstPollInterval
-		}
-		select {
-		case <-time.After(interval):
-		case <-ctx.Done():
-			return fmt.Errorf("poll configuration: %w", ctx.Err())
-		}
-	}
-}
-
-func (h *Host) refresh(ctx context.Context) error {
-	row, err := h.platform.Get(ctx, HeadKey)
-	if err != nil {
-		return fmt.Errorf("read head: %w", err)
-	}
-	revision, err := strconv.ParseUint(string(row.Value), 10, 64)
-	if err != nil {
-		return fmt.Errorf("parse head: %w", err)
-	}
-	if current := h.directory.Deployment(); current != nil && current.Revision() >= revision {
-		return nil
-	}
-	name := "config/" + strconv.FormatUint(revision, 10)
-	body, err := h.platform.Object(ctx, name)
-	if err != nil {
-		return fmt.Errorf("read revision %d: %w", revision, err)
-	}
-	deployment, err := config.ParseDeployment(name, body, revision)
-	if err != nil {
-		return fmt.Errorf("parse revision %d: %w", revision, err)
-	}
-	h.directory.Adopt(deployment)
-	h.base.Log().Info("adopted configuration", "revision", revision)
-	if err := h.dispatcher.Report(ctx, place.Adopted{Deployment: deployment, Revision: revision}); err != nil {
-		return fmt.Errorf("adopt revision %d: %w", revision, err)
-	}
-	return nil
-}
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +18,7 @@
 	"filberthold/fakes"
 	"filberthold/model"
 	"filberthold/plat"
+	"filberthold/revise"
 )
 
 // Options describe a cluster.
@@ -249,13 +249,8 @@
 	}
 	client := plat.NewClient(platformAddress)
 	defer client.Close()
-	ctx := context.Background()
-	const first = 1
-	if err := client.PutObject(ctx, "config/"+strconv.Itoa(first), text); err != nil {
-		return fmt.Errorf("store revision: %w", err)
-	}
-	if _, err := client.Commit(ctx, plat.Write{Key: entry.HeadKey, Value: []byte(strconv.Itoa(first))}); err != nil {
-		return fmt.Errorf("accept revision: %w", err)
+	if _, err := revise.Accept(context.Background(), client, 0, text); err != nil {
+		return fmt.Errorf("accept first revision: %w", err)
 	}
 	return nil
 }
--- /dev/null
+++ b/revise/example_test.go
@@ -0,0 +1,31 @@
+package revise_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+
+	"filberthold/fakes"
+	"filberthold/plat"
+	"filberthold/revise"
+)
+
+func ExampleAccept() {
+	server := httptest.NewServer(fakes.NewPlatform())
+	defer server.Close()
+	store := plat.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	defer store.Close()
+	ctx := context.Background()
+
+	first, err := revise.Accept(ctx, store, 0, []byte("name = 'guild'\n"))
+	fmt.Println(first.Number(), err)
+	second, err := revise.Accept(ctx, store, 1, []byte("name = 'guild'\nqueueLimit = 64\n"))
+	fmt.Println(second.Number(), err)
+	_, err = revise.Accept(ctx, store, 1, []byte("name = 'guild'\nqueueLimit = 32\n"))
+	fmt.Println(err)
+	// Output:
+	// 1 <nil>
+	// 2 <nil>
+	// revision 2@86cbb0609cf4 was accepted on revision 1 before this change; differing keys: 1; queueLimit: accepted "64", refused "32"
+}
--- /dev/null
+++ b/revise/head.go
@@ -0,0 +1,97 @@
+// Package revise decides which revision of the configuration is in force: how
+// a host adopts one and how an operator's change is accepted.
+package revise
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"filberthold/plat"
+)
+
+// HeadKey is the table row that holds the accepted revision.
+const HeadKey = "config/head"
+
+// Digest is the SHA-256 of a revision's body.
+type Digest [sha256.Size]byte
+
+// DigestOf returns the digest of a body.
+func DigestOf(body []byte) Digest { return sha256.Sum256(body) }
+
+// String returns the digest in hexadecimal form.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Head names a revision. The zero value stands for no revision.
+type Head struct {
+	number uint64
+	digest Digest
+}
+
+// NewHead returns the head for a number and a digest.
+func NewHead(number uint64, digest Digest) Head { return Head{number: number, digest: digest} }
+
+// HeadOf returns the head for a number and a body.
+func HeadOf(number uint64, body []byte) Head { return NewHead(number, DigestOf(body)) }
+
+// Number returns the number of the revision.
+func (h Head) Number() uint64 { return h.number }
+
+// Digest returns the digest of the revision's body.
+func (h Head) Digest() Digest { return h.digest }
+
+// Matches reports whether the body is the one that the head names.
+func (h Head) Matches(body []byte) bool { return h.digest == DigestOf(body) }
+
+// String returns the number and the start of the digest.
+func (h Head) String() string {
+	return strconv.FormatUint(h.number, 10) + "@" + h.digest.String()[:12]
+}
+
+type headDocument struct {
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest"`
+}
+
+// Encode returns the form in which the head is stored in its row.
+func (h Head) Encode() []byte {
+	text, err := json.Marshal(headDocument{Revision: h.number, Digest: h.digest.String()})
+	if err != nil {
+		panic(fmt.Sprintf("encode head: %v", err)) // A number and a string always encode.
+	}
+	return text
+}
+
+// ParseHead decodes the value of the head row.
+func ParseHead(value []byte) (Head, error) {
+	var document headDocument
+	if err := json.Unmarshal(value, &document); err != nil {
+		return Head{}, fmt.Errorf("decode head: %w", err)
+	}
+	digest, err := hex.DecodeString(document.Digest)
+	if err != nil {
+		return Head{}, fmt.Errorf("decode digest of head: %w", err)
+	}
+	if len(digest) != sha256.Size || document.Revision == 0 {
+		return Head{}, fmt.Errorf("head has revision %d and a digest of %d bytes", document.Revision, len(digest))
+	}
+	return NewHead(document.Revision, Digest(digest)), nil
+}
+
+// ObjectName returns the name of the object that holds a revision's body.
+func ObjectName(number uint64) string { return "config/" + strconv.FormatUint(number, 10) }
+
+// acceptedKey is the row that records the digest of each accepted revision. It
+// is written together with the head, so that an operator whose answer was lost
+// can settle the outcome even after the head has moved on.
+func acceptedKey(number uint64) string { return "config/accepted/" + strconv.FormatUint(number, 10) }
+
+// acceptingWrites is the transaction that accepts a revision.
+func acceptingWrites(headVersion uint64, head Head) []plat.Write {
+	return []plat.Write{
+		{Key: HeadKey, IfVersion: headVersion, Value: head.Encode()},
+		{Key: acceptedKey(head.number), Value: head.Encode()},
+	}
+}
