Add switches for faults and timing to the upstream stand-in

Cause: forwarding has to be tested against upstreams that shed, drain, start cold, straggle, cut or silence connections, and send exports for long. The stand-in had none of these. It also ended a submit early when its connection broke, which freed the slot of work that had started.

Change: a Behaviour document for service time with jitter and seed, cold start, load report lag, delays between availability zones and export rate and faults; methods for shedding, leaving, straggling, cutting after execution and silencing the open connections. Exports answer range requests with a strong entity tag and If-Range through http.ServeContent. An in-memory network lets tests use testing/synctest.

Ruled out: silencing below the TCP socket. The stand-in discards at its own end, which a client cannot tell apart.

--- a/fakes/ledger.go
+++ b/fakes/ledger.go
@@ -9,6 +9,10 @@
 	executions   map[string]int
 	startedCount int
 	rejected     int
+	// shedCount and cancelledCount count requests that were refused by choice
+	// and executions that the caller's cancellation ended.
+	shedCount      int
+	cancelledCount int
 }
 
 // NewLedger returns an empty ledger.
@@ -31,6 +35,32 @@
 	l.rejected++
 }
 
+func (l *Ledger) shed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shedCount++
+}
+
+func (l *Ledger) cancelled() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancelledCount++
+}
+
+// Shed returns how many requests were shed before they started.
+func (l *Ledger) Shed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shedCount
+}
+
+// Cancelled returns how many executions ended by cancellation.
+func (l *Ledger) Cancelled() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cancelledCount
+}
+
 // Executions returns how often the request with an idempotency key ran.
 func (l *Ledger) Executions(key string) int {
 	l.mu.Lock()
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,108 +22,142 @@
 	ledger   *Ledger
 	// slots has one element for each request in execution.
 	slots       chan struct{}
-	serviceTime time.Duration
-	exportBytes int
-	mu          sync.Mutex
-	leaving     bool
+	connections connections
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	random    *rand.Rand
+	load      loadHistory
+	leaving   bool
+	// shedNext and cutNext count down the requests that are shed before they
+	// start, and those whose connection is cut after they were executed.
+	shedNext int
+	cutNext  int
+	// firstRequest is the start of the cold period; it is zero before the
+	// first request.
+	firstRequest   time.Time
+	straggleFactor float64
+	straggleUntil  time.Time
 }
 
 // NewUpstream returns a stand-in that answers after a service time.
 func NewUpstream(endpoint model.Endpoint, class model.Class, ledger *Ledger, serviceTime time.Duration) *Upstream {
-	return &Upstream{
-		endpoint:    endpoint,
-		class:       class,
-		ledger:      ledger,
-		slots:       make(chan struct{}, endpoint.Slots()),
-		serviceTime: serviceTime,
-		exportBytes: 1 << 20,
+	upstream := &Upstream{
+		endpoint: endpoint,
+		class:    class,
+		ledger:   ledger,
+		slots:    make(chan struct{}, endpoint.Slots()),
 	}
-}
-
-// Leave makes the endpoint refuse new work.
-func (u *Upstream) Leave() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.leaving = true
+	upstream.Configure(Behaviour{ServiceTime: serviceTime, ExportBytes: 1 << 20})
+	return upstream
 }
 
 // ServeHTTP answers the upstream protocol.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The delay stands for the network, so cancellation does not shorten it.
+	oneWay := u.delayFrom(model.ZoneName(r.Header.Get(upstrm.ZoneHeader)))
+	time.Sleep(oneWay)
 	switch r.URL.Path {
 	case "/healthz":
+		// A draining endpoint says ok as well: health reports mislead.
+		time.Sleep(oneWay)
 		_, _ = io.WriteString(w, "ok\n")
 		return
 	case "/load":
-		writeJSON(w, http.StatusOK, upstrm.Load{BusySlots: len(u.slots), Slots: cap(u.slots)})
+		time.Sleep(oneWay)
+		writeJSON(w, http.StatusOK, upstrm.Load{BusySlots: u.reportedLoad(), Slots: cap(u.slots)})
 		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	if u.refuses(w, r) {
+	if reason := u.refusal(r); reason != "" {
+		time.Sleep(oneWay)
+		u.refuse(w, reason)
 		return
 	}
-	defer func() { <-u.slots }()
+	u.execute(w, r, body, oneWay)
+}
+
+func (u *Upstream) execute(w http.ResponseWriter, r *http.Request, body []byte, oneWay time.Duration) {
+	u.noteLoad()
+	defer func() {
+		<-u.slots
+		u.noteLoad()
+	}()
 	u.ledger.started(r.Header.Get("Idempotency-Key"))
-	select {
-	case <-time.After(u.serviceTime):
-	case <-r.Context().Done():
-		if u.class != model.Submit {
-			return
-		}
+	if !u.work(r) {
+		u.ledger.cancelled()
+		return
+	}
+	if u.takeCut() {
+		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(oneWay)
 	u.answer(w, r, body)
 }
 
-// refuses reports whether the request must not start, and answers it then.
-func (u *Upstream) refuses(w http.ResponseWriter, r *http.Request) bool {
-	u.mu.Lock()
-	leaving := u.leaving
-	u.mu.Unlock()
-	if leaving {
-		w.Header().Set(upstrm.LeavingHeader, "true")
-		refuse(w, "leaving")
+// work takes the service time and reports whether it ran to its end. Reads
+// and exports accept cancellation; a submit that has started runs to its end.
+func (u *Upstream) work(r *http.Request) bool {
+	timer := time.NewTimer(u.nextServiceTime(time.Now()))
+	defer timer.Stop()
+	if u.class == model.Submit {
+		<-timer.C
 		return true
 	}
-	deadline, err := time.Parse(time.RFC3339Nano, r.Header.Get(upstrm.DeadlineHeader))
-	if err == nil && time.Now().After(deadline) {
-		refuse(w, "deadline has passed")
+	select {
+	case <-timer.C:
 		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// refusal takes a slot, or returns why the request must not start.
+func (u *Upstream) refusal(r *http.Request) string {
+	if u.isLeaving() {
+		return "leaving"
+	}
+	if u.takeShed() {
+		u.ledger.shed()
+		return "overloaded"
+	}
+	deadline, err := time.Parse(time.RFC3339Nano, r.Header.Get(upstrm.DeadlineHeader))
+	if err == nil && !time.Now().Before(deadline) {
+		return "deadline has passed"
 	}
 	select {
 	case u.slots <- struct{}{}:
-		return false
+		return ""
 	default:
 		u.ledger.overcommitted()
-		refuse(w, "no free slot")
-		return true
+		return "no free slot"
 	}
 }
 
-func refuse(w http.ResponseWriter, reason string) {
+func (u *Upstream) refuse(w http.ResponseWriter, reason string) {
 	w.Header().Set(upstrm.NotStartedHeader, "true")
+	u.markLeaving(w.Header())
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
 
-func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, body []byte) {
-	if u.class != model.Export {
-		digest := sha256.Sum256(append([]byte(r.URL.Path+"\n"), body...))
-		_, _ = fmt.Fprintf(w, "%s %s\n", r.URL.Path, hex.EncodeToString(digest[:8]))
-		return
+// markLeaving lets requests that still run on a draining endpoint tell so.
+func (u *Upstream) markLeaving(header http.Header) {
+	if u.isLeaving() {
+		header.Set(upstrm.LeavingHeader, "true")
 	}
-	content := ExportContent(r.URL.Path, u.exportBytes)
-	w.Header().Set("ETag", strconv.Quote(r.URL.Path))
-	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
-	_, _ = w.Write(content)
 }
 
-// ExportContent returns the bytes of an export, which depend on its path only.
-func ExportContent(path string, size int) []byte {
-	digest := sha256.Sum256([]byte(path))
-	content := make([]byte, size)
-	for i := range content {
-		content[i] = digest[i%len(digest)] + byte(i>>8)
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	u.markLeaving(w.Header())
+	if u.class == model.Export {
+		u.answerExport(w, r)
+		return
 	}
-	return content
+	digest := sha256.Sum256(append([]byte(r.URL.Path+"\n"), body...))
+	answer := fmt.Sprintf("%s %s\n", r.URL.Path, hex.EncodeToString(digest[:8]))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = io.WriteString(w, answer)
 }
--- /dev/null
+++ b/fakes/upstream_behaviour.go
@@ -0,0 +1,174 @@
+package fakes
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"filberthold/model"
+)
+
+// Behaviour describes how an upstream stand-in works while nothing is wrong.
+type Behaviour struct {
+	ServiceTime time.Duration
+	// Jitter is the largest relative deviation of a service time, in 0..1.
+	Jitter float64
+	Seed   uint64
+	// LoadLag is the age of the load report.
+	LoadLag time.Duration
+	// ColdFactor multiplies the service time of the first request; it falls to
+	// 1 during ColdPeriod. A factor of at most 1 means no cold start.
+	ColdFactor float64
+	ColdPeriod time.Duration
+	// Delay returns the one-way delay between two availability zones.
+	Delay func(from, to model.ZoneName) time.Duration
+
+	ExportBytes int
+	// ExportRate is in bytes a second for each export; 0 means unlimited.
+	ExportRate int
+	// ExportTag replaces the entity tag of exports.
+	ExportTag string
+	// IgnoreRange answers every export from its first byte.
+	IgnoreRange bool
+	// BreakAfter cuts the connection after this many bytes of each export; 0
+	// means never. StallAfter stops sending instead, until the caller goes.
+	BreakAfter int
+	StallAfter int
+}
+
+// Configure replaces the behaviour and starts its random source anew.
+func (u *Upstream) Configure(behaviour Behaviour) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.behaviour = behaviour
+	u.random = rand.New(rand.NewPCG(behaviour.Seed, 0))
+	u.firstRequest = time.Time{}
+}
+
+// Behaviour returns the behaviour in force.
+func (u *Upstream) Behaviour() Behaviour {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.behaviour
+}
+
+// Leave makes the endpoint refuse new work; work in execution goes on.
+func (u *Upstream) Leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
+// Shed makes the endpoint refuse the next requests before they start.
+func (u *Upstream) Shed(requests int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.shedNext = requests
+}
+
+// CutAfterExecution makes the endpoint execute the next requests and cut
+// their connections instead of answering.
+func (u *Upstream) CutAfterExecution(requests int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.cutNext = requests
+}
+
+// Straggle multiplies all service times by a factor for a period.
+func (u *Upstream) Straggle(factor float64, period time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.straggleFactor = factor
+	u.straggleUntil = time.Now().Add(period)
+}
+
+func (u *Upstream) isLeaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leaving
+}
+
+func (u *Upstream) takeShed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return takeOne(&u.shedNext)
+}
+
+func (u *Upstream) takeCut() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return takeOne(&u.cutNext)
+}
+
+func takeOne(count *int) bool {
+	if *count <= 0 {
+		return false
+	}
+	*count--
+	return true
+}
+
+func (u *Upstream) delayFrom(zone model.ZoneName) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.behaviour.Delay == nil {
+		return 0
+	}
+	return u.behaviour.Delay(zone, u.endpoint.Zone())
+}
+
+func (u *Upstream) nextServiceTime(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.firstRequest.IsZero() {
+		u.firstRequest = now
+	}
+	factor := 1 + u.behaviour.Jitter*(2*u.random.Float64()-1)
+	warm := now.Sub(u.firstRequest)
+	if u.behaviour.ColdFactor > 1 && warm < u.behaviour.ColdPeriod {
+		factor *= u.behaviour.ColdFactor - (u.behaviour.ColdFactor-1)*warm.Seconds()/u.behaviour.ColdPeriod.Seconds()
+	}
+	return time.Duration(factor * u.straggling(now) * float64(u.behaviour.ServiceTime))
+}
+
+// straggling returns the factor by which work is slowed. The lock is held.
+func (u *Upstream) straggling(now time.Time) float64 {
+	if now.Before(u.straggleUntil) {
+		return u.straggleFactor
+	}
+	return 1
+}
+
+// loadHistory holds the changes of the load, oldest first.
+type loadHistory []loadSample
+
+type loadSample struct {
+	at   time.Time
+	busy int
+}
+
+func (u *Upstream) noteLoad() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.load = append(u.load, loadSample{at: time.Now(), busy: len(u.slots)})
+	u.trimLoad()
+}
+
+// reportedLoad returns the number of busy slots as it was LoadLag ago.
+func (u *Upstream) reportedLoad() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.trimLoad()
+	if len(u.load) == 0 || u.load[0].at.After(time.Now().Add(-u.behaviour.LoadLag)) {
+		return 0
+	}
+	return u.load[0].busy
+}
+
+// trimLoad drops the samples that no report needs any more. The first one
+// that stays is the one to report.
+func (u *Upstream) trimLoad() {
+	limit := time.Now().Add(-u.behaviour.LoadLag)
+	for len(u.load) > 1 && !u.load[1].at.After(limit) {
+		u.load = u.load[1:]
+	}
+}
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -111,7 +111,7 @@
 		service, _ := c.deployment.Service(endpoint.Service())
 		upstream := fakes.NewUpstream(endpoint, service.Class(), c.ledger, c.options.ServiceTime[service.Class()])
 		c.upstreams[endpoint.Name()] = upstream
-		c.serve(listeners[endpoint.Name()], upstream)
+		c.serve(upstream.Listener(listeners[endpoint.Name()]), upstream)
 	}
 }
 
