--- /dev/null
+++ b/fakes/upstream_observe.go
@@ -0,0 +1,20 @@
+package fakes
+
+import "time"
+
+// Busy returns how many slots are taken.
+func (u *Upstream) Busy() int { return len(u.slots) }
+
+// LastArrival returns the time at which the last request arrived, started or
+// not, or the zero time.
+func (u *Upstream) LastArrival() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.lastArrival
+}
+
+func (u *Upstream) noteArrival() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lastArrival = time.Now()
+}
