Measure policies with one command on the stand-ins

Cause: the five quantities that the users weigh had no figures, so no change of policy could be judged.

Ruled out: a simulator with virtual time. The stand-ins bring about delays by availability zone, jitter, stragglers and paced exports over real sockets.

--- a/bench/report.go
+++ b/bench/report.go
@@ -46,6 +46,8 @@
 	rejected    int
 	started     int
 	storeWrites int
+	// submitWrites counts the transactions that changed register rows.
+	submitWrites int
 }
 
 // NewReport returns an empty report.
@@ -84,6 +86,27 @@
 // StoreWrites returns how many writes the platform's store took.
 func (r *Report) StoreWrites() int { return r.storeWrites }
 
+// WritesPerSubmit returns the claim rows' store writes for each submit.
+func (r *Report) WritesPerSubmit() float64 {
+	if len(r.submits) == 0 {
+		return 0
+	}
+	return float64(r.submitWrites) / float64(len(r.submits))
+}
+
+// ServedPart returns the part of the jobs that were served.
+func (r *Report) ServedPart() float64 {
+	jobs, served := 0, 0
+	for _, class := range r.classes {
+		jobs += class.Jobs
+		served += class.Served
+	}
+	if jobs == 0 {
+		return 0
+	}
+	return float64(served) / float64(jobs)
+}
+
 // ExtraLoad returns the executions at upstreams beyond one for each job, as a
 // part of the jobs.
 func (r *Report) ExtraLoad() float64 {
@@ -144,6 +167,7 @@
 	r.started = ledger.Started()
 	r.rejected = ledger.Rejected()
 	r.storeWrites = cluster.Platform().Writes()
+	r.submitWrites = cluster.Platform().ClaimWrites()
 	for key, outcome := range r.submits {
 		executions := ledger.Executions(key)
 		if outcome == model.Served && executions == 0 {
--- /dev/null
+++ b/cmds/bench.go
@@ -0,0 +1,54 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"filberthold/bench"
+	"filberthold/config"
+
+	"github.com/spf13/cobra"
+)
+
+func newBenchCommand() *cobra.Command {
+	experiment := bench.Experiment{}
+	var policies, scenarios []string
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "bench",
+		Short: "Measure placement policies on the stand-ins of a deployment, with one seed",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			for _, name := range scenarios {
+				scenario, err := bench.ParseScenario(name)
+				if err != nil {
+					return fmt.Errorf("parse scenarios: %w", err)
+				}
+				experiment.Scenarios = append(experiment.Scenarios, scenario)
+			}
+			for _, name := range policies {
+				experiment.Policies = append(experiment.Policies, config.PlacementMode(name))
+			}
+			experiment.Progress = command.ErrOrStderr()
+			runs, err := experiment.Run(command.Context())
+			if err != nil {
+				return fmt.Errorf("run experiment: %w", err)
+			}
+			if asJSON {
+				encoder := json.NewEncoder(command.OutOrStdout())
+				encoder.SetIndent("", "  ")
+				return encoder.Encode(runs)
+			}
+			return bench.WriteTable(command.OutOrStdout(), runs)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&experiment.Deployment, "deployment", "hlukodenik", "hlukodenik or guild")
+	flags.DurationVar(&experiment.Duration, "duration", 10*time.Second, "how long requests arrive in each run")
+	flags.Uint64Var(&experiment.Seed, "seed", 1, "seed of loads and service times")
+	flags.StringSliceVar(&policies, "policy", []string{"steered", "roundRobin", "random"}, "placement policies")
+	flags.StringSliceVar(&scenarios, "scenario", []string{"calm", "exports", "stragglers", "drain"}, "scenarios")
+	flags.BoolVar(&asJSON, "json", false, "write the results as JSON")
+	return command
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -39,6 +39,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand())
+	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand())
 	return root
 }
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -27,6 +27,8 @@
 	memberChanges []memberChange
 	// writes counts transactions and stored objects that took effect.
 	writes int
+	// claimWrites counts the transactions among them that changed the register.
+	claimWrites int
 	// reads counts answered reads.
 	reads int
 }
@@ -46,6 +48,13 @@
 	p.memberChanges = append(p.memberChanges, memberChange{at: time.Now(), member: member})
 }
 
+// ClaimWrites returns how many transactions changed the register.
+func (p *Platform) ClaimWrites() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claimWrites
+}
+
 // Writes returns how many writes took effect.
 func (p *Platform) Writes() int {
 	p.mu.Lock()
@@ -139,6 +148,9 @@
 		result.Versions = append(result.Versions, row.Version)
 	}
 	p.writes++
+	if len(transaction.Writes) > 0 && strings.HasPrefix(transaction.Writes[0].Key, "claims/") {
+		p.claimWrites++
+	}
 	return result
 }
 
