Give up silent upstream connections and prove unwritten requests

Cause: a connection that goes silent held a read until its deadline; a GET on a broken reused connection was replayed by net/http, unseen by placement; and the evidence "no byte was written" was the GotConn hook alone. GotConn is sound, because nothing is written before it, but it calls every request on a dialled connection possibly started.

Change: connections record who writes to them. After a failure each one that the call had is sealed, so that a writer of net/http that is still running can write nothing, and only then the claim is made. A first write that the connection refused with 0 bytes counts as nothing written. The deadline is checked again at the first byte. Bodies have a progress deadline for each read, reads and exports also one for the header; connections are dropped after 2 s idle or 30 s of age, and all idle ones of the class when one was silent. Request bodies hide from net/http that they are replayable. A reply whose end cannot be told from a break is an error.

Ruled out: ResponseHeaderTimeout for submits, which could only turn late results into unknown ones; a header timeout of 2 s for exports, which may need longer to prepare (10 s).

--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -5,12 +5,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"filberthold/model"
@@ -44,11 +44,16 @@
 	Deadline time.Time
 }
 
-// Reply is the response of an endpoint.
+// Reply is the response of an endpoint. Its body ends with io.EOF only if it
+// is whole.
 type Reply struct {
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Length is the length of the body, or -1 if it is sent in chunks.
+	Length int64
+	// Leaving is true if the upstream said that it takes no more work.
+	Leaving bool
 }
 
 // NotStartedError reports that the upstream did not start the request, on the
@@ -66,19 +71,48 @@
 
 // Client sends requests to upstream endpoints.
 type Client struct {
-	zone       model.ZoneName
+	options    Options
 	transports map[model.Class]*http.Transport
 }
 
+// Options are the limits of a client. NewClient uses DefaultOptions.
+type Options struct {
+	Zone model.ZoneName
+	// Dial opens connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// ProgressTimeout is the time without a byte after which a body counts as
+	// silent. For a read it bounds the wait for the header as well.
+	ProgressTimeout time.Duration
+	// IdleTimeout and MaxAge bound the use of a connection, so that few
+	// requests meet one that went silent while it was idle.
+	IdleTimeout time.Duration
+	MaxAge      time.Duration
+}
+
+// DefaultOptions returns the options of a host in an availability zone.
+func DefaultOptions(zone model.ZoneName) Options {
+	return Options{
+		Zone:            zone,
+		Dial:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		ProgressTimeout: 2 * time.Second,
+		IdleTimeout:     2 * time.Second,
+		MaxAge:          30 * time.Second,
+	}
+}
+
 // NewClient returns a client for a host in an availability zone.
-func NewClient(zone model.ZoneName) *Client {
-	client := &Client{zone: zone, transports: make(map[model.Class]*http.Transport)}
+func NewClient(zone model.ZoneName) *Client { return NewClientWith(DefaultOptions(zone)) }
+
+// NewClientWith returns a client with options of its own.
+func NewClientWith(options Options) *Client {
+	client := &Client{options: options, transports: make(map[model.Class]*http.Transport)}
 	for _, class := range model.Classes() {
 		client.transports[class] = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     10 * time.Second,
-			DisableCompression:  true,
+			DialContext:           dialFunc(options.Dial).wrap(),
+			MaxIdleConnsPerHost:   8,
+			IdleConnTimeout:       options.IdleTimeout,
+			ResponseHeaderTimeout: headerTimeout(class, options.ProgressTimeout),
+			DisableCompression:    true,
 			// net/http sends a replayable request again when a reused connection
 			// breaks, and an Idempotency-Key header makes a POST replayable.
 			// Without reuse a submit is written to one connection at most.
@@ -88,6 +122,20 @@
 	return client
 }
 
+// headerTimeout returns how long to wait for the header of a reply. A submit
+// is not given up before its deadline, because that could only turn a late
+// result into an unknown one. An export may take longer to prepare.
+func headerTimeout(class model.Class, progress time.Duration) time.Duration {
+	switch class {
+	case model.Read:
+		return progress
+	case model.Export:
+		return 5 * progress
+	case model.Submit:
+	}
+	return 0
+}
+
 // Do sends a call and returns the reply; the caller must close its body. A
 // NotStartedError proves that the request did not start. Any other error
 // leaves that open.
@@ -95,33 +143,83 @@
 	if !time.Now().Before(call.Deadline) {
 		return nil, &NotStartedError{reason: "deadline passed before sending"}
 	}
-	var wrote atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) },
-	})
-	request, err := c.request(traced, call)
+	ctx, cancel := context.WithCancelCause(ctx)
+	reply, err := c.send(ctx, cancel, call)
+	if err != nil {
+		cancel(nil)
+	}
+	return reply, err
+}
+
+// send leaves cancel to the body of the reply unless it fails.
+func (c *Client) send(ctx context.Context, cancel context.CancelCauseFunc, call Call) (*Reply, error) {
+	attempt := &attempt{deadline: call.Deadline, maxAge: c.options.MaxAge}
+	request, err := c.request(httptrace.WithClientTrace(ctx, attempt.trace()), call)
 	if err != nil {
 		return nil, fmt.Errorf("make upstream request: %w", err)
 	}
 	response, err := c.transports[call.Class].RoundTrip(request)
-	if err != nil && !wrote.Load() {
-		return nil, &NotStartedError{reason: err.Error()}
-	}
 	if err != nil {
-		return nil, fmt.Errorf("call upstream: %w", err)
+		return nil, c.failure(ctx, attempt, call.Class, err)
+	}
+	leaving := response.Header.Get(LeavingHeader) == "true"
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(NotStartedHeader) == "true" {
+		_ = response.Body.Close()
+		return nil, &NotStartedError{reason: "upstream said so", leaving: leaving}
 	}
-	if response.Header.Get(NotStartedHeader) == "true" {
+	if !isFramed(call.Method, response) {
 		_ = response.Body.Close()
-		return nil, &NotStartedError{
-			reason:  "upstream said so",
-			leaving: response.Header.Get(LeavingHeader) == "true",
+		return nil, errors.New("call upstream: the end of the reply cannot be told from a break")
+	}
+	return &Reply{
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Body:    c.body(ctx, cancel, response.Body, call),
+		Length:  response.ContentLength,
+		Leaving: leaving,
+	}, nil
+}
+
+// body returns the body of a reply with its progress deadline. A submit gets
+// all the time until its deadline; see headerTimeout.
+func (c *Client) body(ctx context.Context, cancel context.CancelCauseFunc, inner io.ReadCloser, call Call) io.ReadCloser {
+	timeout := c.options.ProgressTimeout
+	if call.Class == model.Submit {
+		timeout = time.Until(call.Deadline)
+	}
+	return newBody(ctx, inner, timeout, func(cause error) {
+		cancel(cause)
+		if cause != nil {
+			// Other idle connections may have gone silent at the same time.
+			c.transports[call.Class].CloseIdleConnections()
 		}
+	})
+}
+
+// failure turns an error of net/http into one that carries the evidence.
+func (c *Client) failure(ctx context.Context, attempt *attempt, class model.Class, err error) error {
+	if attempt.wroteNothing() {
+		return &NotStartedError{reason: err.Error()}
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && ctx.Err() == nil {
+		c.transports[class].CloseIdleConnections()
+		return fmt.Errorf("call upstream: %w", &SilentError{after: headerTimeout(class, c.options.ProgressTimeout)})
 	}
-	return &Reply{Status: response.StatusCode, Header: response.Header, Body: response.Body}, nil
+	return fmt.Errorf("call upstream: %w", err)
 }
 
 func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
+	// The reader's type hides the length from net/http, which therefore offers
+	// no GetBody and does not take an empty body for a replayable one. A replay
+	// inside net/http would be an attempt that placement does not count.
+	content := io.NopCloser(bytes.NewReader(call.Body))
+	if call.Class == model.Submit && len(call.Body) == 0 {
+		// A submit has a connection of its own and is never replayed; an empty
+		// one is sent with a length rather than in chunks.
+		content = http.NoBody
+	}
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, content)
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
@@ -129,8 +227,8 @@
 		request.Header[name] = values
 	}
 	request.Header.Set(DeadlineHeader, call.Deadline.UTC().Format(time.RFC3339Nano))
-	request.Header.Set(ZoneHeader, string(c.zone))
-	request.GetBody = nil
+	request.Header.Set(ZoneHeader, string(c.options.Zone))
+	request.ContentLength = int64(len(call.Body))
 	return request, nil
 }
 
--- /dev/null
+++ b/upstrm/connection_test.go
@@ -0,0 +1,43 @@
+package upstrm
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// countingConn counts the bytes that reach the network.
+type countingConn struct {
+	net.Conn
+	bytes int
+}
+
+func (c *countingConn) Write(data []byte) (int, error) {
+	c.bytes += len(data)
+	return len(data), nil
+}
+
+// Guards against the claim that nothing was written while a goroutine of
+// net/http is still about to write.
+func TestNothingIsWrittenAfterTheClaim(t *testing.T) {
+	claims := 0
+	for range 2000 {
+		inner := &countingConn{}
+		call := &attempt{deadline: time.Now().Add(time.Hour)}
+		chosen := &connection{Conn: inner, opened: time.Now()}
+		chosen.take(call)
+		call.used = append(call.used, chosen)
+		var writer sync.WaitGroup
+		writer.Go(func() { _, _ = chosen.Write([]byte("request")) })
+		nothing := call.wroteNothing()
+		writer.Wait()
+		assert.Equal(t, nothing, inner.bytes == 0)
+		if nothing {
+			claims++
+		}
+	}
+	t.Logf("%d of 2000 claims came before the write", claims)
+}
