Bound each write to an upstream and drain silent stand-ins

The wait for the header begins only after the request is written, so a large request to a silent connection could hang until its deadline as well.

Change: writes of reads and exports have the same limit as the wait for the header. The stand-in discards what arrives on a silent connection, as the buffers of a network would take it, and honours read deadlines.

--- a/fakes/upstream_connections.go
+++ b/fakes/upstream_connections.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -72,14 +74,19 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. On a silent connection it discards what arrives,
+// so that the other end can write as it can into the buffers of the network.
 func (c *connection) Read(buffer []byte) (int, error) {
-	count, err := c.Conn.Read(buffer)
-	if !c.isSilent() {
-		return count, err
+	for {
+		count, err := c.Conn.Read(buffer)
+		if !c.isSilent() || errors.Is(err, os.ErrDeadlineExceeded) {
+			return count, err
+		}
+		if err != nil {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
 	}
-	<-c.closed
-	return 0, net.ErrClosed
 }
 
 // Write implements net.Conn.
--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -81,7 +81,7 @@
 	// Dial opens connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// ProgressTimeout is the time without a byte after which a body counts as
-	// silent. For a read it bounds the wait for the header as well.
+	// silent. For a read it also bounds each write and the wait for the header.
 	ProgressTimeout time.Duration
 	// IdleTimeout and MaxAge bound the use of a connection, so that few
 	// requests meet one that went silent while it was idle.
@@ -108,7 +108,7 @@
 	client := &Client{options: options, transports: make(map[model.Class]*http.Transport)}
 	for _, class := range model.Classes() {
 		client.transports[class] = &http.Transport{
-			DialContext:           dialFunc(options.Dial).wrap(),
+			DialContext:           dialFunc(options.Dial).wrap(headerTimeout(class, options.ProgressTimeout)),
 			MaxIdleConnsPerHost:   8,
 			IdleConnTimeout:       options.IdleTimeout,
 			ResponseHeaderTimeout: headerTimeout(class, options.ProgressTimeout),
--- a/upstrm/connection.go
+++ b/upstrm/connection.go
@@ -12,14 +12,15 @@
 // dialFunc has the signature of net.Dialer.DialContext.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// wrap makes the connections that dial opens record who writes to them.
-func (dial dialFunc) wrap() dialFunc {
+// wrap makes the connections that dial opens record who writes to them. A
+// write that makes no progress for writeTimeout fails; 0 means no limit.
+func (dial dialFunc) wrap(writeTimeout time.Duration) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		inner, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &connection{Conn: inner, opened: time.Now()}, nil
+		return &connection{Conn: inner, opened: time.Now(), writeTimeout: writeTimeout}, nil
 	}
 }
 
@@ -29,8 +30,9 @@
 // RoundTrip has returned.
 type connection struct {
 	net.Conn
-	opened time.Time
-	mu     sync.Mutex
+	opened       time.Time
+	writeTimeout time.Duration
+	mu           sync.Mutex
 	// user is the attempt that holds the connection; it is nil while idle.
 	user *attempt
 	// wrote is true if bytes of the user may have been written, which includes
@@ -45,6 +47,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if c.writeTimeout > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+	}
 	count, err := c.Conn.Write(data)
 	if isFirst && count == 0 && err != nil {
 		c.noteRefusedWrite()
