Deliver whole replies only and resume broken exports

Cause: exports were held in memory and failed as a whole; a reply without length or chunks was delivered even when its connection had broken; headers of one hop reached the caller; a caller that gave up cancelled its submit; an attempt that ended after its request was never reported, so placement counted it as in flight for ever.

After a break or silence the next Send of placement carries Range and If-Range from the byte reached. A resumed response must be a 206 with the same strong entity tag that carries on at the next byte and ends where the first one would; otherwise the caller's connection is aborted. Placement learns of the end of every attempt, whether its request still runs or not, and of the end of a request before that of its last attempt. Failed is reported for reads and exports whose connection the upstream closed, Lost for all others. A submit goes on without its caller.

Placement still limits a request to 3 attempts; the tests use a placement of their own.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"filberthold/model"
@@ -30,10 +31,15 @@
 	service model.Service
 	call    upstrm.Call
 	replies chan reply
-	// cancels holds the cancel function of each attempt in flight.
+	// ended is closed when the exchange takes no more replies. An attempt that
+	// ends later reports to placement itself.
+	ended chan struct{}
+	// cancels holds the cancel function of each attempt.
 	cancels map[place.AttemptID]context.CancelFunc
 	// whole holds complete replies until placement chooses one.
 	whole map[place.AttemptID]*wholeReply
+	// export is nil unless the service exports.
+	export *export
 }
 
 type wholeReply struct {
@@ -42,9 +48,13 @@
 	body   []byte
 }
 
+// reply is what an attempt has come to. For reads and submits it is the end.
+// For an export, opened is set first, and a second reply tells the end.
 type reply struct {
 	attempt place.AttemptID
 	whole   *wholeReply
+	opened  *upstrm.Reply
+	leaving bool
 	err     error
 }
 
@@ -79,7 +89,7 @@
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	return &exchange{
+	made := &exchange{
 		server:  s,
 		service: service,
 		request: place.Request{
@@ -98,10 +108,15 @@
 			Body:     body,
 			Deadline: deadline,
 		},
-		replies: make(chan reply, 8),
+		replies: make(chan reply),
+		ended:   make(chan struct{}),
 		cancels: make(map[place.AttemptID]context.CancelFunc),
 		whole:   make(map[place.AttemptID]*wholeReply),
-	}, nil
+	}
+	if service.Class() == model.Export {
+		made.export = newExport(w, r.Method)
+	}
+	return made, nil
 }
 
 func requestDeadline(r *http.Request, service model.Service) (time.Time, error) {
@@ -112,9 +127,14 @@
 	return time.Parse(time.RFC3339Nano, text)
 }
 
-// forwardedHeader returns the end-to-end headers of a request.
+// forwardedHeader returns the end-to-end headers of a request or a response.
 func forwardedHeader(header http.Header) http.Header {
 	forwarded := header.Clone()
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			forwarded.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range []string{"Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade"} {
 		forwarded.Del(name)
 	}
@@ -127,8 +147,8 @@
 		e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: err.Error()})
 		return
 	}
-	defer e.server.dispatcher.Close(e.request.ID)
-	defer e.cancelAll()
+	defer e.end(decisions)
+	gone := r.Context().Done()
 	for {
 		select {
 		case decision := <-decisions:
@@ -136,9 +156,35 @@
 				return
 			}
 		case reply := <-e.replies:
-			e.report(reply)
-		case <-r.Context().Done():
-			_ = e.server.dispatcher.Report(context.WithoutCancel(r.Context()), place.Abandoned{Request: e.request.ID})
+			e.take(reply)
+		case <-gone:
+			gone = nil
+			e.server.report(place.Abandoned{Request: e.request.ID})
+			// A submit goes on, so that its result is known to a repeat.
+			if e.service.Class() != model.Submit {
+				e.abortStarted()
+				return
+			}
+		}
+	}
+}
+
+// end gives up all attempts and tells placement of those that it asked for
+// too late. Attempts in flight report their end themselves.
+func (e *exchange) end(decisions <-chan place.Decision) {
+	close(e.ended)
+	for _, cancel := range e.cancels {
+		cancel()
+	}
+	e.export.wait()
+	e.server.dispatcher.Close(e.request.ID)
+	for {
+		select {
+		case decision := <-decisions:
+			if send, isSend := decision.(place.Send); isSend {
+				e.server.report(place.Finished{Attempt: send.Attempt, Result: place.NotStarted, Detail: "request has ended"})
+			}
+		default:
 			return
 		}
 	}
@@ -148,40 +194,73 @@
 func (e *exchange) act(w http.ResponseWriter, decision place.Decision) bool {
 	switch decision := decision.(type) {
 	case place.Send:
-		ctx, cancel := context.WithDeadline(context.Background(), e.call.Deadline)
-		e.cancels[decision.Attempt] = cancel
-		sending := &sending{exchange: e, decision: decision}
-		go sending.run(ctx)
+		e.send(decision)
 	case place.Cancel:
 		if cancel, exists := e.cancels[decision.Attempt]; exists {
 			cancel()
 		}
 	case place.Refuse:
+		e.abortStarted()
 		e.refuse(w, decision)
 		return true
 	case place.Deliver:
-		e.deliver(w, e.whole[decision.Attempt])
+		if e.export == nil {
+			e.deliver(w, e.whole[decision.Attempt])
+		}
 		return true
 	case place.Wait:
 	}
 	return false
 }
 
-func (e *exchange) report(reply reply) {
-	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded}
+func (e *exchange) send(decision place.Send) {
+	call := e.call
+	call.Address = decision.Address
+	if e.export != nil {
+		if e.export.isCopying() {
+			e.server.report(place.Finished{Attempt: decision.Attempt, Result: place.NotStarted, Detail: "export is being passed on"})
+			return
+		}
+		call.Header = e.export.requestHeader(call.Header)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
+	e.cancels[decision.Attempt] = cancel
+	sending := &sending{exchange: e, decision: decision, call: call}
+	e.server.attempts.Add(1)
+	go sending.run(ctx)
+}
+
+// take handles what an attempt has come to.
+func (e *exchange) take(reply reply) {
+	switch {
+	case reply.opened != nil:
+		e.takeExport(reply)
+	case e.export != nil:
+		e.takeExportEnd(reply)
+	default:
+		e.whole[reply.attempt] = reply.whole
+		e.reportEnd(reply)
+	}
+}
+
+// reportEnd tells placement how an attempt ended.
+func (e *exchange) reportEnd(reply reply) {
+	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded, Leaving: reply.leaving}
 	var notStarted *upstrm.NotStartedError
 	switch {
+	case reply.err == nil:
 	case errors.As(reply.err, &notStarted):
 		finished.Result = place.NotStarted
 		finished.Leaving = notStarted.Leaving()
-		finished.Detail = reply.err.Error()
-	case reply.err != nil:
+	case e.service.Class() != model.Submit && upstrm.IsClosedByUpstream(reply.err):
+		finished.Result = place.Failed
+	default:
 		finished.Result = place.Lost
+	}
+	if reply.err != nil {
 		finished.Detail = reply.err.Error()
-	default:
-		e.whole[reply.attempt] = reply.whole
 	}
-	_ = e.server.dispatcher.Report(context.Background(), finished)
+	e.server.report(finished)
 }
 
 func (e *exchange) refuse(w http.ResponseWriter, decision place.Refuse) {
@@ -191,39 +270,63 @@
 }
 
 func (e *exchange) deliver(w http.ResponseWriter, whole *wholeReply) {
-	for name, values := range whole.header {
-		w.Header()[name] = values
+	if whole == nil {
+		e.refuse(w, place.Refuse{Outcome: model.Unknown, Reason: "the reply is not at hand"})
+		return
 	}
-	w.Header().Set(RequestHeader, string(e.request.ID))
-	w.Header().Set(OutcomeHeader, string(model.Served))
+	e.passHeader(w, whole.header)
 	w.WriteHeader(whole.status)
 	_, _ = w.Write(whole.body)
 }
 
-func (e *exchange) cancelAll() {
-	for _, cancel := range e.cancels {
-		cancel()
+// passHeader passes on the end-to-end headers of a response.
+func (e *exchange) passHeader(w http.ResponseWriter, header http.Header) {
+	for name, values := range forwardedHeader(header) {
+		w.Header()[name] = values
 	}
+	w.Header().Del(upstrm.LeavingHeader)
+	w.Header().Set(RequestHeader, string(e.request.ID))
+	w.Header().Set(OutcomeHeader, string(model.Served))
 }
 
 // sending is one attempt in flight.
 type sending struct {
 	exchange *exchange
 	decision place.Send
+	call     upstrm.Call
 }
 
 func (s *sending) run(ctx context.Context) {
-	whole, err := s.fetch(ctx)
-	s.exchange.replies <- reply{attempt: s.decision.Attempt, whole: whole, err: err}
+	defer s.exchange.server.attempts.Done()
+	result := reply{attempt: s.decision.Attempt}
+	response, err := s.exchange.server.upstreams.Do(ctx, s.call)
+	switch {
+	case err != nil:
+		result.err = fmt.Errorf("send attempt %d: %w", s.decision.Number, err)
+	case s.exchange.export != nil:
+		result.opened, result.leaving = response, response.Leaving
+	default:
+		result.leaving = response.Leaving
+		result.whole, result.err = s.readWhole(response)
+	}
+	s.exchange.hand(result)
 }
 
-func (s *sending) fetch(ctx context.Context) (*wholeReply, error) {
-	call := s.exchange.call
-	call.Address = s.decision.Address
-	response, err := s.exchange.server.upstreams.Do(ctx, call)
-	if err != nil {
-		return nil, fmt.Errorf("send attempt %d: %w", s.decision.Number, err)
+// hand gives a reply to the exchange, or to placement if the exchange has ended.
+func (e *exchange) hand(reply reply) {
+	select {
+	case e.replies <- reply:
+	case <-e.ended:
+		if reply.opened != nil {
+			_ = reply.opened.Body.Close()
+			reply.err = errors.New("reply came after the end of the request")
+		}
+		e.reportEnd(reply)
 	}
+}
+
+// readWhole returns a reply only if it has arrived to its end.
+func (s *sending) readWhole(response *upstrm.Reply) (*wholeReply, error) {
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
--- /dev/null
+++ b/caller/exchange_test.go
@@ -0,0 +1,124 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthold/fakes"
+	"filberthold/model"
+	"filberthold/place"
+
+	"gotest.tools/v3/assert"
+)
+
+// raw answers with bytes that need not be valid HTTP, and closes.
+type raw string
+
+func (text raw) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(connection, string(text))
+	_ = connection.Close()
+}
+
+// Guards against a part of a reply that a caller takes for the whole.
+func TestPartialRepliesAreNeverDelivered(t *testing.T) {
+	whole := raw("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: timeout=5\r\n\r\nwhole")
+	cases := []struct {
+		name  string
+		reply raw
+	}{
+		{"shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"},
+		{"broken in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart"},
+		{"broken between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+		{"ended by its connection", "HTTP/1.1 200 OK\r\n\r\npart"},
+		{"ended by its connection, HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\npart"},
+		{"broken header", "HTTP/1.1 200 OK\r\nContent-Le"},
+		{"larger than the limit", raw("HTTP/1.1 200 OK\r\nContent-Length: 8388609\r\n\r\n" + strings.Repeat("x", 8388609))},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, model.Read, test.reply, whole)
+				got, err := h.call(t.Context(), http.MethodGet, "/s/read/x", nil)
+				assert.NilError(t, err)
+				assert.Equal(t, got.body, "whole")
+				assert.Equal(t, got.header.Get("Keep-Alive"), "", "header of a single hop is passed on")
+				results := h.results()
+				assert.Equal(t, len(results), 2)
+				assert.Assert(t, results[0] != place.Succeeded)
+			})
+		})
+	}
+}
+
+// echo answers with its name and the path after a random time.
+type echo struct {
+	name   string
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (e *echo) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	pause := time.Duration(e.random.IntN(1000)) * time.Millisecond
+	e.mu.Unlock()
+	time.Sleep(pause)
+	_, _ = fmt.Fprintf(w, "%s%s", e.name, r.URL.Path)
+}
+
+// Guards against replies of hedges that arrive late and in another order, and
+// then reach another request or stand for another attempt than the chosen one.
+func TestLateRepliesOfHedgesReachTheirOwnRequest(t *testing.T) {
+	const seed = 7
+	t.Logf("seed %d", seed)
+	synctest.Test(t, func(t *testing.T) {
+		var upstreams []http.Handler
+		for i, name := range []string{"a", "b", "c"} {
+			upstreams = append(upstreams, &echo{name: name, random: rand.New(rand.NewPCG(seed, uint64(i)))})
+		}
+		h := newHarness(t, model.Read, upstreams...)
+		h.together = 3
+		h.choose = func(attempts []place.AttemptID) place.AttemptID { return attempts[1] }
+		var calls sync.WaitGroup
+		for i := range 100 {
+			calls.Go(func() {
+				path := fmt.Sprintf("/%d", i)
+				got, err := h.call(t.Context(), http.MethodGet, "/s/read"+path, nil)
+				assert.Check(t, err)
+				assert.Check(t, got.body == "b"+path, "request %s got %q", path, got.body)
+			})
+		}
+		calls.Wait()
+	})
+}
+
+// Guards against a submit that ends, or whose result is dropped, because its
+// caller gave up, and against a read that goes on for nobody.
+func TestCallerThatGivesUp(t *testing.T) {
+	for class, result := range map[model.Class]place.Result{model.Read: place.Lost, model.Submit: place.Succeeded} {
+		synctest.Test(t, func(t *testing.T) {
+			ledger := fakes.NewLedger()
+			endpoint := model.NewEndpoint(model.EndpointParts{Name: "a", Slots: 1})
+			h := newHarness(t, class, fakes.NewUpstream(endpoint, class, ledger, time.Minute))
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := h.call(ctx, http.MethodPost, "/s/x/x", http.Header{"Idempotency-Key": {"k"}})
+			assert.ErrorContains(t, err, "deadline exceeded")
+			time.Sleep(2 * time.Minute)
+			assert.DeepEqual(t, h.results(), []place.Result{result})
+			assert.Equal(t, ledger.Executions("k"), 1)
+			assert.Equal(t, ledger.Cancelled() == 1, class == model.Read)
+		})
+	}
+}
--- /dev/null
+++ b/caller/exports_test.go
@@ -0,0 +1,137 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthold/fakes"
+	"filberthold/model"
+	"filberthold/place"
+
+	"gotest.tools/v3/assert"
+)
+
+const exportBytes = 100_000
+
+func newExporter(behaviour fakes.Behaviour, ledger *fakes.Ledger) *fakes.Upstream {
+	endpoint := model.NewEndpoint(model.EndpointParts{Name: "e", Slots: 3})
+	upstream := fakes.NewUpstream(endpoint, model.Export, ledger, 0)
+	behaviour.ExportBytes = exportBytes
+	upstream.Configure(behaviour)
+	return upstream
+}
+
+// Guards against exports that end early, start over, mix two contents or look
+// complete when they are not, whatever breaks on the way.
+func TestExportsAreWholeOrAborted(t *testing.T) {
+	whole := string(fakes.ExportContent("/x", exportBytes))
+	sound := fakes.Behaviour{}
+	breaking := fakes.Behaviour{BreakAfter: 30_000}
+	cases := []struct {
+		name          string
+		first, second fakes.Behaviour
+		header        http.Header
+		want          string // "" if the caller's connection must be aborted
+		attempts      int
+		took          time.Duration
+	}{
+		{"sound", sound, sound, nil, whole, 1, 0},
+		{"broken", breaking, sound, nil, whole, 2, 0},
+		{"stalled", fakes.Behaviour{StallAfter: 30_000}, sound, nil, whole, 2, 2 * time.Second},
+		{"broken with progress many times", fakes.Behaviour{BreakAfter: 5_000}, fakes.Behaviour{BreakAfter: 5_000}, nil, whole, 20, 0},
+		{"a part, broken", breaking, sound, http.Header{"Range": {"bytes=50000-89999"}}, whole[50000:90000], 2, 0},
+		{"resumed from the start", breaking, fakes.Behaviour{IgnoreRange: true}, nil, "", 2, 0},
+		{"changed", breaking, fakes.Behaviour{ExportTag: `"new"`}, nil, "", 2, 0},
+		{"weak tag", fakes.Behaviour{BreakAfter: 30_000, ExportTag: `W/"x"`}, sound, nil, "", 1, 0},
+		{"weak tag on resume", breaking, fakes.Behaviour{ExportTag: `W/"/x"`}, nil, "", 2, 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ledger := fakes.NewLedger()
+				h := newHarness(t, model.Export, newExporter(test.first, ledger), newExporter(test.second, ledger))
+				start := time.Now()
+				got, err := h.call(t.Context(), http.MethodGet, "/s/export/x", test.header)
+				assert.Equal(t, err == nil, test.want != "", "%v", err)
+				assert.Assert(t, test.want == "" || got.body == test.want, "got %d bytes that differ", len(got.body))
+				assert.Equal(t, time.Since(start), test.took)
+				synctest.Wait()
+				assert.Equal(t, len(h.results()), test.attempts)
+				assert.Equal(t, h.results()[test.attempts-1] == place.Succeeded, test.want != "")
+			})
+		})
+	}
+}
+
+// Guards against a resumed response that carries other bytes than asked for
+// under the right entity tag.
+func TestResumedPartMustContinueTheResponse(t *testing.T) {
+	first := raw("HTTP/1.1 200 OK\r\nETag: \"x\"\r\nContent-Length: 10\r\n\r\n0123")
+	const partial = http.StatusPartialContent
+	cases := []struct {
+		name                    string
+		status                  int
+		tag, contentRange, body string
+		isWhole                 bool
+	}{
+		{"continues", partial, `"x"`, "bytes 4-9/10", "456789", true},
+		{"repeats a byte", partial, `"x"`, "bytes 3-8/10", "345678", false},
+		{"skips a byte", partial, `"x"`, "bytes 5-9/10", "56789", false},
+		{"ends early", partial, `"x"`, "bytes 4-8/10", "45678", false},
+		{"ends late", partial, `"x"`, "bytes 4-10/11", "456789x", false},
+		{"is not a range", partial, `"x"`, "4-9/10", "456789", false},
+		{"is shorter than it says", partial, `"x"`, "bytes 4-9/10", "45", false},
+		{"has another tag", partial, `"y"`, "bytes 4-9/10", "456789", false},
+		{"has a weak tag", partial, `W/"x"`, "bytes 4-9/10", "456789", false},
+		{"has no tag", partial, "", "bytes 4-9/10", "456789", false},
+		{"is whole by its status", http.StatusOK, `"x"`, "bytes 4-9/10", "456789", false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				second := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					assert.Check(t, r.Header.Get("Range") == "bytes=4-9" && r.Header.Get("If-Range") == `"x"`, "%v", r.Header)
+					w.Header().Set("ETag", test.tag)
+					w.Header().Set("Content-Range", test.contentRange)
+					w.WriteHeader(test.status)
+					_, _ = io.WriteString(w, test.body)
+				})
+				h := newHarness(t, model.Export, first, second)
+				got, err := h.call(t.Context(), http.MethodGet, "/s/export/x", nil)
+				assert.Equal(t, err == nil, test.isWhole, "%v: %q", err, got.body)
+				assert.Assert(t, !test.isWhole || got.body == "0123456789", "%q", got.body)
+			})
+		})
+	}
+}
+
+// Guards against exports that are collected before they are passed on, and
+// against an upstream that works on for a caller who has gone.
+func TestExportsArriveWhileTheyAreSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := newExporter(fakes.Behaviour{StallAfter: 1000}, fakes.NewLedger())
+		h := newHarness(t, model.Export, upstream)
+		ctx, cancel := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://h1:1/s/export/x", http.NoBody)
+		assert.NilError(t, err)
+		start := time.Now()
+		response, err := h.client.Do(request)
+		assert.NilError(t, err)
+		_, err = io.ReadFull(response.Body, make([]byte, 1000))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		cancel()
+		_, err = io.ReadAll(response.Body)
+		assert.NilError(t, errors.Join(response.Body.Close()))
+		assert.ErrorIs(t, err, context.Canceled)
+		synctest.Wait()
+		assert.DeepEqual(t, h.results(), []place.Result{place.Lost})
+		time.Sleep(time.Second)
+		assert.Equal(t, upstream.Busy(), 0)
+	})
+}
--- /dev/null
+++ b/caller/harness_test.go
@@ -0,0 +1,179 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"filberthold/caller"
+	"filberthold/common"
+	"filberthold/config"
+	"filberthold/fakes"
+	"filberthold/model"
+	"filberthold/place"
+	"filberthold/upstrm"
+
+	"gotest.tools/v3/assert"
+)
+
+// harness runs a caller server and upstreams on an in-memory network, with a
+// placement that follows a plan.
+type harness struct {
+	t       *testing.T
+	class   model.Class
+	network *fakes.Network
+	server  *caller.Server
+	servers []*http.Server
+	client  *http.Client
+
+	mu        sync.Mutex
+	addresses []string
+	// together is the number of attempts that are sent at once.
+	together int
+	// choose returns the attempt to deliver once all have succeeded.
+	choose   func(attempts []place.AttemptID) place.AttemptID
+	requests map[place.RequestID]*planned
+	owners   map[place.AttemptID]place.RequestID
+	events   []place.Event
+}
+
+type planned struct {
+	decisions chan place.Decision
+	attempts  []place.AttemptID
+	succeeded int
+	isOver    bool
+}
+
+func newHarness(t *testing.T, class model.Class, upstreams ...http.Handler) *harness {
+	t.Helper()
+	h := &harness{
+		t: t, class: class, network: fakes.NewNetwork(), together: 1,
+		requests: make(map[place.RequestID]*planned), owners: make(map[place.AttemptID]place.RequestID),
+	}
+	h.choose = func(attempts []place.AttemptID) place.AttemptID { return attempts[len(attempts)-1] }
+	base, err := common.NewBase(config.Settings{Host: "h1", Log: config.LogSettings{Level: "error"}}, t.Output())
+	assert.NilError(t, err)
+	options := upstrm.DefaultOptions("a")
+	options.Dial = h.network.Dial
+	client := upstrm.NewClientWith(options)
+	for i, upstream := range upstreams {
+		address := string(rune('a'+i)) + ":1"
+		h.addresses = append(h.addresses, address)
+		listener := h.network.Listen(address)
+		if standIn, isStandIn := upstream.(*fakes.Upstream); isStandIn {
+			listener = standIn.Listener(listener)
+		}
+		server := &http.Server{Handler: upstream}
+		h.servers = append(h.servers, server)
+		go func() { _ = server.Serve(listener) }()
+	}
+	h.server = caller.NewServer(base, h, h, client)
+	callers := h.network.Listen("h1:1")
+	go func() { _ = h.server.Run(callers) }()
+	transport := &http.Transport{DialContext: h.network.Dial, DisableCompression: true}
+	h.client = &http.Client{Transport: transport}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		assert.Check(t, h.server.Shutdown(context.Background()))
+		client.Close()
+		for _, server := range h.servers {
+			_ = server.Close()
+		}
+	})
+	return h
+}
+
+func (h *harness) Service(name model.ServiceName) (model.Service, bool) {
+	return model.NewService(model.ServiceParts{Name: name, Class: h.class, DefaultTimeout: time.Hour}), true
+}
+func (h *harness) Locate(netip.Addr) (model.RegionName, uint64) { return "r", 0 }
+func (h *harness) Entries(netip.Addr) []model.Host {
+	return []model.Host{model.NewHost(model.HostParts{Name: "h1"}), model.NewHost(model.HostParts{Name: "h2"})}
+}
+
+func (h *harness) Open(_ context.Context, request place.Request) (<-chan place.Decision, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	opened := &planned{decisions: make(chan place.Decision, 64)}
+	h.requests[request.ID] = opened
+	for range h.together {
+		h.send(request.ID, opened)
+	}
+	return opened.decisions, nil
+}
+
+// send sends the next attempt to the next address in turn.
+func (h *harness) send(id place.RequestID, request *planned) {
+	attempt := place.AttemptID(len(h.owners) + 1)
+	h.owners[attempt] = id
+	address := h.addresses[len(request.attempts)%len(h.addresses)]
+	request.attempts = append(request.attempts, attempt)
+	request.decisions <- place.Send{Request: id, Attempt: attempt, Address: address, Number: len(request.attempts)}
+}
+
+func (h *harness) Report(_ context.Context, event place.Event) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, event)
+	switch event := event.(type) {
+	case place.Abandoned:
+		h.requests[event.Request].isOver = h.class != model.Submit
+	case place.Finished:
+		id := h.owners[event.Attempt]
+		request := h.requests[id]
+		switch {
+		case request.isOver:
+		case event.Result != place.Succeeded:
+			h.send(id, request)
+		default:
+			request.succeeded++
+			if request.succeeded == h.together {
+				request.isOver = true
+				request.decisions <- place.Deliver{Request: id, Attempt: h.choose(request.attempts)}
+			}
+		}
+	}
+	return nil
+}
+
+func (h *harness) Close(place.RequestID) {}
+
+// results returns how the attempts ended, in order.
+func (h *harness) results() []place.Result {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	results := []place.Result{}
+	for _, event := range h.events {
+		if finished, isFinished := event.(place.Finished); isFinished {
+			results = append(results, finished.Result)
+		}
+	}
+	return results
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// call sends a request as a caller does. An error means that the caller
+// knows that its response is not whole.
+func (h *harness) call(ctx context.Context, method, path string, header http.Header) (answer, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://h1:1"+path, http.NoBody)
+	assert.NilError(h.t, err)
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body)}, errors.Join(err, response.Body.Close())
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"filberthold/common"
@@ -45,6 +46,8 @@
 	directory  Directory
 	upstreams  *upstrm.Client
 	http       *http.Server
+	// attempts counts the attempts in flight; they can outlive their request.
+	attempts sync.WaitGroup
 }
 
 // lookupLifetime bounds how long a caller may use a lookup response. A
@@ -74,9 +77,18 @@
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
+	s.attempts.Wait()
 	return nil
 }
 
+// report hands an event to placement. It is not given up with the request,
+// because placement would count the attempt as in flight for ever.
+func (s *Server) report(event place.Event) {
+	if err := s.dispatcher.Report(context.Background(), event); err != nil {
+		s.base.Log().Error("event not reported", "error", err)
+	}
+}
+
 // Entries is the response to a lookup.
 type Entries struct {
 	Hosts      []EntryHost `json:"hosts"`
--- a/fakes/upstream_behaviour.go
+++ b/fakes/upstream_behaviour.go
@@ -81,6 +81,9 @@
 	u.straggleUntil = time.Now().Add(period)
 }
 
+// Busy returns the number of requests in execution.
+func (u *Upstream) Busy() int { return len(u.slots) }
+
 func (u *Upstream) isLeaving() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
