Pace exports to 70% of the host's link share

Cause: exports took the whole link, and filings waited behind them.

Change: all exports of a client share a token bucket, whose rate SetLinkShare sets from outside; it applies to exports in flight. Waiting for tokens does not count as silence.

Ruled out: a bucket of one piece.

Nothing calls SetLinkShare yet.

--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -73,6 +73,7 @@
 type Client struct {
 	options    Options
 	transports map[model.Class]*http.Transport
+	pacer      *pacer
 }
 
 // Options are the limits of a client. NewClient uses DefaultOptions.
@@ -105,7 +106,7 @@
 
 // NewClientWith returns a client with options of its own.
 func NewClientWith(options Options) *Client {
-	client := &Client{options: options, transports: make(map[model.Class]*http.Transport)}
+	client := &Client{options: options, transports: make(map[model.Class]*http.Transport), pacer: newPacer()}
 	for _, class := range model.Classes() {
 		client.transports[class] = &http.Transport{
 			DialContext:           dialFunc(options.Dial).wrap(headerTimeout(class, options.ProgressTimeout)),
@@ -187,13 +188,17 @@
 	if call.Class == model.Submit {
 		timeout = time.Until(call.Deadline)
 	}
-	return newBody(ctx, inner, timeout, func(cause error) {
+	made := newBody(ctx, inner, timeout, func(cause error) {
 		cancel(cause)
 		if cause != nil {
 			// Other idle connections may have gone silent at the same time.
 			c.transports[call.Class].CloseIdleConnections()
 		}
 	})
+	if call.Class == model.Export {
+		return &pacedBody{ReadCloser: made, ctx: ctx, pacer: c.pacer}
+	}
+	return made
 }
 
 // failure turns an error of net/http into one that carries the evidence.
--- /dev/null
+++ b/upstrm/pacer_test.go
@@ -0,0 +1,83 @@
+package upstrm_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthold/fakes"
+	"filberthold/model"
+	"filberthold/upstrm"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against exports that together exceed their part of the link share,
+// and against a new share that does not apply to exports in flight.
+func TestExportsShareTheLink(t *testing.T) {
+	const shareBits, exportBytes = 8_000_000, 1 << 20
+	allowed := 0.7 * shareBits / 8
+	for _, count := range []int{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			upstream := newPair(t, model.Export)
+			upstream.Configure(fakes.Behaviour{ExportBytes: exportBytes})
+			upstream.client.SetLinkShare(shareBits / 2)
+			start := time.Now()
+			// The share doubles after 500 ms, in which half of it was in force.
+			time.AfterFunc(500*time.Millisecond, func() { upstream.client.SetLinkShare(shareBits) })
+			var exports sync.WaitGroup
+			for range count {
+				exports.Go(func() {
+					_, err := upstream.do("k")
+					assert.Check(t, err)
+				})
+			}
+			exports.Wait()
+			want := float64(count*exportBytes)/allowed + 0.25
+			got := time.Since(start).Seconds()
+			assert.Assert(t, got > want*0.97 && got < want*1.03, "%d exports took %.3f s in place of %.3f s", count, got, want)
+		})
+	}
+}
+
+// BenchmarkPacedExport measures what pacing costs an export over loopback TCP.
+func BenchmarkPacedExport(b *testing.B) {
+	const exportBytes = 8 << 20
+	ledger := fakes.NewLedger()
+	endpoint := model.NewEndpoint(model.EndpointParts{Name: "e", Slots: 3})
+	upstream := fakes.NewUpstream(endpoint, model.Export, ledger, 0)
+	upstream.Configure(fakes.Behaviour{ExportBytes: exportBytes})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	server := &http.Server{Handler: upstream}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	for _, megabits := range []int64{0, 23, 333, 4000} {
+		b.Run(fmt.Sprintf("share=%dMbit", megabits), func(b *testing.B) {
+			client := upstrm.NewClient("a")
+			b.Cleanup(client.Close)
+			client.SetLinkShare(megabits * 1_000_000)
+			b.SetBytes(exportBytes)
+			for b.Loop() {
+				reply, err := client.Do(b.Context(), upstrm.Call{
+					Class: model.Export, Address: listener.Addr().String(), Method: http.MethodGet, Path: "/x",
+					Deadline: time.Now().Add(time.Minute),
+				})
+				assert.NilError(b, err)
+				_, err = io.CopyBuffer(struct{ io.Writer }{io.Discard}, reply.Body, make([]byte, 32<<10))
+				assert.NilError(b, err)
+				assert.NilError(b, reply.Body.Close())
+			}
+			achieved := float64(exportBytes) * 8 * float64(b.N) / b.Elapsed().Seconds() / 1e6
+			b.ReportMetric(achieved, "Mbit/s")
+			if megabits > 0 {
+				b.ReportMetric(100*achieved/(0.7*float64(megabits)), "%ofAllowed")
+			}
+		})
+	}
+}
