--- /dev/null
+++ b/plat/register.go
@@ -0,0 +1,180 @@
+package plat
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"filberthold/claim"
+	"filberthold/model"
+
+	"github.com/oklog/ulid/v2"
+)
+
+// maxRowBody is the largest response body that is kept in the row itself;
+// larger ones go to an object.
+const maxRowBody = 64 << 10
+
+// Register makes submits run at most once. It holds one table row for each
+// idempotency key and carries out what the state machine of package claim
+// decides.
+type Register struct {
+	client    *Client
+	committer *Committer
+	host      model.HostName
+}
+
+// NewRegister returns the register of a host.
+func NewRegister(client *Client, committer *Committer, host model.HostName) *Register {
+	return &Register{client: client, committer: committer, host: host}
+}
+
+// Claim is one attempt of this host at a key. It is not safe for concurrent
+// use.
+type Claim struct {
+	register *Register
+	key      string
+	attempt  claim.Attempt
+}
+
+// Acquire creates the row of a key, or waits on the row of another attempt
+// until the deadline. The returned action is a claim.Place if this attempt
+// holds the row, and otherwise a claim.Answer. The fingerprint identifies the
+// request.
+func (r *Register) Acquire(ctx context.Context, service model.ServiceName, key string, deadline time.Time,
+	fingerprint []byte) (*Claim, claim.Action) {
+	token := claim.Token(string(r.host) + "/" + ulid.Make().String())
+	acquired := &Claim{
+		register: r,
+		key:      "claims/" + string(service) + "/" + key,
+		attempt:  claim.New(token, r.host, deadline, fingerprint),
+	}
+	return acquired, acquired.Learn(ctx, claim.Began{})
+}
+
+// Complete takes the whole response of the upstream. The returned action
+// answers the caller, which does not wait for the write to the row; the next
+// fact, claim.Answered, keeps the response.
+func (c *Claim) Complete(ctx context.Context, response *claim.Response) claim.Action {
+	return c.Learn(ctx, claim.Ended{Evidence: claim.Ran, Response: response})
+}
+
+// RefuseAsNotRun takes that placement has given up. The returned action
+// answers notRun only if all sendings ended with proof that they did not start
+// and the row holds notRun.
+func (c *Claim) RefuseAsNotRun(ctx context.Context) claim.Action {
+	return c.Learn(ctx, claim.GaveUp{})
+}
+
+// Learn takes a fact, does what the store has to do with it, and returns the
+// first action that is not for the store: Place, Await, Send, Withhold, Answer
+// or Finish. It returns Finish when ctx ends.
+func (c *Claim) Learn(ctx context.Context, fact claim.Fact) claim.Action {
+	for {
+		var action claim.Action
+		c.attempt, action = c.attempt.Next(fact, time.Now())
+		switch action := action.(type) {
+		case claim.Write:
+			fact = c.write(ctx, action)
+		case claim.Read:
+			fact = c.read(ctx)
+		case claim.Wait:
+			fact = waitUntil(ctx, action.Until)
+		default:
+			return action
+		}
+		if ctx.Err() != nil {
+			return claim.Finish{}
+		}
+	}
+}
+
+func waitUntil(ctx context.Context, until time.Time) claim.Fact {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return claim.Woke{}
+}
+
+func (c *Claim) write(ctx context.Context, action claim.Write) claim.Fact {
+	row, err := c.storeLargeBody(ctx, action.Row)
+	if err != nil {
+		return claim.WriteLost{}
+	}
+	value, err := claim.Encode(row)
+	if err != nil {
+		return claim.WriteLost{}
+	}
+	// The wait covers one group ahead in the queue and the own one.
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	err = c.register.committer.Commit(ctx, Write{Key: c.key, IfVersion: action.IfVersion, Value: value})
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return claim.Committed{}
+	case errors.As(err, &conflict) && len(conflict.Rows()) == 1:
+		if found, err := c.decode(ctx, conflict.Rows()[0]); err == nil {
+			return found
+		}
+	}
+	return claim.WriteLost{}
+}
+
+func (c *Claim) read(ctx context.Context) claim.Fact {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row, err := c.register.client.Get(ctx, c.key)
+	if errors.Is(err, ErrAbsent) {
+		return claim.Found{}
+	}
+	if err != nil {
+		return claim.ReadLost{}
+	}
+	found, err := c.decode(ctx, row)
+	if err != nil {
+		return claim.ReadLost{}
+	}
+	return found
+}
+
+// decode returns the content of a row, with the body of a kept response.
+func (c *Claim) decode(ctx context.Context, row Row) (claim.Found, error) {
+	if row.Version == 0 {
+		return claim.Found{}, nil
+	}
+	decoded, err := claim.Decode(row.Value)
+	if err != nil {
+		return claim.Found{}, fmt.Errorf("decode row %q: %w", row.Key, err)
+	}
+	if decoded.Response != nil && decoded.Response.Object != "" {
+		body, err := c.register.client.Object(ctx, decoded.Response.Object)
+		if err != nil {
+			return claim.Found{}, fmt.Errorf("get kept response: %w", err)
+		}
+		decoded.Response.Body, decoded.Response.Object = body, ""
+	}
+	return claim.Found{Row: decoded, Version: row.Version}, nil
+}
+
+// storeLargeBody moves a body that is too large for a row to an object. The
+// object is complete before the row names it.
+func (c *Claim) storeLargeBody(ctx context.Context, row claim.Row) (claim.Row, error) {
+	if row.Response == nil || len(row.Response.Body) <= maxRowBody {
+		return row, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	kept := *row.Response
+	kept.Object = c.key + "/" + string(row.Token)
+	if err := c.register.client.PutObject(ctx, kept.Object, kept.Body); err != nil && !errors.Is(err, ErrExists) {
+		return claim.Row{}, fmt.Errorf("keep large response: %w", err)
+	}
+	kept.Body = nil
+	row.Response = &kept
+	return row, nil
+}
