Claim the key of a submit before placement sees it

Cause: submits went to upstreams without a register, and placement's guess was the outcome that the caller got.

Change: caller/submits.go runs each submit on a goroutine of its own, from the claim to the kept response, so a caller that gives up does not cancel it. Outcomes come from the claim: notRun after the row holds it, notSent for an unconfirmed claim, unknown after a sending without evidence, and the kept response for a repeat. A key that belongs to another request is refused with status 422 and notSent. Server.Shutdown waits for submits whose callers are gone.

entry/host.go wires the register and runs the committer; caller/exchange.go and caller/server.go call the new flow.

Ruled out: refusing after a claim as notSent when placement has no room. The row would stay claimed and read as unknown; notRun is final and true.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -59,6 +59,10 @@
 		writeProblem(w, http.StatusBadRequest, problem{Reason: err.Error()})
 		return
 	}
+	if service.Class() == model.Submit {
+		exchange.serveSubmit(w, r)
+		return
+	}
 	exchange.serve(w, r)
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -45,6 +45,8 @@
 	directory  Directory
 	upstreams  *upstrm.Client
 	http       *http.Server
+	// submits is nil until UseRegister is called.
+	submits *submits
 }
 
 // lookupLifetime bounds how long a caller may use a lookup response. A
@@ -69,11 +71,18 @@
 	return nil
 }
 
-// Shutdown closes the listener and waits for all requests in flight.
+// Shutdown closes the listener and waits for all requests in flight, including
+// submits whose callers gave up.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
+	if s.submits == nil {
+		return nil
+	}
+	if err := s.submits.wait(ctx); err != nil {
+		return fmt.Errorf("shut down caller server: %w", err)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/caller/submits.go
@@ -0,0 +1,241 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"filberthold/claim"
+	"filberthold/model"
+	"filberthold/place"
+	"filberthold/plat"
+	"filberthold/upstrm"
+)
+
+const (
+	// maxSubmits bounds the submits in progress at a host, including those whose
+	// callers gave up. It bounds the memory for bodies and responses.
+	maxSubmits = 2048
+	// maxKeyBytes bounds an idempotency key, which becomes part of a row key.
+	maxKeyBytes = 200
+)
+
+// submits carries submits from the claim of their key to the kept response. A
+// submission does not end with its caller.
+type submits struct {
+	register *plat.Register
+	// slots has one element for each submission in progress.
+	slots chan struct{}
+}
+
+func newSubmits(register *plat.Register) *submits {
+	return &submits{register: register, slots: make(chan struct{}, maxSubmits)}
+}
+
+// UseRegister makes the server claim the keys of submits in a register. Without
+// one, submits are refused. It must be called before Run.
+func (s *Server) UseRegister(register *plat.Register) { s.submits = newSubmits(register) }
+
+// wait waits until no submission is in progress. No new one may start.
+func (s *submits) wait(ctx context.Context) error {
+	for range cap(s.slots) {
+		select {
+		case s.slots <- struct{}{}:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for submits: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+// serveSubmit starts a submission and answers the caller if it is still there
+// when the outcome is known.
+func (e *exchange) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get(KeyHeader)
+	if err := checkKey(key); err != nil {
+		writeProblem(w, http.StatusBadRequest, problem{Reason: err.Error(), Request: e.request.ID})
+		return
+	}
+	if e.server.submits == nil {
+		e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: "no register"})
+		return
+	}
+	select {
+	case e.server.submits.slots <- struct{}{}:
+	default:
+		e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: "too many submits in progress"})
+		return
+	}
+	submission := &submission{exchange: e, key: key, answers: make(chan claim.Answer, 1)}
+	go submission.run(context.WithoutCancel(r.Context()))
+	select {
+	case answer := <-submission.answers:
+		e.answerSubmit(w, answer)
+	case <-r.Context().Done():
+	}
+}
+
+func checkKey(key string) error {
+	if len(key) > maxKeyBytes {
+		return fmt.Errorf("%s is longer than %d bytes", KeyHeader, maxKeyBytes)
+	}
+	for _, char := range []byte(key) {
+		if char <= ' ' || char > '~' {
+			return fmt.Errorf("%s holds a character other than visible ASCII", KeyHeader)
+		}
+	}
+	return nil
+}
+
+func (e *exchange) answerSubmit(w http.ResponseWriter, answer claim.Answer) {
+	switch {
+	case answer.Response != nil:
+		e.deliver(w, &wholeReply{status: answer.Response.Status, header: answer.Response.Header, body: answer.Response.Body})
+	case answer.OtherRequest:
+		writeProblem(w, http.StatusUnprocessableEntity, problem{
+			Outcome: answer.Outcome, Reason: answer.Reason, Request: e.request.ID,
+		})
+	default:
+		e.refuse(w, place.Refuse{Outcome: answer.Outcome, Reason: answer.Reason})
+	}
+}
+
+// submission is one attempt to run a submit. Its run method is the only user
+// of the claim and of the exchange's maps.
+type submission struct {
+	exchange *exchange
+	key      string
+	claim    *plat.Claim
+	// answers has room for the only answer.
+	answers chan claim.Answer
+	// decisions is nil until placement sees the request.
+	decisions <-chan place.Decision
+	// wanted is the sending that placement asked for last.
+	wanted place.Send
+	// until is the time at which the claim wants to be woken.
+	until time.Time
+}
+
+// run carries the submission from the claim to its end.
+func (s *submission) run(ctx context.Context) {
+	e := s.exchange
+	defer func() { <-e.server.submits.slots }()
+	defer e.cancelAll()
+	defer e.server.dispatcher.Close(e.request.ID)
+	var action claim.Action
+	s.claim, action = e.server.submits.register.Acquire(ctx, e.request.Service, s.key, e.request.Deadline, e.fingerprint())
+	for {
+		if _, isFinished := action.(claim.Finish); isFinished {
+			return
+		}
+		action = s.act(ctx, action)
+	}
+}
+
+// act carries out an action and returns the next one.
+func (s *submission) act(ctx context.Context, action claim.Action) claim.Action {
+	switch action := action.(type) {
+	case claim.Answer:
+		s.exchange.server.base.Log().Info("submit", "request", s.exchange.request.ID, "outcome", action.Outcome,
+			"reason", action.Reason)
+		s.answers <- action
+		return s.claim.Learn(ctx, claim.Answered{})
+	case claim.Place:
+		s.until = action.Until
+		decisions, err := s.exchange.server.dispatcher.Open(ctx, s.exchange.request)
+		if err != nil {
+			return s.claim.RefuseAsNotRun(ctx)
+		}
+		s.decisions = decisions
+	case claim.Await:
+		s.until = action.Until
+	case claim.Send:
+		s.send(ctx)
+	case claim.Withhold:
+		s.withhold(ctx)
+	default:
+	}
+	return s.await(ctx)
+}
+
+// send starts the sending that placement wants. It outlives the deadline, so
+// that a late response is kept; the upstream must not start after the deadline.
+func (s *submission) send(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, s.exchange.call.Deadline.Add(claim.LateWindow))
+	s.exchange.cancels[s.wanted.Attempt] = cancel
+	sending := &sending{exchange: s.exchange, decision: s.wanted}
+	go sending.run(ctx)
+}
+
+// withhold reports a sending that the claim did not allow.
+func (s *submission) withhold(ctx context.Context) {
+	_ = s.exchange.server.dispatcher.Report(ctx, place.Finished{
+		Attempt: s.wanted.Attempt, Result: place.NotStarted, Detail: "the claim allows no further sending",
+	})
+}
+
+// await waits for the next fact and returns the action that follows from it.
+func (s *submission) await(ctx context.Context) claim.Action {
+	timer := time.NewTimer(time.Until(s.until))
+	defer timer.Stop()
+	for {
+		select {
+		case decision := <-s.decisions:
+			switch decision := decision.(type) {
+			case place.Send:
+				s.wanted = decision
+				return s.claim.Learn(ctx, claim.Placed{})
+			case place.Refuse:
+				return s.refuse(ctx, decision)
+			default:
+				// Deliver follows the reply, which has been handled. A submit
+				// is never cancelled.
+			}
+		case reply := <-s.exchange.replies:
+			s.exchange.report(reply)
+			return s.end(ctx, reply)
+		case <-timer.C:
+			return s.claim.Learn(ctx, claim.Woke{})
+		}
+	}
+}
+
+// refuse handles the end of placement. The claim decides from the evidence of
+// each sending whether the row may hold notRun.
+func (s *submission) refuse(ctx context.Context, decision place.Refuse) claim.Action {
+	if decision.Outcome == model.Unknown {
+		return s.claim.Learn(ctx, claim.GaveUp{MayHaveRun: true})
+	}
+	return s.claim.RefuseAsNotRun(ctx)
+}
+
+// end handles the end of a sending. Only a NotStartedError proves that the
+// request did not start.
+func (s *submission) end(ctx context.Context, reply reply) claim.Action {
+	var notStarted *upstrm.NotStartedError
+	switch {
+	case errors.As(reply.err, &notStarted):
+		return s.claim.Learn(ctx, claim.Ended{Evidence: claim.DidNotStart})
+	case reply.err != nil:
+		return s.claim.Learn(ctx, claim.Ended{Evidence: claim.MayHaveRun})
+	}
+	return s.claim.Complete(ctx, &claim.Response{
+		Status: reply.whole.status, Header: reply.whole.header, Body: reply.whole.body,
+	})
+}
+
+// fingerprint is a digest of what a repeat of the request has to have in
+// common with it. Each part is preceded by its length.
+func (e *exchange) fingerprint() []byte {
+	digest := sha256.New()
+	parts := [][]byte{[]byte(e.request.Customer), []byte(e.call.Method), []byte(e.call.Path), e.call.Body}
+	for _, part := range parts {
+		_ = binary.Write(digest, binary.BigEndian, uint64(len(part)))
+		_, _ = digest.Write(part)
+	}
+	return digest.Sum(nil)
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -35,6 +35,7 @@
 type Host struct {
 	base       *common.Base
 	platform   *plat.Client
+	committer  *plat.Committer
 	dispatcher *Dispatcher
 	directory  *Directory
 	callers    *caller.Server
@@ -49,13 +50,18 @@
 	dispatcher := NewDispatcher(base.Log(), place.New(name))
 	directory := NewDirectory(name)
 	upstreams := upstrm.NewClient(model.ZoneName(settings.AvailabilityZone))
+	platform := plat.NewClient(settings.PlatformAddress)
+	committer := plat.NewCommitter(platform, plat.DefaultWindow)
+	callers := caller.NewServer(base, dispatcher, directory, upstreams)
+	callers.UseRegister(plat.NewRegister(platform, committer, name))
 	return &Host{
 		base:       base,
-		platform:   plat.NewClient(settings.PlatformAddress),
+		platform:   platform,
+		committer:  committer,
 		dispatcher: dispatcher,
 		directory:  directory,
 		upstreams:  upstreams,
-		callers:    caller.NewServer(base, dispatcher, directory, upstreams),
+		callers:    callers,
 		operators:  admin.NewServer(func() bool { return directory.Deployment() != nil }),
 	}
 }
@@ -88,6 +94,7 @@
 	defer stopWorking()
 	group, working := errgroup.WithContext(working)
 	group.Go(func() error { return h.dispatcher.loop(working) })
+	group.Go(func() error { return h.committer.Loop(working) })
 	group.Go(func() error { return h.loopConfiguration(working) })
 	group.Go(func() error { return h.callers.Run(listeners.Callers) })
 	group.Go(func() error { return h.operators.Run(listeners.Operators) })
