Merge the submit register with the forwarding path

Change: a submission uses the exchange's own start, end and report functions; the exchange no longer treats a submit whose caller gave up, because the submission outlives its caller. The caller harness gets a register on a platform stand-in, so that its test of a submit whose caller gives up keeps its assertions.

Conclusion: submits go through the register on the whole path.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -69,6 +69,10 @@
 		writeProblem(w, http.StatusBadRequest, problem{Reason: err.Error()})
 		return
 	}
+	if service.Class() == model.Submit {
+		exchange.serveSubmit(w, r)
+		return
+	}
 	exchange.serve(w, r)
 }
 
@@ -148,7 +152,6 @@
 		return
 	}
 	defer e.end(decisions)
-	gone := r.Context().Done()
 	for {
 		select {
 		case decision := <-decisions:
@@ -157,14 +160,10 @@
 			}
 		case reply := <-e.replies:
 			e.take(reply)
-		case <-gone:
-			gone = nil
+		case <-r.Context().Done():
 			e.server.report(place.Abandoned{Request: e.request.ID})
-			// A submit goes on, so that its result is known to a repeat.
-			if e.service.Class() != model.Submit {
-				e.abortStarted()
-				return
-			}
+			e.abortStarted()
+			return
 		}
 	}
 }
@@ -223,7 +222,12 @@
 		}
 		call.Header = e.export.requestHeader(call.Header)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
+	e.start(context.Background(), decision, call, call.Deadline)
+}
+
+// start sends a call on a goroutine of its own and gives it up at a time.
+func (e *exchange) start(ctx context.Context, decision place.Send, call upstrm.Call, giveUpAt time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, giveUpAt)
 	e.cancels[decision.Attempt] = cancel
 	sending := &sending{exchange: e, decision: decision, call: call}
 	e.server.attempts.Add(1)
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -16,6 +16,7 @@
 	"filberthold/fakes"
 	"filberthold/model"
 	"filberthold/place"
+	"filberthold/plat"
 	"filberthold/upstrm"
 
 	"gotest.tools/v3/assert"
@@ -49,6 +50,23 @@
 	isOver    bool
 }
 
+// useRegister gives the server a register on a platform stand-in.
+func (h *harness) useRegister() {
+	server := &http.Server{Handler: fakes.NewPlatform()}
+	h.servers = append(h.servers, server)
+	listener := h.network.Listen("platform:1")
+	go func() { _ = server.Serve(listener) }()
+	platform := plat.NewClientWith("platform:1", h.network.Dial)
+	committer := plat.NewCommitter(platform, plat.DefaultWindow)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = committer.Loop(ctx) }()
+	h.t.Cleanup(func() {
+		cancel()
+		platform.Close()
+	})
+	h.server.UseRegister(plat.NewRegister(platform, committer, "h1"))
+}
+
 func newHarness(t *testing.T, class model.Class, upstreams ...http.Handler) *harness {
 	t.Helper()
 	h := &harness{
@@ -73,6 +91,7 @@
 		go func() { _ = server.Serve(listener) }()
 	}
 	h.server = caller.NewServer(base, h, h, client)
+	h.useRegister()
 	callers := h.network.Listen("h1:1")
 	go func() { _ = h.server.Run(callers) }()
 	transport := &http.Transport{DialContext: h.network.Dial, DisableCompression: true}
--- a/caller/server.go
+++ b/caller/server.go
@@ -48,6 +48,8 @@
 	http       *http.Server
 	// attempts counts the attempts in flight; they can outlive their request.
 	attempts sync.WaitGroup
+	// submits is nil until UseRegister is called.
+	submits *submits
 }
 
 // lookupLifetime bounds how long a caller may use a lookup response. A
@@ -72,12 +74,19 @@
 	return nil
 }
 
-// Shutdown closes the listener and waits for all requests in flight.
+// Shutdown closes the listener and waits for all requests in flight, including
+// submits whose callers gave up.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
 	s.attempts.Wait()
+	if s.submits == nil {
+		return nil
+	}
+	if err := s.submits.wait(ctx); err != nil {
+		return fmt.Errorf("shut down caller server: %w", err)
+	}
 	return nil
 }
 
--- a/fakes/upstream_observe.go
+++ b/fakes/upstream_observe.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// Busy returns how many slots are taken.
-func (u *Upstream) Busy() int { return len(u.slots) }
-
 // LastArrival returns the time at which the last request arrived, started or
 // not, or the zero time.
 func (u *Upstream) LastArrival() time.Time {
