Connect entry hosts over QUIC with bounded CBOR frames

Hosts could learn of revisions from the store only. Package peers spreads revisions, leaving marks and the leaving flag, and tells whether the store or a peer has confirmed the revision in force within 4 s.

State is pure (times come from the caller); Mesh is the QUIC part. A host has 6 peers: its neighbours by name and in two orders of rendezvous hashes. The relation is symmetric, so that one connection serves both. A new revision is announced at once by a digest, and a host asks one peer for the body; pushing the body would send it over all 6 links. Marks differ by a hash of the set, because equal counts can stand for different marks. Leaving and silent hosts travel as notices with an age, since only 6 hosts hear a host directly.

All hosts derive one key from a shared secret and accept only its certificate. Missing: identity of a single host, replacement of the secret.

go test -run Presence -v: leaving is known after 2, 4 and 6 hops for 12, 96 and 680 hosts. go test -fuzz FuzzDecodeFrame -fuzztime 15s: 257872 runs, no failure.

--- /dev/null
+++ b/peers/frame_test.go
@@ -0,0 +1,86 @@
+package peers
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"filberthold/model"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a frame from outside that crashes the host, passes the bounds
+// or changes when it is encoded again. The seeds are in testdata.
+func FuzzDecodeFrame(f *testing.F) {
+	frames, err := newDecoder()
+	assert.NilError(f, err)
+	for _, frame := range []Frame{
+		Digest{Host: "a", Incarnation: "1", Revision: 7, Notices: []Notice{{Host: "b", Leaving: true}}},
+		Revision{Number: 7, Body: []byte("body")},
+		Marks{Marks: []Mark{{Endpoint: "e", Incarnation: "1"}}},
+	} {
+		data, err := encodeFrame(frame)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, err := frames.decode(data)
+		if err != nil {
+			return
+		}
+		state := NewState("self", "1")
+		switch frame := frame.(type) {
+		case Digest:
+			assert.Assert(t, len(frame.Host) <= maxNameBytes && len(frame.Notices) <= maxNotices)
+			state.ReceiveDigest(frame, time.Unix(1000, 0))
+		case Marks:
+			assert.Assert(t, len(frame.Marks) <= maxMarks)
+			state.ReceiveMarks(frame)
+		case Revision:
+			assert.Assert(t, frame.Number > 0)
+		}
+		encoded, err := encodeFrame(frame)
+		assert.NilError(t, err)
+		_, err = frames.decode(encoded)
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against frames that are valid CBOR and take too much memory, and
+// against a digest that does not fit into a datagram.
+func TestFrameBounds(t *testing.T) {
+	frames, err := newDecoder()
+	assert.NilError(t, err)
+	name := func(i int) model.HostName { return model.HostName(fmt.Sprintf("%064d", i)) }
+	now := time.Unix(1000, 0)
+	state := NewState(name(0), strings.Repeat("i", 26))
+	many := Digest{Host: name(1), Leaving: true}
+	for i := range maxNotices {
+		many.Notices = append(many.Notices, Notice{Host: name(i + 2), Leaving: true, AgeMilliseconds: 9000})
+	}
+	state.ReceiveDigest(many, now)
+	full := state.Digest(now)
+	assert.Assert(t, len(full.Notices) >= 8)
+	data, err := encodeFrame(full)
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= maxDigestBytes, "%d bytes", len(data))
+	_, err = frames.decode(data)
+	assert.NilError(t, err)
+	many.Notices = append(many.Notices, many.Notices[0])
+	for _, frame := range []Frame{
+		many, Digest{}, Digest{Host: "a", Marks: maxMarks + 1}, Digest{Host: model.HostName(strings.Repeat("n", 65))},
+		Revision{}, Marks{Marks: make([]Mark, 1)}, Marks{Marks: make([]Mark, maxMarks+1)},
+	} {
+		data, err := encodeFrame(frame)
+		assert.NilError(t, err)
+		_, err = frames.decode(data)
+		assert.Assert(t, err != nil, "%T", frame)
+	}
+	data, err = cbor.Marshal(envelope{Kind: "loanRequest", Body: cbor.RawMessage{0xa0}})
+	assert.NilError(t, err)
+	_, err = frames.decode(data)
+	assert.ErrorIs(t, err, ErrUnknownKind)
+}
--- /dev/null
+++ b/peers/mesh.go
@@ -0,0 +1,247 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"filberthold/model"
+	"filberthold/revise"
+	"filberthold/ring"
+
+	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	digestInterval = time.Second
+	// maxLinks bounds the connections that are open at the same time. A host
+	// has 6 peers; the rest is room for hosts that start.
+	maxLinks = 64
+	// eventCapacity bounds the events that wait for the host.
+	eventCapacity = 64
+)
+
+// Event is something that the host has to react to. It is one of the event
+// types of this package.
+type Event interface{ isEvent() }
+
+// Revised reports the body of a revision that a peer has sent. The number may
+// be lower than that of the revision in force.
+type Revised struct {
+	Head revise.Head
+	Body []byte
+}
+
+// EndpointsMarked reports leaving marks that were not known before.
+type EndpointsMarked struct{ Marks []Mark }
+
+func (Revised) isEvent()         {}
+func (EndpointsMarked) isEvent() {}
+
+// Options describe a mesh.
+type Options struct {
+	Log         *slog.Logger
+	Host        model.HostName
+	Incarnation string
+	// Secret is shared by all hosts of the deployment.
+	Secret string
+	// Seeds are the IP addresses and UDP ports of hosts that are asked as long
+	// as no peer is known.
+	Seeds []string
+	// Conn is the socket of this host. The mesh closes it.
+	Conn net.PacketConn
+}
+
+// Mesh exchanges frames with a subset of the other entry hosts.
+type Mesh struct {
+	log     *slog.Logger
+	options Options
+	state   *State
+	decoder decoder
+	events  *ring.Ring[Event]
+	// hurry holds an item when digests are to be sent at once.
+	hurry     *ring.Ring[struct{}]
+	identity  identity
+	transport *quic.Transport
+
+	mu sync.Mutex
+	// links holds every open connection. Those whose host is known are also
+	// in byHost, which has at most one for each host.
+	links  map[*link]struct{}
+	byHost map[model.HostName]*link
+	subset []model.Host
+	// dialling holds the addresses to which a connection is open or being
+	// opened by this host.
+	dialling map[string]bool
+	retryAt  map[string]time.Time
+}
+
+// NewMesh returns a mesh that is not yet running.
+func NewMesh(options Options) (*Mesh, error) {
+	decoder, err := newDecoder()
+	if err != nil {
+		return nil, err
+	}
+	identity, err := newIdentity(options.Secret)
+	if err != nil {
+		return nil, fmt.Errorf("make peer identity: %w", err)
+	}
+	return &Mesh{
+		log:       options.Log,
+		options:   options,
+		state:     NewState(options.Host, options.Incarnation),
+		decoder:   decoder,
+		events:    ring.New[Event](eventCapacity),
+		hurry:     ring.New[struct{}](1),
+		identity:  identity,
+		transport: &quic.Transport{Conn: options.Conn, StatelessResetKey: identity.resetKey(options.Host)},
+		links:     make(map[*link]struct{}),
+		byHost:    make(map[model.HostName]*link),
+		dialling:  make(map[string]bool),
+		retryAt:   make(map[string]time.Time),
+	}, nil
+}
+
+// State returns what this host knows about its peers.
+func (m *Mesh) State() *State { return m.state }
+
+// Events returns the events for the host.
+func (m *Mesh) Events() *ring.Ring[Event] { return m.events }
+
+// Run exchanges frames until ctx ends. It closes the socket.
+func (m *Mesh) Run(ctx context.Context) error {
+	defer m.options.Conn.Close()
+	defer m.transport.Close()
+	listener, err := m.transport.Listen(m.identity.tlsConfig(), quicConfig())
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	defer listener.Close()
+	var group errgroup.Group
+	group.Go(func() error { return m.loopAccept(ctx, &group, listener) })
+	group.Go(func() error { return m.loopDigests(ctx, &group) })
+	<-ctx.Done()
+	m.closeLinks()
+	return group.Wait()
+}
+
+// quicConfig bounds memory: a host has few connections and small frames, but
+// for the rare body of a revision.
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:           2 * time.Second,
+		MaxIdleTimeout:                 5 * time.Second,
+		InitialStreamReceiveWindow:     64 << 10,
+		MaxStreamReceiveWindow:         1 << 20,
+		InitialConnectionReceiveWindow: 96 << 10,
+		MaxConnectionReceiveWindow:     3 << 19,
+		MaxIncomingStreams:             -1,
+		MaxIncomingUniStreams:          4,
+		EnableDatagrams:                true,
+	}
+}
+
+// Publish makes a revision the one that peers are told, and chooses the peers
+// from it. Peers get a digest at once and ask for the body, so that it crosses
+// each link at most once.
+func (m *Mesh) Publish(head revise.Head, body []byte, deployment *model.Deployment) {
+	if !m.state.Publish(head, body) {
+		return
+	}
+	subset := Subset(m.options.Host, deployment.Hosts())
+	m.state.Retain(deployment)
+	m.state.SetSubset(subset, time.Now())
+	m.mu.Lock()
+	m.subset = subset
+	m.mu.Unlock()
+	m.hurryDigests()
+}
+
+// Leave tells peers that this host takes no more work.
+func (m *Mesh) Leave() {
+	m.state.Leave()
+	m.hurryDigests()
+}
+
+// Mark spreads leaving marks and returns those that are new.
+func (m *Mesh) Mark(marks ...Mark) []Mark {
+	added := m.state.Mark(marks...)
+	m.spread(added, nil)
+	return added
+}
+
+func (m *Mesh) hurryDigests() { m.hurry.TryPut(struct{}{}) }
+
+// spread sends marks to all peers but one.
+func (m *Mesh) spread(marks []Mark, except *link) {
+	if len(marks) == 0 {
+		return
+	}
+	for _, link := range m.open() {
+		if link != except {
+			link.send(Marks{Marks: marks})
+		}
+	}
+}
+
+func (m *Mesh) receive(ctx context.Context, from *link, frame Frame) error {
+	switch frame := frame.(type) {
+	case Digest:
+		m.receiveDigest(from, frame)
+	case Revision:
+		event := Revised{Head: revise.NewHead(frame.Number, frame.Digest), Body: frame.Body}
+		if err := m.events.Put(ctx, event); err != nil {
+			return fmt.Errorf("report revision: %w", err)
+		}
+	case Marks:
+		added, answers := m.state.ReceiveMarks(frame)
+		m.spread(added, from)
+		for _, answer := range answers {
+			from.send(answer)
+		}
+		if len(added) > 0 {
+			if err := m.events.Put(ctx, EndpointsMarked{Marks: added}); err != nil {
+				return fmt.Errorf("report marks: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) receiveDigest(from *link, digest Digest) {
+	now := time.Now()
+	if m.register(from, digest) {
+		from.send(m.state.Digest(now))
+	}
+	answers, spreads := m.state.ReceiveDigest(digest, now)
+	for _, answer := range answers {
+		from.send(answer)
+	}
+	if spreads {
+		m.hurryDigests()
+	}
+}
+
+// loopDigests sends digests to all peers every second, and opens missing
+// connections.
+func (m *Mesh) loopDigests(ctx context.Context, group *errgroup.Group) error {
+	ticker := time.NewTicker(digestInterval)
+	defer ticker.Stop()
+	for {
+		m.dialMissing(ctx, group, time.Now())
+		digest := m.state.Digest(time.Now())
+		for _, link := range m.open() {
+			link.send(digest)
+		}
+		select {
+		case <-ticker.C:
+		case <-m.hurry.Items():
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/peers/mesh_test.go
@@ -0,0 +1,78 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+
+	"filberthold/model"
+	"filberthold/peers"
+	"filberthold/revise"
+
+	"gotest.tools/v3/assert"
+)
+
+// deploy returns a deployment of hosts on free loopback sockets.
+func deploy(t testing.TB, count int) (*model.Deployment, []net.PacketConn) {
+	parts := model.DeploymentParts{Name: "test", Revision: 1, Zones: []model.Zone{model.NewZone("z", "r")}}
+	var conns []net.PacketConn
+	for i := range count {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		conns = append(conns, conn)
+		name := model.HostName(fmt.Sprintf("host-%03d", i))
+		parts.Hosts = append(parts.Hosts, model.NewHost(model.HostParts{Name: name, Zone: "z", PeerAddress: conn.LocalAddr().String()}))
+	}
+	deployment, err := model.NewDeployment(parts)
+	assert.NilError(t, err)
+	return deployment, conns
+}
+
+func runMesh(t testing.TB, host model.Host, conn net.PacketConn, secret string, seeds ...string) *peers.Mesh {
+	mesh, err := peers.NewMesh(peers.Options{
+		Log: slog.New(slog.DiscardHandler), Host: host.Name(), Incarnation: "1", Secret: secret, Seeds: seeds, Conn: conn,
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- mesh.Run(ctx) }()
+	t.Cleanup(func() { cancel(); assert.Check(t, <-done) })
+	return mesh
+}
+
+// Guards against a break on the way between hosts: a host that has only a seed
+// gets the body of the highest revision, and marks reach hosts that are not
+// peers of the first one.
+func TestMeshOverLoopback(t *testing.T) {
+	deployment, conns := deploy(t, 9)
+	body := []byte("name = 'test'\n")
+	head := revise.HeadOf(1, body)
+	hosts := deployment.Hosts()
+	meshes := []*peers.Mesh{runMesh(t, hosts[0], conns[0], "secret")}
+	meshes[0].Publish(head, body, deployment)
+	for i := 1; i < len(hosts); i++ {
+		mesh := runMesh(t, hosts[i], conns[i], "secret", hosts[0].PeerAddress())
+		event, err := mesh.Events().Get(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, event.(peers.Revised).Body, body)
+		assert.Equal(t, event.(peers.Revised).Head, head)
+		mesh.Publish(head, body, deployment)
+		meshes = append(meshes, mesh)
+	}
+	mark := peers.Mark{Endpoint: "e", Incarnation: "1"}
+	// Marks of endpoints outside the deployment are dropped on adoption only.
+	meshes[8].Mark(mark)
+	for _, mesh := range meshes[:8] {
+		event, err := mesh.Events().Get(t.Context())
+		for err == nil {
+			if marked, isMarked := event.(peers.EndpointsMarked); isMarked {
+				assert.DeepEqual(t, marked.Marks, []peers.Mark{mark})
+				break
+			}
+			event, err = mesh.Events().Get(t.Context())
+		}
+		assert.NilError(t, err)
+	}
+}
--- /dev/null
+++ b/peers/state_test.go
@@ -0,0 +1,168 @@
+package peers_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"filberthold/model"
+	"filberthold/peers"
+	"filberthold/revise"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a host that goes on although neither the store nor a peer
+// confirms its revision, and against one that stops although a peer does.
+func TestConfirmedEndsWithoutStoreAndPeers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	state := peers.NewState("a", "1")
+	state.Confirm(1, start)
+	assert.Assert(t, !state.Confirmed(start), "no revision is in force")
+	assert.Assert(t, state.Publish(revise.HeadOf(2, []byte("two")), []byte("two")))
+
+	state.Confirm(2, at(0))
+	assert.Assert(t, state.Confirmed(at(3.9)))
+	state.ReceiveDigest(peers.Digest{Host: "b", Revision: 2}, at(3))
+	assert.Assert(t, state.Confirmed(at(6.9)), "cut off from the store only")
+	assert.Assert(t, !state.Confirmed(at(7)), "cut off from the store and from peers")
+	state.ReceiveDigest(peers.Digest{Host: "a", Revision: 2}, at(8))
+	assert.Assert(t, !state.Confirmed(at(8)), "a digest of its own does not confirm")
+	state.ReceiveDigest(peers.Digest{Host: "b", Revision: 3}, at(9))
+	assert.Assert(t, !state.Confirmed(at(9)), "the peer knows a newer revision")
+	state.Confirm(2, at(9))
+	state.Confirm(2, at(8.5))
+	assert.Assert(t, state.Confirmed(at(12.9)), "a late answer does not move the time back")
+}
+
+// Guards against a published revision that goes back, and against a body that
+// is sent to a peer that did not ask or asked several times in a second.
+func TestBodyIsSentOnRequest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	behind, ahead := peers.NewState("a", "1"), peers.NewState("b", "1")
+	assert.Assert(t, ahead.Publish(revise.HeadOf(5, []byte("five")), []byte("five")))
+	assert.Assert(t, !ahead.Publish(revise.HeadOf(4, []byte("four")), []byte("four")))
+
+	answers, _ := ahead.ReceiveDigest(behind.Digest(now), now)
+	assert.DeepEqual(t, answers, []peers.Frame{ahead.Digest(now)})
+	asks, _ := behind.ReceiveDigest(ahead.Digest(now), now)
+	again, _ := behind.ReceiveDigest(ahead.Digest(now), now.Add(time.Second/2))
+	assert.Equal(t, len(asks), 1)
+	assert.Equal(t, len(again), 0)
+	answers, _ = ahead.ReceiveDigest(asks[0].(peers.Digest), now)
+	body := []byte("five")
+	assert.DeepEqual(t, answers, []peers.Frame{peers.Revision{Number: 5, Digest: revise.DigestOf(body), Body: body}})
+}
+
+// network delivers digests between states in rounds of one hop, without time
+// passing within a round.
+type network struct {
+	states map[model.HostName]*peers.State
+	subset map[model.HostName][]model.Host
+	cut    map[model.HostName]bool
+}
+
+func newNetwork(count int, now time.Time) *network {
+	n := &network{
+		states: make(map[model.HostName]*peers.State), subset: make(map[model.HostName][]model.Host),
+		cut: make(map[model.HostName]bool),
+	}
+	var hosts []model.Host
+	for i := range count {
+		hosts = append(hosts, model.NewHost(model.HostParts{Name: model.HostName(fmt.Sprintf("host-%03d", i))}))
+	}
+	for _, host := range hosts {
+		n.states[host.Name()] = peers.NewState(host.Name(), "1")
+		n.subset[host.Name()] = peers.Subset(host.Name(), hosts)
+		n.states[host.Name()].SetSubset(n.subset[host.Name()], now)
+	}
+	return n
+}
+
+// round sends one digest on every link.
+func (n *network) round(now time.Time) {
+	digests := make(map[model.HostName]peers.Digest)
+	for name, state := range n.states {
+		digests[name] = state.Digest(now)
+	}
+	for name, state := range n.states {
+		for _, peer := range n.subset[name] {
+			if !n.cut[name] && !n.cut[peer.Name()] {
+				state.ReceiveDigest(digests[peer.Name()], now)
+			}
+		}
+	}
+}
+
+// count returns how many other hosts find that host-003 is in a state.
+func (n *network) count(now time.Time, is func(peers.Presence) bool) int {
+	count := 0
+	for name, state := range n.states {
+		if name != "host-003" && is(state.Presence("host-003", now)) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against a leaving or silent host that only its own peers know of, and
+// against notices that outlive a restart.
+func TestPresenceReachesAllHosts(t *testing.T) {
+	isLeaving := func(p peers.Presence) bool { return p.Leaving }
+	isSilent := func(p peers.Presence) bool { return !p.Heard }
+	for _, size := range []int{12, 96, 680} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			n := newNetwork(size, now)
+			n.round(now)
+			n.states["host-003"].Leave()
+			hops := 0
+			for n.count(now, isLeaving) < size-1 && hops < 12 {
+				n.round(now)
+				hops++
+			}
+			t.Logf("%d hosts: leaving is known after %d hops", size, hops)
+			assert.Assert(t, hops <= 6, "%d hops", hops)
+
+			n.cut["host-003"] = true
+			for range 14 {
+				now = now.Add(time.Second)
+				n.round(now)
+			}
+			assert.Equal(t, n.count(now, isSilent), size-1)
+
+			n.cut["host-003"] = false
+			n.states["host-003"] = peers.NewState("host-003", "2")
+			for range 11 {
+				now = now.Add(time.Second)
+				n.round(now)
+			}
+			assert.Equal(t, n.count(now, isLeaving), 0)
+			assert.Equal(t, n.count(now, isSilent), 0)
+		})
+	}
+}
+
+// Guards against marks that are lost when a link drops them, and against a mark
+// that covers a later incarnation or is taken back.
+func TestMarksConverge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := peers.NewState("a", "1"), peers.NewState("b", "1")
+	a.Mark(peers.Mark{Endpoint: "e1", Incarnation: "1"}, peers.Mark{Endpoint: "e2", Incarnation: "1"})
+	b.Mark(peers.Mark{Endpoint: "e1", Incarnation: "2"}, peers.Mark{Endpoint: "e2", Incarnation: "1"})
+	answers, _ := b.ReceiveDigest(a.Digest(now), now)
+	added, answers := a.ReceiveMarks(answers[0].(peers.Marks))
+	assert.Equal(t, len(answers), 1, "a does not tell b what b lacks")
+	assert.DeepEqual(t, added, []peers.Mark{{Endpoint: "e1", Incarnation: "2"}})
+	added, answers = b.ReceiveMarks(answers[0].(peers.Marks))
+	assert.DeepEqual(t, added, []peers.Mark{{Endpoint: "e1", Incarnation: "1"}})
+	assert.Equal(t, len(answers), 0)
+	assert.DeepEqual(t, a.Marks(), b.Marks())
+	for incarnation := range 20 {
+		a.Mark(peers.Mark{Endpoint: "e1", Incarnation: fmt.Sprintf("%03d", incarnation)})
+		b.Mark(peers.Mark{Endpoint: "e1", Incarnation: fmt.Sprintf("%03d", 19-incarnation)})
+	}
+	assert.DeepEqual(t, a.Marks(), b.Marks())
+	assert.Equal(t, len(a.Marks()), 5)
+}
