--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -34,6 +34,8 @@
 type Revised struct {
 	Head revise.Head
 	Body []byte
+	// At is the time at which the body arrived.
+	At time.Time
 }
 
 // EndpointsMarked reports leaving marks that were not known before.
@@ -52,8 +54,6 @@
 	// Seeds are the IP addresses and UDP ports of hosts that are asked as long
 	// as no peer is known.
 	Seeds []string
-	// Conn is the socket of this host. The mesh closes it.
-	Conn net.PacketConn
 }
 
 // Mesh exchanges frames with a subset of the other entry hosts.
@@ -61,10 +61,12 @@
 	log     *slog.Logger
 	options Options
 	state   *State
-	decoder decoder
 	events  *ring.Ring[Event]
 	// hurry holds an item when digests are to be sent at once.
-	hurry     *ring.Ring[struct{}]
+	hurry *ring.Ring[struct{}]
+
+	// These are set when the mesh starts to run.
+	decoder   decoder
 	identity  identity
 	transport *quic.Transport
 
@@ -81,29 +83,18 @@
 }
 
 // NewMesh returns a mesh that is not yet running.
-func NewMesh(options Options) (*Mesh, error) {
-	decoder, err := newDecoder()
-	if err != nil {
-		return nil, err
-	}
-	identity, err := newIdentity(options.Secret)
-	if err != nil {
-		return nil, fmt.Errorf("make peer identity: %w", err)
-	}
+func NewMesh(options Options) *Mesh {
 	return &Mesh{
-		log:       options.Log,
-		options:   options,
-		state:     NewState(options.Host, options.Incarnation),
-		decoder:   decoder,
-		events:    ring.New[Event](eventCapacity),
-		hurry:     ring.New[struct{}](1),
-		identity:  identity,
-		transport: &quic.Transport{Conn: options.Conn, StatelessResetKey: identity.resetKey(options.Host)},
-		links:     make(map[*link]struct{}),
-		byHost:    make(map[model.HostName]*link),
-		dialling:  make(map[string]bool),
-		retryAt:   make(map[string]time.Time),
-	}, nil
+		log:      options.Log,
+		options:  options,
+		state:    NewState(options.Host, options.Incarnation),
+		events:   ring.New[Event](eventCapacity),
+		hurry:    ring.New[struct{}](1),
+		links:    make(map[*link]struct{}),
+		byHost:   make(map[model.HostName]*link),
+		dialling: make(map[string]bool),
+		retryAt:  make(map[string]time.Time),
+	}
 }
 
 // State returns what this host knows about its peers.
@@ -112,9 +103,12 @@
 // Events returns the events for the host.
 func (m *Mesh) Events() *ring.Ring[Event] { return m.events }
 
-// Run exchanges frames until ctx ends. It closes the socket.
-func (m *Mesh) Run(ctx context.Context) error {
-	defer m.options.Conn.Close()
+// Run exchanges frames over a socket until ctx ends. It closes the socket.
+func (m *Mesh) Run(ctx context.Context, conn net.PacketConn) error {
+	defer conn.Close()
+	if err := m.prepare(conn); err != nil {
+		return err
+	}
 	defer m.transport.Close()
 	listener, err := m.transport.Listen(m.identity.tlsConfig(), quicConfig())
 	if err != nil {
@@ -129,6 +123,18 @@
 	return group.Wait()
 }
 
+func (m *Mesh) prepare(conn net.PacketConn) error {
+	var err error
+	if m.decoder, err = newDecoder(); err != nil {
+		return err
+	}
+	if m.identity, err = newIdentity(m.options.Secret); err != nil {
+		return fmt.Errorf("make peer identity: %w", err)
+	}
+	m.transport = &quic.Transport{Conn: conn, StatelessResetKey: m.identity.resetKey(m.options.Host)}
+	return nil
+}
+
 // quicConfig bounds memory: a host has few connections and small frames, but
 // for the rare body of a revision.
 func quicConfig() *quic.Config {
@@ -193,7 +199,7 @@
 	case Digest:
 		m.receiveDigest(from, frame)
 	case Revision:
-		event := Revised{Head: revise.NewHead(frame.Number, frame.Digest), Body: frame.Body}
+		event := Revised{Head: revise.NewHead(frame.Number, frame.Digest), Body: frame.Body, At: time.Now()}
 		if err := m.events.Put(ctx, event); err != nil {
 			return fmt.Errorf("report revision: %w", err)
 		}
--- a/peers/mesh_test.go
+++ b/peers/mesh_test.go
@@ -31,13 +31,12 @@
 }
 
 func runMesh(t testing.TB, host model.Host, conn net.PacketConn, secret string, seeds ...string) *peers.Mesh {
-	mesh, err := peers.NewMesh(peers.Options{
-		Log: slog.New(slog.DiscardHandler), Host: host.Name(), Incarnation: "1", Secret: secret, Seeds: seeds, Conn: conn,
+	mesh := peers.NewMesh(peers.Options{
+		Log: slog.New(slog.DiscardHandler), Host: host.Name(), Incarnation: "1", Secret: secret, Seeds: seeds,
 	})
-	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- mesh.Run(ctx) }()
+	go func() { done <- mesh.Run(ctx, conn) }()
 	t.Cleanup(func() { cancel(); assert.Check(t, <-done) })
 	return mesh
 }
