Add hash-chained audit segments with a bounded buffer

Decisions have to be provable later, and a store outage must neither lose records of submits nor take unbounded memory.

Record numbers go on without holes: a gap record takes the exact place of dropped records, so that Verify tells a gap from removed evidence. Verify judges from the end to the start, so that one altered segment is named and its intact neighbour is not. The last segment has no successor; a head that was noted earlier vouches for it and shows a removed tail. Without one, an open end is reported as open, not as a fault.

Ruled out: numbering records when a segment is made, because a drop would then leave no hole that a check can see.

--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,196 @@
+package audit_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"filberthold/audit"
+	"filberthold/model"
+	"filberthold/place"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func recordOf(class model.Class, request string, second int) audit.Record {
+	return audit.Record{
+		At: start.Add(time.Duration(second) * time.Second), Kind: audit.Sent,
+		Request: place.RequestID(request), Class: class.String(), Reason: "next in turn",
+	}
+}
+
+// fiveSegments returns a closed chain of two records a segment.
+func fiveSegments(t testing.TB) []audit.Stored {
+	t.Helper()
+	buffer, err := audit.NewBuffer(audit.MemoryLimit)
+	assert.NilError(t, err)
+	chain, err := audit.NewChain("plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	var segments []audit.Stored
+	for i := range 5 {
+		assert.NilError(t, buffer.Add(recordOf(model.Submit, fmt.Sprintf("r%d", i), i)))
+		assert.NilError(t, buffer.Add(recordOf(model.Read, fmt.Sprintf("s%d", i), i)))
+		segment, err := buffer.Seal(chain, audit.MemoryLimit, i == 4)
+		assert.NilError(t, err)
+		buffer.Stored()
+		segments = append(segments, segment)
+	}
+	return segments
+}
+
+// forge replaces the records of a stored segment but keeps its header, as
+// somebody would who wants to change what was recorded.
+func forge(t *testing.T, segments []audit.Stored, index int) {
+	t.Helper()
+	chain, err := audit.NewChain("plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	for i := range segments {
+		segment, err := audit.DecodeSegment(segments[i].Body)
+		assert.NilError(t, err)
+		if i == index {
+			segment.Records[0].Reason = "another reason"
+		}
+		made, err := chain.Append(segment.Records, segment.Final)
+		assert.NilError(t, err)
+		if i == index {
+			segments[i] = made
+			return
+		}
+	}
+}
+
+// Guards against evidence that can be altered without a trace: each case
+// changes the archive and names exactly the faults that have to be reported.
+func TestVerifyFindsTampering(t *testing.T) {
+	name := func(number uint64) string { return audit.Name("plzen-a-1", "run-1", number) }
+	whole, err := audit.Verify(fiveSegments(t), nil)
+	assert.NilError(t, err)
+	cases := []struct {
+		title  string
+		tamper func(s []audit.Stored) []audit.Stored
+		noted  *audit.Head
+		want   []string
+		closed bool
+	}{
+		{"untouched", func(s []audit.Stored) []audit.Stored { return s }, nil, nil, true},
+		{"one bit of a body", func(s []audit.Stored) []audit.Stored { s[2].Body[40] ^= 1; return s }, nil, []string{name(3) + " changed"}, true},
+		{"a record in the middle", func(s []audit.Stored) []audit.Stored { forge(t, s, 2); return s }, nil, []string{name(3) + " changed"}, true},
+		{"a record in the last segment", func(s []audit.Stored) []audit.Stored { forge(t, s, 4); return s }, &whole.Head, []string{name(5) + " changed"}, true},
+		{"a segment removed", func(s []audit.Stored) []audit.Stored { return slices.Delete(s, 1, 2) }, nil, []string{name(2) + " missing"}, true},
+		{"two segments swapped", func(s []audit.Stored) []audit.Stored { s[1].Body, s[2].Body = s[2].Body, s[1].Body; return s }, nil,
+			[]string{name(2) + " reordered", name(3) + " reordered"}, true},
+		{"tail removed, no head noted", func(s []audit.Stored) []audit.Stored { return s[:3] }, nil, nil, false},
+		{"tail removed, head noted", func(s []audit.Stored) []audit.Stored { return s[:3] }, &whole.Head,
+			[]string{name(4) + " missing", name(5) + " missing"}, false},
+		{"removed and changed", func(s []audit.Stored) []audit.Stored { forge(t, s, 1); return slices.Delete(s, 3, 4) }, nil,
+			[]string{name(2) + " changed", name(4) + " missing"}, true},
+	}
+	for _, test := range cases {
+		t.Run(test.title, func(t *testing.T) {
+			report, err := audit.Verify(test.tamper(fiveSegments(t)), test.noted)
+			assert.NilError(t, err)
+			var found []string
+			for _, finding := range report.Findings {
+				found = append(found, finding.Segment+" "+string(finding.Fault))
+			}
+			assert.DeepEqual(t, found, test.want)
+			assert.Equal(t, report.Closed, test.closed)
+		})
+	}
+}
+
+// Guards against records of submits that are lost, memory over its bound and
+// dropped reads that leave no trace, while nothing can be stored.
+func TestBufferInOutage(t *testing.T) {
+	const limit = 256 << 10
+	buffer, err := audit.NewBuffer(limit)
+	assert.NilError(t, err)
+	submits, reads := 0, 0
+	for i := range 4000 {
+		// Reads alone fill the memory before the first submit comes.
+		if i%10 == 0 && i > 2000 {
+			id := fmt.Sprintf("submit-%d", i)
+			if err := buffer.Reserve(place.RequestID(id)); err != nil {
+				assert.Assert(t, errors.Is(err, audit.ErrFull), "%v", err)
+			} else {
+				for range 4 {
+					assert.NilError(t, buffer.Add(recordOf(model.Submit, id, i)))
+					submits++
+				}
+				buffer.Release(place.RequestID(id))
+			}
+		}
+		assert.NilError(t, buffer.Add(recordOf(model.Read, fmt.Sprintf("read-%d", i), i)))
+		reads++
+		assert.Assert(t, buffer.Used() <= limit, "used %d after %d records", buffer.Used(), i)
+	}
+	assert.Assert(t, submits > 200, "submits: %d", submits)
+
+	chain, err := audit.NewChain("plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	var segments []audit.Stored
+	for final := false; !final; {
+		final = buffer.Len() <= 64<<10
+		segment, err := buffer.Seal(chain, 64<<10, final)
+		assert.NilError(t, err)
+		buffer.Stored()
+		segments = append(segments, segment)
+	}
+	assert.Equal(t, buffer.Used(), 0)
+	report, err := audit.Verify(segments, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, len(report.Findings), 0, "%v", report.Findings)
+	assert.Equal(t, report.Records+int(report.Dropped), submits+reads)
+	kept := 0
+	for _, stored := range segments {
+		segment, err := audit.DecodeSegment(stored.Body)
+		assert.NilError(t, err)
+		for _, record := range segment.Records {
+			if record.Class == model.Submit.String() {
+				kept++
+			}
+			if record.Dropped != nil {
+				assert.Equal(t, record.Dropped.Others, uint64(0))
+			}
+		}
+	}
+	assert.Equal(t, kept, submits)
+}
+
+// Guards against a decoder that panics or accepts what it cannot encode again.
+func FuzzDecodeSegment(f *testing.F) {
+	for _, stored := range fiveSegments(f) {
+		f.Add(stored.Body)
+	}
+	f.Add([]byte{0x28, 0xb5, 0x2f, 0xfd})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		segment, err := audit.DecodeSegment(body)
+		if err != nil {
+			return
+		}
+		chain, err := audit.NewChain(segment.Host, segment.Incarnation)
+		assert.NilError(t, err)
+		stored, err := chain.Append(segment.Records, segment.Final)
+		assert.NilError(t, err)
+		again, err := audit.DecodeSegment(stored.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(again.Records), len(segment.Records))
+	})
+}
+
+func ExampleVerify() {
+	chain, _ := audit.NewChain("plzen-a-1", "01JNZ0")
+	first, _ := chain.Append([]audit.Record{{Number: 1, At: start, Kind: audit.Admitted}}, false)
+	second, _ := chain.Append([]audit.Record{{Number: 2, At: start, Kind: audit.Delivered}}, true)
+	report, _ := audit.Verify([]audit.Stored{second}, nil)
+	fmt.Println(report.Findings[0].Segment, report.Findings[0].Fault)
+	report, _ = audit.Verify([]audit.Stored{first, second}, nil)
+	fmt.Println(len(report.Findings), report.Records, report.Closed)
+	// Output:
+	// audit/plzen-a-1/01JNZ0/0000000001 missing
+	// 0 2 true
+}
--- /dev/null
+++ b/audit/chain.go
@@ -0,0 +1,86 @@
+package audit
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"filberthold/model"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Prefix is the prefix of the names of all segments.
+const Prefix = "audit/"
+
+// Stored is a segment as it lies in the object store.
+type Stored struct {
+	Name string
+	Body []byte
+}
+
+// Name returns the object name of a segment. The number has a fixed width, so
+// that the order of names is the order of segments.
+func Name(host model.HostName, incarnation string, number uint64) string {
+	return fmt.Sprintf("%s%s/%s/%010d", Prefix, host, incarnation, number)
+}
+
+// ParseName returns the parts of the object name of a segment.
+func ParseName(name string) (host model.HostName, incarnation string, number uint64, err error) {
+	parts := strings.Split(strings.TrimPrefix(name, Prefix), "/")
+	if !strings.HasPrefix(name, Prefix) || len(parts) != 3 {
+		return "", "", 0, fmt.Errorf("object %q is not named audit/HOST/INCARNATION/NUMBER", name)
+	}
+	number, err = strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return "", "", 0, fmt.Errorf("object %q: parse number: %w", name, err)
+	}
+	return model.HostName(parts[0]), parts[1], number, nil
+}
+
+// Chain makes the segments of one incarnation of a host. It is not safe for
+// concurrent use.
+type Chain struct {
+	codec       *codec
+	host        model.HostName
+	incarnation string
+	// number and previous belong to the last segment that was made.
+	number   uint64
+	previous Hash
+}
+
+// NewChain returns an empty chain.
+func NewChain(host model.HostName, incarnation string) (*Chain, error) {
+	codec, err := newCodec()
+	if err != nil {
+		return nil, err
+	}
+	return &Chain{codec: codec, host: host, incarnation: incarnation}, nil
+}
+
+// Append makes the next segment of the chain. A final segment ends it.
+func (c *Chain) Append(records []Record, final bool) (Stored, error) {
+	raw := make([]cbor.RawMessage, 0, len(records))
+	for _, record := range records {
+		encoded, err := c.codec.encodeRecord(record)
+		if err != nil {
+			return Stored{}, err
+		}
+		raw = append(raw, encoded)
+	}
+	return c.appendEncoded(raw, final)
+}
+
+func (c *Chain) appendEncoded(records []cbor.RawMessage, final bool) (Stored, error) {
+	segment := storedSegment{
+		Host: c.host, Incarnation: c.incarnation, Number: c.number + 1,
+		Previous: c.previous[:], Final: final, Records: records,
+	}
+	body, err := c.codec.encodeSegment(segment)
+	if err != nil {
+		return Stored{}, err
+	}
+	c.number++
+	c.previous = HashOf(body)
+	return Stored{Name: Name(c.host, c.incarnation, c.number), Body: body}, nil
+}
--- /dev/null
+++ b/audit/record.go
@@ -0,0 +1,126 @@
+// Package audit accounts for the decisions of entry hosts. Records are kept
+// in segments that form a hash chain for each run of a host, so that a
+// changed, missing or reordered segment can be found later.
+package audit
+
+import (
+	"time"
+
+	"filberthold/model"
+	"filberthold/place"
+)
+
+// Kind tells what a record is about.
+type Kind string
+
+const (
+	// Admitted records that a request entered placement.
+	Admitted Kind = "admitted"
+	// Waiting records that a request was queued.
+	Waiting Kind = "waiting"
+	// Sent records that a request was sent to an endpoint.
+	Sent Kind = "sent"
+	// Ended records how an attempt ended.
+	Ended Kind = "ended"
+	// Cancelled records that an attempt was cancelled.
+	Cancelled Kind = "cancelled"
+	// Abandoned records that the caller gave up.
+	Abandoned Kind = "abandoned"
+	// Delivered records that a response was returned to the caller.
+	Delivered Kind = "delivered"
+	// Refused records that a request was answered without a response.
+	Refused Kind = "refused"
+	// Adopted records that a revision of the configuration came into force.
+	Adopted Kind = "adopted"
+	// Marked records that an endpoint was marked as leaving.
+	Marked Kind = "marked"
+	// Unmarked records that an endpoint takes work again.
+	Unmarked Kind = "unmarked"
+	// Gap stands for records that were dropped because memory was full.
+	Gap Kind = "gap"
+)
+
+// Record is one accounted event or decision of an entry host.
+type Record struct {
+	// Host and Incarnation are stored once for each segment.
+	Host        model.HostName `cbor:"-" json:"host"`
+	Incarnation string         `cbor:"-" json:"incarnation"`
+	// Number counts the records of an incarnation from 1. A gap record has
+	// the number of the last record that it stands for.
+	Number   uint64             `cbor:"number" json:"number"`
+	At       time.Time          `cbor:"at" json:"at"`
+	Kind     Kind               `cbor:"kind" json:"kind"`
+	Request  place.RequestID    `cbor:"request,omitempty" json:"request,omitempty"`
+	Customer model.CustomerName `cbor:"customer,omitempty" json:"customer,omitempty"`
+	Service  model.ServiceName  `cbor:"service,omitempty" json:"service,omitempty"`
+	// Class is empty for records that are not about a request.
+	Class    string             `cbor:"class,omitempty" json:"class,omitempty"`
+	Attempt  place.AttemptID    `cbor:"attempt,omitempty" json:"attempt,omitempty"`
+	Endpoint model.EndpointName `cbor:"endpoint,omitempty" json:"endpoint,omitempty"`
+	// Alternatives are the endpoints that were considered and not chosen.
+	Alternatives []model.EndpointName `cbor:"alternatives,omitempty" json:"alternatives,omitempty"`
+	Position     int                  `cbor:"position,omitempty" json:"position,omitempty"`
+	Hedge        bool                 `cbor:"hedge,omitempty" json:"hedge,omitempty"`
+	Reason       string               `cbor:"reason,omitempty" json:"reason,omitempty"`
+	// Outcome is the outcome of a request or the result of an attempt.
+	Outcome  string    `cbor:"outcome,omitempty" json:"outcome,omitempty"`
+	Deadline time.Time `cbor:"deadline,omitzero" json:"deadline,omitzero"`
+	Revision uint64    `cbor:"revision,omitempty" json:"revision,omitempty"`
+	Dropped  *Dropped  `cbor:"dropped,omitempty" json:"dropped,omitempty"`
+}
+
+// Dropped counts the records that a gap record stands for.
+type Dropped struct {
+	Since   time.Time `cbor:"since" json:"since"`
+	Reads   uint64    `cbor:"reads" json:"reads"`
+	Exports uint64    `cbor:"exports" json:"exports"`
+	Others  uint64    `cbor:"others" json:"others"`
+}
+
+// Total returns the number of dropped records.
+func (d Dropped) Total() uint64 { return d.Reads + d.Exports + d.Others }
+
+// first returns the lowest record number that the record accounts for.
+func (r Record) first() uint64 {
+	if r.Dropped == nil {
+		return r.Number
+	}
+	return r.Number - r.Dropped.Total() + 1
+}
+
+// IsFinal reports whether the record ends the handling of a request.
+func (r Record) IsFinal() bool {
+	return r.Kind == Delivered || r.Kind == Refused
+}
+
+const (
+	// maxReasonBytes and maxAlternatives keep a record below maxRecordBytes,
+	// so that the room that a submit reserves is enough for its records.
+	maxReasonBytes  = 200
+	maxAlternatives = 8
+	maxNameBytes    = 64
+	maxRecordBytes  = 1536
+)
+
+// clipped returns the record with its texts shortened to their limits.
+func (r Record) clipped() Record {
+	r.At = r.At.Round(0).UTC()
+	r.Deadline = r.Deadline.Round(0).UTC()
+	r.Reason = clip(r.Reason, maxReasonBytes)
+	r.Customer = clip(r.Customer, maxNameBytes)
+	r.Service = clip(r.Service, maxNameBytes)
+	r.Request = clip(r.Request, maxNameBytes)
+	r.Endpoint = clip(r.Endpoint, maxNameBytes)
+	if len(r.Alternatives) > maxAlternatives {
+		r.Alternatives = r.Alternatives[:maxAlternatives]
+	}
+	return r
+}
+
+func clip[T ~string](text T, limit int) T {
+	if len(text) <= limit {
+		return text
+	}
+	runes := []rune(string(text[:limit]))
+	return T(string(runes[:len(runes)-1]) + "…")
+}
