Store audit segments from entry hosts

The dispatcher hands every event and its decisions to an archive, which stores one segment a second or 256 KiB (one each 10 s from 100 hosts on). Room for a submit's records is reserved before it enters placement; without room it is refused as notSent. A segment whose response was lost is read back and compared. A graceful shutdown closes the chain, waits at most 10 s for the store and logs what is lost.

Dropping reads scans the held records only if that frees enough.

--- a/audit/buffer.go
+++ b/audit/buffer.go
@@ -44,8 +44,10 @@
 	number uint64
 	// reserved holds the room that is left for each admitted submit.
 	reserved map[place.RequestID]int
-	// held is the part of used that belongs to items.
-	held int
+	// held is the part of used that belongs to items; heldOf divides it by
+	// rank.
+	held   int
+	heldOf [otherRank + 1]int
 	// storing is the part of used that belongs to the segment being stored.
 	storing int
 }
@@ -142,6 +144,7 @@
 	}
 	b.used += added.size()
 	b.held += added.size()
+	b.heldOf[added.rank] += added.size()
 	b.items = append(b.items, added)
 	return nil
 }
@@ -153,8 +156,16 @@
 func (b *Buffer) Used() int { return b.used }
 
 // makeRoom drops records of lower ranks until size bytes are free, and
-// reports whether there is that much room.
+// reports whether there is that much room. It drops nothing, and does not scan
+// the records, if that would not be enough.
 func (b *Buffer) makeRoom(size int, below rank) bool {
+	free := b.limit - b.used
+	for dropped := readRank; dropped < below; dropped++ {
+		free += b.heldOf[dropped]
+	}
+	if free < size {
+		return false
+	}
 	for dropped := readRank; dropped < below && b.used+size > b.limit; dropped++ {
 		b.evict(dropped, b.used+size-b.limit+b.limit/evictionShare)
 	}
@@ -183,6 +194,7 @@
 	b.items = kept
 	b.used -= freed
 	b.held -= freed
+	b.heldOf[dropped] -= freed
 }
 
 func (b *Buffer) addGap(record Record) { b.items = withGap(b.items, gapOf(record)) }
@@ -223,6 +235,7 @@
 	}
 	raw := make([]cbor.RawMessage, 0, count)
 	for _, held := range b.items[:count] {
+		b.heldOf[held.rank] -= held.size()
 		if held.gap == nil {
 			raw = append(raw, held.raw)
 			continue
--- /dev/null
+++ b/entry/archive.go
@@ -0,0 +1,264 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"filberthold/audit"
+	"filberthold/model"
+	"filberthold/place"
+	"filberthold/plat"
+
+	"github.com/oklog/ulid/v2"
+)
+
+const (
+	// segmentInterval is the longest time that records wait for a segment at
+	// today's size. It bounds what the death of a host loses.
+	segmentInterval = time.Second
+	// sparseInterval applies at many hosts: 680 hosts then make 68 of the
+	// several hundred writes a second that the store handles.
+	sparseInterval = 10 * time.Second
+	// manyHosts is the number of hosts from which sparseInterval applies.
+	manyHosts = 100
+	// segmentBytes of records make a segment before the interval ends.
+	segmentBytes = 256 << 10
+	// storeTimeout bounds one attempt to store a segment.
+	storeTimeout = 5 * time.Second
+	// firstBackoff is the wait after the first failed attempt.
+	firstBackoff = 100 * time.Millisecond
+	// maxBackoff bounds the wait between attempts, so that records leave
+	// memory soon after an outage.
+	maxBackoff = 5 * time.Second
+	// flushTimeout bounds how long a graceful shutdown waits for the store.
+	flushTimeout = 10 * time.Second
+)
+
+// errOverwritten is returned when a segment's name holds other contents.
+var errOverwritten = errors.New("object of the segment's name has other contents")
+
+// ObjectStore stores segments. An object is created once and never changed.
+type ObjectStore interface {
+	PutObject(ctx context.Context, name string, body []byte) error
+	Object(ctx context.Context, name string) ([]byte, error)
+}
+
+// Archive keeps the records of an entry host and stores them in segments.
+type Archive struct {
+	log   *slog.Logger
+	store ObjectStore
+	chain *audit.Chain
+	// full wakes the loop when there are enough records for a segment.
+	full chan struct{}
+	// closed ends the loop after the last record.
+	closed chan struct{}
+	// sealed is made and not yet stored. Only the loop uses it.
+	sealed audit.Stored
+
+	mu sync.Mutex
+	// buffer bounds the memory for records that are not yet stored.
+	buffer     *audit.Buffer
+	deployment *model.Deployment
+	requests   map[place.RequestID]openRequest
+	attempts   map[place.AttemptID]openAttempt
+	interval   time.Duration
+	// threshold is the size of records that makes a segment, or 0 for none.
+	threshold int
+	// isFinished is true after the final segment was made.
+	isFinished bool
+}
+
+// openRequest is what records say of a request that is not yet answered.
+type openRequest struct {
+	request place.Request
+	class   string
+}
+
+// openAttempt is what records say of an attempt that is in flight.
+type openAttempt struct {
+	openRequest
+	endpoint model.EndpointName
+}
+
+// NewArchive returns an archive of one incarnation of a host.
+func NewArchive(log *slog.Logger, store ObjectStore, host model.HostName, incarnation string) (*Archive, error) {
+	chain, err := audit.NewChain(host, incarnation)
+	if err != nil {
+		return nil, fmt.Errorf("make chain: %w", err)
+	}
+	buffer, err := audit.NewBuffer(audit.MemoryLimit)
+	if err != nil {
+		return nil, fmt.Errorf("make buffer: %w", err)
+	}
+	return &Archive{
+		log: log, store: store, chain: chain, buffer: buffer,
+		full: make(chan struct{}, 1), closed: make(chan struct{}),
+		requests: make(map[place.RequestID]openRequest),
+		attempts: make(map[place.AttemptID]openAttempt),
+		interval: segmentInterval, threshold: segmentBytes,
+	}, nil
+}
+
+// Close stores the rest and ends the loop. No record may follow.
+func (a *Archive) Close() { close(a.closed) }
+
+// loop stores segments until Close is called.
+func (a *Archive) loop() error {
+	for {
+		timer := time.NewTimer(a.currentInterval())
+		select {
+		case <-timer.C:
+		case <-a.full:
+		case <-a.closed:
+		}
+		timer.Stop()
+		a.storeWaiting()
+		if a.isClosed() {
+			a.flush()
+			return nil
+		}
+	}
+}
+
+func (a *Archive) isClosed() bool {
+	select {
+	case <-a.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (a *Archive) currentInterval() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.interval
+}
+
+// storeWaiting stores the records that wait, until Close is called.
+func (a *Archive) storeWaiting() {
+	for backoff := newBackoff(); !a.isClosed(); {
+		if !a.sealNext(false) {
+			return
+		}
+		err := a.storeSealed(context.Background())
+		if err == nil {
+			backoff = newBackoff()
+			continue
+		}
+		wait := backoff.next()
+		a.log.Warn("audit segment not stored", "segment", a.sealed.Name, "error", err, "retryIn", wait)
+		select {
+		case <-time.After(wait):
+		case <-a.closed:
+		}
+	}
+}
+
+// flush stores what is left within flushTimeout, so that an outage of the
+// store does not delay a graceful shutdown for ever.
+func (a *Archive) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	for backoff := newBackoff(); ctx.Err() == nil; {
+		if !a.sealNext(true) {
+			return
+		}
+		if err := a.storeSealed(ctx); err == nil {
+			backoff = newBackoff()
+			continue
+		}
+		select {
+		case <-time.After(backoff.next()):
+		case <-ctx.Done():
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.log.Error("audit records lost at shutdown", "segment", a.sealed.Name, "bytes", a.buffer.Used(),
+		"recordsWithoutSegment", a.buffer.Waiting())
+}
+
+// sealNext makes the next segment unless one is still to be stored. It
+// reports false if there is nothing to store.
+func (a *Archive) sealNext(final bool) bool {
+	if a.sealed.Name != "" {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.isFinished || (a.buffer.Waiting() == 0 && !final) {
+		return false
+	}
+	size := a.threshold
+	if size == 0 {
+		size = audit.MemoryLimit
+	}
+	sealed, err := a.buffer.Seal(a.chain, size, final)
+	if err != nil {
+		a.log.Error("audit segment not made", "error", err)
+		return false
+	}
+	a.sealed = sealed
+	a.isFinished = final && a.buffer.Waiting() == 0
+	return true
+}
+
+// storeSealed stores the sealed segment once. If the name exists, a response
+// of an earlier attempt was lost, and the contents must be the same.
+func (a *Archive) storeSealed(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := a.store.PutObject(ctx, a.sealed.Name, a.sealed.Body)
+	if errors.Is(err, plat.ErrExists) {
+		err = a.compare(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("store segment: %w", err)
+	}
+	a.sealed = audit.Stored{}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.buffer.Stored()
+	return nil
+}
+
+func (a *Archive) compare(ctx context.Context) error {
+	body, err := a.store.Object(ctx, a.sealed.Name)
+	if err != nil {
+		return fmt.Errorf("read back: %w", err)
+	}
+	if !bytes.Equal(body, a.sealed.Body) {
+		return errOverwritten
+	}
+	return nil
+}
+
+// backoff gives growing waits with a random part, so that hosts do not
+// return to the store all at once after an outage.
+type backoff struct{ wait time.Duration }
+
+func newBackoff() backoff { return backoff{wait: firstBackoff} }
+
+func (b *backoff) next() time.Duration {
+	wait := b.wait
+	b.wait = min(2*b.wait, maxBackoff)
+	return wait/2 + rand.N(wait/2)
+}
+
+// openArchive gives the dispatcher an archive for a new incarnation.
+func (h *Host) openArchive() (*Archive, error) {
+	host := model.HostName(h.base.Settings().Host)
+	archive, err := NewArchive(h.base.Log(), h.platform, host, ulid.Make().String())
+	if err != nil {
+		return nil, err
+	}
+	h.dispatcher.archive = archive
+	return archive, nil
+}
--- /dev/null
+++ b/entry/archive_test.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthold/audit"
+	"filberthold/model"
+	"filberthold/place"
+	"filberthold/plat"
+
+	"gotest.tools/v3/assert"
+)
+
+var errOutage = errors.New("store is down")
+
+// memoryStore is an object store with outages and lost responses.
+type memoryStore struct {
+	mu           sync.Mutex
+	objects      map[string][]byte
+	isDown       bool
+	losesAnswers bool
+}
+
+func (s *memoryStore) set(isDown, losesAnswers bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown, s.losesAnswers = isDown, losesAnswers
+}
+
+func (s *memoryStore) PutObject(_ context.Context, name string, body []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isDown {
+		return errOutage
+	}
+	if _, exists := s.objects[name]; exists {
+		return plat.ErrExists
+	}
+	s.objects[name] = slices.Clone(body)
+	if s.losesAnswers {
+		s.losesAnswers = false
+		return errOutage
+	}
+	return nil
+}
+
+func (s *memoryStore) Object(_ context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[name], nil
+}
+
+// verify checks the chain and returns its records.
+func (s *memoryStore) verify(t *testing.T) ([]audit.Record, audit.Report) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var segments []audit.Stored
+	var records []audit.Record
+	for _, name := range slices.Sorted(maps.Keys(s.objects)) {
+		segments = append(segments, audit.Stored{Name: name, Body: s.objects[name]})
+		segment, err := audit.DecodeSegment(s.objects[name])
+		assert.NilError(t, err)
+		records = append(records, segment.Records...)
+	}
+	report, err := audit.Verify(segments, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, len(report.Findings), 0, "%v", report.Findings)
+	return records, report
+}
+
+// session is an archive that runs, with one service of each short class.
+type session struct {
+	*Archive
+	store *memoryStore
+	log   bytes.Buffer
+	ended chan error
+}
+
+func startSession(t *testing.T) *session {
+	t.Helper()
+	s := &session{store: &memoryStore{objects: make(map[string][]byte)}, ended: make(chan error, 1)}
+	var err error
+	s.Archive, err = NewArchive(slog.New(slog.NewTextHandler(&s.log, nil)), s.store, "plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	deployment, err := model.NewDeployment(model.DeploymentParts{Services: []model.Service{
+		model.NewService(model.ServiceParts{Name: "diary-view", Class: model.Read}),
+		model.NewService(model.ServiceParts{Name: "filing-desk", Class: model.Submit}),
+	}})
+	assert.NilError(t, err)
+	s.Record(place.Adopted{Deployment: deployment, Revision: 1}, nil, time.Now())
+	go func() { s.ended <- s.loop() }()
+	return s
+}
+
+// serve carries one request through the archive as the dispatcher does.
+func (s *session) serve(service model.ServiceName, id string) error {
+	request := place.Request{ID: place.RequestID(id), Service: service, Customer: "resident"}
+	if err := s.Reserve(request, time.Now()); err != nil {
+		return err
+	}
+	send := place.Send{Request: request.ID, Attempt: 1, Endpoint: "e-01", Reason: strings.Repeat("x", 150)}
+	s.Record(place.Arrived{Request: request}, []place.Decision{send}, time.Now())
+	s.Record(place.Finished{Attempt: 1, Result: place.Succeeded},
+		[]place.Decision{place.Deliver{Request: request.ID, Attempt: 1}}, time.Now())
+	return nil
+}
+
+func (s *session) stop(t *testing.T) {
+	t.Helper()
+	s.Close()
+	assert.NilError(t, <-s.ended)
+}
+
+// Guards against the loss of records of submits in an outage that fills the
+// memory, and against submits that are admitted without room for theirs.
+func TestArchiveOutlastsOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSession(t)
+		s.store.set(true, false)
+		admitted, refused := 0, 0
+		for i := range 12000 {
+			assert.NilError(t, s.serve("diary-view", fmt.Sprintf("read-%d", i)))
+			if err := s.serve("filing-desk", fmt.Sprintf("submit-%d", i)); err != nil {
+				assert.Assert(t, errors.Is(err, audit.ErrFull), "%v", err)
+				refused++
+			} else {
+				admitted++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Check(t, s.buffer.Used() <= audit.MemoryLimit)
+		assert.Check(t, refused > 0 && admitted > 0, "refused %d, admitted %d", refused, admitted)
+		s.store.set(false, false)
+		time.Sleep(maxBackoff)
+		synctest.Wait()
+		assert.NilError(t, s.serve("filing-desk", "after"))
+		s.stop(t)
+
+		records, report := s.store.verify(t)
+		assert.Assert(t, report.Closed)
+		delivered := 0
+		for _, record := range records {
+			if record.Class == "submit" && record.Kind == audit.Delivered {
+				delivered++
+			}
+		}
+		assert.Equal(t, delivered, admitted+1)
+		assert.Assert(t, report.Dropped > 0)
+	})
+}
+
+// Guards against a host's death that loses more than one segment interval.
+func TestDeathLosesAtMostOneInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSession(t)
+		for i := range 100 {
+			assert.NilError(t, s.serve("filing-desk", fmt.Sprintf("submit-%d", i)))
+			time.Sleep(130 * time.Millisecond)
+			synctest.Wait()
+			records, _ := s.store.verify(t)
+			stored := uint64(len(records))
+			// Requests up to i-7 are older than one interval.
+			oldest := 4 * uint64(max(0, i-6))
+			assert.Check(t, stored >= oldest, "after request %d: %d records stored, want %d", i, stored, oldest)
+		}
+		s.stop(t)
+	})
+}
+
+// Guards against a segment that is stored twice, or given up, after its
+// response was lost.
+func TestArchiveSettlesLostResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSession(t)
+		s.store.set(false, true)
+		assert.NilError(t, s.serve("filing-desk", "first"))
+		time.Sleep(segmentInterval + maxBackoff)
+		assert.NilError(t, s.serve("filing-desk", "second"))
+		s.stop(t)
+		records, report := s.store.verify(t)
+		assert.Equal(t, len(records), 9)
+		assert.Assert(t, report.Closed)
+	})
+}
+
+// Guards against a graceful shutdown that an outage delays for ever, and
+// against a loss that is not logged.
+func TestFlushIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSession(t)
+		s.store.set(true, false)
+		assert.NilError(t, s.serve("filing-desk", "first"))
+		begin := time.Now()
+		s.stop(t)
+		assert.Assert(t, time.Since(begin) <= flushTimeout+storeTimeout)
+		assert.Assert(t, strings.Contains(s.log.String(), "audit records lost at shutdown"), s.log.String())
+	})
+}
+
+// Guards against decisions of the dispatcher that are not accounted for.
+func TestDispatcherRecordsDecisions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSession(t)
+		dispatcher := NewDispatcher(slog.New(slog.NewTextHandler(io.Discard, nil)), place.New("plzen-a-1"))
+		dispatcher.archive = s.Archive
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = dispatcher.loop(ctx) }()
+		decisions, err := dispatcher.Open(ctx, place.Request{ID: "r1", Service: "filing-desk", Customer: "resident"})
+		assert.NilError(t, err)
+		assert.Equal(t, (<-decisions).For(), place.RequestID("r1"))
+		cancel()
+		synctest.Wait()
+		s.stop(t)
+		records, _ := s.store.verify(t)
+		assert.Equal(t, len(records), 3)
+		assert.Equal(t, records[1].Kind, audit.Admitted)
+		assert.Equal(t, records[2].Kind, audit.Refused)
+	})
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	// open holds the decision channel of each request that is being served.
 	open map[place.RequestID]chan place.Decision
+	// archive accounts for all events and decisions. It may be nil.
+	archive *Archive
 }
 
 // NewDispatcher returns a dispatcher for a placement core.
@@ -41,11 +43,15 @@
 
 // Open hands a request to placement and returns its decisions in order.
 func (d *Dispatcher) Open(_ context.Context, request place.Request) (<-chan place.Decision, error) {
+	if err := d.archive.Reserve(request, time.Now()); err != nil {
+		return nil, err
+	}
 	decisions := make(chan place.Decision, decisionCapacity)
 	d.mu.Lock()
 	d.open[request.ID] = decisions
 	d.mu.Unlock()
 	if !d.events.TryPut(place.Arrived{Request: request}) {
+		d.archive.RefuseUnplaced(request, "too many events wait for placement", time.Now())
 		d.Close(request.ID)
 		return nil, fmt.Errorf("open request: %d events wait for placement", eventCapacity)
 	}
@@ -74,7 +80,10 @@
 		if err != nil {
 			return fmt.Errorf("wait for event: %w", err)
 		}
-		for _, decision := range d.core.Apply(event, time.Now()) {
+		now := time.Now()
+		decisions := d.core.Apply(event, now)
+		d.archive.Record(event, decisions, now)
+		for _, decision := range decisions {
 			d.logDecision(decision)
 			d.hand(decision)
 		}
--- a/entry/host.go
+++ b/entry/host.go
@@ -87,7 +87,15 @@
 	working, stopWorking := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWorking()
 	group, working := errgroup.WithContext(working)
-	group.Go(func() error { return h.dispatcher.loop(working) })
+	archive, err := h.openArchive()
+	if err != nil {
+		return fmt.Errorf("open archive: %w", err)
+	}
+	group.Go(func() error {
+		defer archive.Close()
+		return h.dispatcher.loop(working)
+	})
+	group.Go(archive.loop)
 	group.Go(func() error { return h.loopConfiguration(working) })
 	group.Go(func() error { return h.callers.Run(listeners.Callers) })
 	group.Go(func() error { return h.operators.Run(listeners.Operators) })
--- /dev/null
+++ b/entry/records.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"filberthold/audit"
+	"filberthold/model"
+	"filberthold/place"
+)
+
+// Reserve keeps room for the records of a submit, or returns an error that
+// wraps audit.ErrFull. A request of an unknown service counts as a submit.
+func (a *Archive) Reserve(request place.Request, now time.Time) error {
+	if a == nil {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if class := a.classOf(request.Service); class != "" && class != model.Submit.String() {
+		return nil
+	}
+	if err := a.buffer.Reserve(request.ID); err != nil {
+		a.refuseUnplaced(request, err.Error(), now)
+		return fmt.Errorf("account for request: %w", err)
+	}
+	return nil
+}
+
+// RefuseUnplaced accounts for a request that does not enter placement.
+func (a *Archive) RefuseUnplaced(request place.Request, reason string, now time.Time) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refuseUnplaced(request, reason, now)
+}
+
+func (a *Archive) refuseUnplaced(request place.Request, reason string, now time.Time) {
+	record := about(openRequest{request: request, class: a.classOf(request.Service)}, audit.Refused)
+	record.Outcome, record.Reason = string(model.NotSent), reason
+	a.add(record, now)
+}
+
+// Record accounts for an event and the decisions that it led to.
+func (a *Archive) Record(event place.Event, decisions []place.Decision, now time.Time) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if record, exists := a.recordEvent(event); exists {
+		a.add(record, now)
+	}
+	for _, decision := range decisions {
+		a.add(a.recordDecision(decision), now)
+	}
+	if abandoned, isAbandoned := event.(place.Abandoned); isAbandoned &&
+		a.requests[abandoned.Request].class != model.Submit.String() {
+		delete(a.requests, abandoned.Request)
+	}
+	if a.threshold > 0 && a.buffer.Len() >= a.threshold {
+		select {
+		case a.full <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (a *Archive) add(record audit.Record, now time.Time) {
+	record.At = now
+	if err := a.buffer.Add(record); err != nil {
+		a.log.Error("audit record not kept", "request", record.Request, "error", err)
+	}
+	if record.IsFinal() {
+		a.buffer.Release(record.Request)
+		delete(a.requests, record.Request)
+	}
+}
+
+func (a *Archive) classOf(name model.ServiceName) string {
+	if a.deployment == nil {
+		return ""
+	}
+	service, exists := a.deployment.Service(name)
+	if !exists {
+		return ""
+	}
+	return service.Class().String()
+}
+
+func (a *Archive) recordEvent(event place.Event) (audit.Record, bool) {
+	switch event := event.(type) {
+	case place.Arrived:
+		open := openRequest{request: event.Request, class: a.classOf(event.Request.Service)}
+		a.requests[event.Request.ID] = open
+		record := about(open, audit.Admitted)
+		record.Deadline = event.Request.Deadline
+		return record, true
+	case place.Finished:
+		ended, exists := a.attempts[event.Attempt]
+		delete(a.attempts, event.Attempt)
+		record := about(ended.openRequest, audit.Ended)
+		record.Attempt, record.Endpoint = event.Attempt, ended.endpoint
+		record.Outcome, record.Reason = string(event.Result), event.Detail
+		return record, exists
+	case place.Abandoned:
+		record := about(a.open(event.Request), audit.Abandoned)
+		record.Reason = "caller gave up"
+		return record, true
+	case place.Adopted:
+		a.adopt(event.Deployment)
+		return audit.Record{Kind: audit.Adopted, Revision: event.Revision}, true
+	case place.Marked:
+		return audit.Record{Kind: audit.Marked, Endpoint: event.Endpoint, Reason: event.Source}, true
+	case place.Unmarked:
+		return audit.Record{Kind: audit.Unmarked, Endpoint: event.Endpoint, Reason: event.Incarnation}, true
+	}
+	return audit.Record{}, false
+}
+
+func (a *Archive) recordDecision(decision place.Decision) audit.Record {
+	open := a.open(decision.For())
+	switch decision := decision.(type) {
+	case place.Send:
+		a.attempts[decision.Attempt] = openAttempt{openRequest: open, endpoint: decision.Endpoint}
+		record := about(open, audit.Sent)
+		record.Attempt, record.Endpoint, record.Hedge = decision.Attempt, decision.Endpoint, decision.Hedge
+		record.Reason, record.Alternatives, record.Deadline = decision.Reason, decision.Alternatives, decision.Deadline
+		return record
+	case place.Wait:
+		record := about(open, audit.Waiting)
+		record.Position, record.Reason = decision.Position, decision.Reason
+		return record
+	case place.Refuse:
+		record := about(open, audit.Refused)
+		record.Outcome, record.Reason = string(decision.Outcome), decision.Reason
+		return record
+	case place.Deliver:
+		record := about(open, audit.Delivered)
+		record.Attempt, record.Outcome = decision.Attempt, string(model.Served)
+		record.Endpoint = a.attempts[decision.Attempt].endpoint
+		return record
+	case place.Cancel:
+		record := about(open, audit.Cancelled)
+		record.Attempt, record.Reason = decision.Attempt, decision.Reason
+		record.Endpoint = a.attempts[decision.Attempt].endpoint
+		return record
+	}
+	return about(open, audit.Kind(fmt.Sprintf("%T", decision)))
+}
+
+// open returns what is known of a request, at least its identifier.
+func (a *Archive) open(id place.RequestID) openRequest {
+	open, exists := a.requests[id]
+	if !exists {
+		open.request.ID = id
+	}
+	return open
+}
+
+func about(open openRequest, kind audit.Kind) audit.Record {
+	return audit.Record{
+		Kind: kind, Request: open.request.ID, Customer: open.request.Customer,
+		Service: open.request.Service, Class: open.class,
+	}
+}
+
+func (a *Archive) adopt(deployment *model.Deployment) {
+	if deployment == nil {
+		return
+	}
+	a.deployment = deployment
+	a.interval, a.threshold = segmentInterval, segmentBytes
+	if len(deployment.Hosts()) >= manyHosts {
+		a.interval, a.threshold = sparseInterval, 0
+	}
+}
