--- /dev/null
+++ b/audit/find.go
@@ -0,0 +1,124 @@
+package audit
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"filberthold/place"
+
+	"github.com/oklog/ulid/v2"
+)
+
+// Source reads the archive.
+type Source interface {
+	ObjectNames(ctx context.Context, prefix string) ([]string, error)
+	Object(ctx context.Context, name string) ([]byte, error)
+}
+
+// searchMargin covers the clock error between hosts and the longest segment
+// interval of 10 s.
+const searchMargin = 15 * time.Second
+
+// ChainNames returns the segment names below a prefix, one list for each
+// chain, in order.
+func ChainNames(ctx context.Context, source Source, prefix string) ([][]string, error) {
+	names, err := source.ObjectNames(ctx, prefix)
+	if err != nil {
+		return nil, fmt.Errorf("list archive: %w", err)
+	}
+	slices.Sort(names)
+	var chains [][]string
+	last := ""
+	for _, name := range names {
+		if _, _, _, err := ParseName(name); err != nil {
+			return nil, err
+		}
+		chain := name[:strings.LastIndex(name, "/")]
+		if chain != last {
+			chains = append(chains, nil)
+		}
+		chains[len(chains)-1] = append(chains[len(chains)-1], name)
+		last = chain
+	}
+	return chains, nil
+}
+
+// Find returns the records of the host that handled a request, from the
+// arrival of the request to its end. It looks only at segments of the time
+// that the request's identifier holds.
+func Find(ctx context.Context, source Source, request place.RequestID) ([]Record, error) {
+	id, err := ulid.ParseStrict(string(request))
+	if err != nil {
+		return nil, fmt.Errorf("parse request identifier %q: %w", request, err)
+	}
+	chains, err := ChainNames(ctx, source, Prefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, names := range chains {
+		search := search{source: source, names: names, request: request, arrived: ulid.Time(id.Time())}
+		records, found, err := search.run(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if found {
+			return records, nil
+		}
+	}
+	return nil, fmt.Errorf("no record of request %s in %d chains", request, len(chains))
+}
+
+// search looks for a request in one chain.
+type search struct {
+	source  Source
+	names   []string
+	request place.RequestID
+	arrived time.Time
+}
+
+func (s *search) run(ctx context.Context) (records []Record, found bool, err error) {
+	first := sort.Search(len(s.names), func(i int) bool {
+		segment, loadError := s.load(ctx, s.names[i])
+		if loadError != nil {
+			err = loadError
+		}
+		count := len(segment.Records)
+		return count == 0 || !segment.Records[count-1].At.Before(s.arrived.Add(-searchMargin))
+	})
+	if err != nil {
+		return nil, false, err
+	}
+	for _, name := range s.names[first:] {
+		segment, err := s.load(ctx, name)
+		if err != nil {
+			return nil, false, err
+		}
+		for _, record := range segment.Records {
+			if !found && record.At.After(s.arrived.Add(searchMargin)) {
+				return nil, false, nil
+			}
+			records = append(records, record)
+			found = found || record.Request == s.request
+			if record.Request == s.request && record.IsFinal() {
+				return records, true, nil
+			}
+		}
+	}
+	return records, found, nil
+}
+
+func (s *search) load(ctx context.Context, name string) (Segment, error) {
+	body, err := s.source.Object(ctx, name)
+	if err != nil {
+		return Segment{}, fmt.Errorf("read segment: %w", err)
+	}
+	segment, err := DecodeSegment(body)
+	if err != nil {
+		return Segment{}, fmt.Errorf("segment %s: %w", name, err)
+	}
+	return segment, nil
+}
--- /dev/null
+++ b/cmds/explain.go
@@ -0,0 +1,65 @@
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"filberthold/audit"
+	"filberthold/place"
+	"filberthold/plat"
+
+	"github.com/samber/oops"
+	"github.com/spf13/cobra"
+)
+
+// platformFlag adds the flag for the platform's address.
+func platformFlag(command *cobra.Command, address *string) {
+	command.Flags().StringVar(address, "platform", "", "IP address and TCP port of the platform")
+	_ = command.MarkFlagRequired("platform")
+}
+
+func newExplainCommand() *cobra.Command {
+	var address string
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "explain REQUEST",
+		Short: "Tell from the archive how a request was handled",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			client := plat.NewClient(address)
+			defer client.Close()
+			request := place.RequestID(arguments[0])
+			records, err := audit.Find(command.Context(), client, request)
+			if err != nil {
+				return oops.Code("requestNotFound").
+					Hint("the identifier is the Filberthold-Request header of the response; the host stores records within 10 s").
+					Wrapf(err, "find request")
+			}
+			explanation, err := audit.Explain(records, request)
+			if err != nil {
+				return fmt.Errorf("explain: %w", err)
+			}
+			if asJSON {
+				return writeIndented(command.OutOrStdout(), explanation)
+			}
+			return explanation.Render(command.OutOrStdout())
+		},
+	}
+	platformFlag(command, &address)
+	command.Flags().BoolVar(&asJSON, "json", false, "write JSON")
+	return command
+}
+
+func writeIndented(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		return fmt.Errorf("write JSON: %w", err)
+	}
+	return nil
+}
+
+// errFaults is returned when a chain does not verify.
+var errFaults = errors.New("the archive has faults")
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -3,18 +3,24 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os/signal"
 	"syscall"
 
+	"filberthold/config"
+
+	"github.com/samber/oops"
 	"github.com/spf13/cobra"
 )
 
-// Exit codes of the program.
+// Exit codes of the program; docs/operators/exit-codes.md explains them.
 const (
-	exitOK     = 0
-	exitFailed = 1
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitInvalid = 3
 )
 
 // Execute runs the command line and returns the exit code.
@@ -22,16 +28,43 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	root := newRootCommand()
+	// Errors before a command starts come from its flags and arguments.
+	hasStarted := false
+	root.PersistentPreRunE = func(command *cobra.Command, _ []string) error {
+		if err := command.ValidateRequiredFlags(); err != nil {
+			return fmt.Errorf("check flags: %w", err)
+		}
+		hasStarted = true
+		return nil
+	}
 	root.SetArgs(arguments)
 	root.SetOut(out)
 	root.SetErr(errOut)
 	if err := root.ExecuteContext(ctx); err != nil {
-		_, _ = fmt.Fprintf(errOut, "error: %v\n", err)
-		return exitFailed
+		printError(errOut, err)
+		return exitCode(err, hasStarted)
 	}
 	return exitOK
 }
 
+func exitCode(err error, hasStarted bool) int {
+	var invalid *config.InvalidError
+	switch {
+	case !hasStarted:
+		return exitUsage
+	case errors.As(err, &invalid):
+		return exitInvalid
+	}
+	return exitFailed
+}
+
+func printError(out io.Writer, err error) {
+	_, _ = fmt.Fprintf(out, "error: %v\n", err)
+	if hinted, ok := oops.AsOops(err); ok && hinted.Hint() != "" {
+		_, _ = fmt.Fprintf(out, "hint: %s\n", hinted.Hint())
+	}
+}
+
 func newRootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "filberthold",
@@ -39,6 +72,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand())
+	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(),
+		newExplainCommand(), newVerifyCommand())
 	return root
 }
--- /dev/null
+++ b/cmds/verify.go
@@ -0,0 +1,141 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"filberthold/audit"
+	"filberthold/plat"
+
+	"github.com/samber/oops"
+	"github.com/spf13/cobra"
+)
+
+func newVerifyCommand() *cobra.Command {
+	var address, headsFile string
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "verify [HOST[/INCARNATION]]",
+		Short: "Check the hash chains of the archive for changed, missing or reordered segments",
+		Args:  cobra.MaximumNArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			prefix := audit.Prefix
+			if len(arguments) == 1 {
+				prefix += arguments[0] + "/"
+			}
+			noted, err := readHeads(headsFile)
+			if err != nil {
+				return err
+			}
+			client := plat.NewClient(address)
+			defer client.Close()
+			reports, err := verifyChains(command.Context(), client, prefix, noted)
+			if err != nil {
+				return fmt.Errorf("verify: %w", err)
+			}
+			if asJSON {
+				if err := writeIndented(command.OutOrStdout(), reports); err != nil {
+					return err
+				}
+			} else {
+				printReports(command, reports)
+			}
+			for _, report := range reports {
+				if len(report.Findings) > 0 {
+					return errFaults
+				}
+			}
+			return nil
+		},
+	}
+	platformFlag(command, &address)
+	command.Flags().BoolVar(&asJSON, "json", false, "write JSON")
+	command.Flags().StringVar(&headsFile, "heads", "", "JSON output of an earlier run, to find a removed end of a chain")
+	return command
+}
+
+// readHeads reads the heads that an earlier run has noted.
+func readHeads(file string) (map[string]audit.Head, error) {
+	noted := make(map[string]audit.Head)
+	if file == "" {
+		return noted, nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read heads: %w", err)
+	}
+	var reports []audit.Report
+	if err := json.Unmarshal(text, &reports); err != nil {
+		return nil, oops.Code("invalidHeads").Hint("give the output of filberthold verify --json").Wrapf(err, "parse %s", file)
+	}
+	for _, report := range reports {
+		noted[chainOf(report.Head)] = report.Head
+	}
+	return noted, nil
+}
+
+func chainOf(head audit.Head) string { return string(head.Host) + "/" + head.Incarnation }
+
+func verifyChains(ctx context.Context, source audit.Source, prefix string, noted map[string]audit.Head) ([]audit.Report, error) {
+	chains, err := audit.ChainNames(ctx, source, prefix)
+	if err != nil {
+		return nil, err
+	}
+	reports := []audit.Report{}
+	for _, names := range chains {
+		var segments []audit.Stored
+		for _, name := range names {
+			body, err := source.Object(ctx, name)
+			if err != nil {
+				return nil, fmt.Errorf("read segment: %w", err)
+			}
+			segments = append(segments, audit.Stored{Name: name, Body: body})
+		}
+		host, incarnation, _, err := audit.ParseName(names[0])
+		if err != nil {
+			return nil, err
+		}
+		report, err := verifyChain(segments, noted, audit.Head{Host: host, Incarnation: incarnation})
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, report)
+	}
+	return appendVanished(reports, noted)
+}
+
+func verifyChain(segments []audit.Stored, noted map[string]audit.Head, chain audit.Head) (audit.Report, error) {
+	if head, exists := noted[chainOf(chain)]; exists {
+		delete(noted, chainOf(chain))
+		return audit.Verify(segments, &head)
+	}
+	return audit.Verify(segments, nil)
+}
+
+// appendVanished reports the chains that were noted and are no longer there.
+func appendVanished(reports []audit.Report, noted map[string]audit.Head) ([]audit.Report, error) {
+	for _, head := range noted {
+		report, err := audit.Verify(nil, &head)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, report)
+	}
+	return reports, nil
+}
+
+func printReports(command *cobra.Command, reports []audit.Report) {
+	for _, report := range reports {
+		end := "open: the host runs, has crashed, or the end was removed"
+		if report.Closed {
+			end = "closed"
+		}
+		command.Printf("%s  %d segments, %d records, %d dropped, %s\n", chainOf(report.Head),
+			report.Head.Segment, report.Records, report.Dropped, end)
+		for _, finding := range report.Findings {
+			command.Printf("  %s: %s: %s\n", finding.Segment, finding.Fault, finding.Detail)
+		}
+	}
+}
--- a/config/parse.go
+++ b/config/parse.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"filberthold/model"
@@ -61,14 +62,18 @@
 	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) {
-		first := unknown.Errors[0]
-		line, column := first.Position()
-		return fmt.Errorf("%s:%d:%d: unknown key %q", file, line, column, first.Key())
+		var problems []Problem
+		for i := range unknown.Errors {
+			line, column := unknown.Errors[i].Position()
+			problems = append(problems, Problem{Line: line, Column: column,
+				Message: fmt.Sprintf("unknown key %q", strings.Join(unknown.Errors[i].Key(), "."))})
+		}
+		return newInvalidError(file, problems)
 	}
 	var malformed *toml.DecodeError
 	if errors.As(err, &malformed) {
 		line, column := malformed.Position()
-		return fmt.Errorf("%s:%d:%d: %w", file, line, column, err)
+		return newInvalidError(file, []Problem{{Line: line, Column: column, Message: malformed.Error()}})
 	}
 	if err != nil {
 		return fmt.Errorf("%s: %w", file, err)
