--- a/cmds/archive_test.go
+++ b/cmds/archive_test.go
@@ -135,3 +135,13 @@
 		assert.Equal(t, code, 2, "%v: %s", arguments, out)
 	}
 }
+
+// Guards against a trace that an entry host wrote and that cannot be replayed
+// from the command line.
+func TestReplay(t *testing.T) {
+	code, out := run("replay", "../replay/testdata/session.trace")
+	assert.Equal(t, code, 0, out)
+	assert.Assert(t, strings.HasSuffix(out, " 0 differences\n"), out)
+	code, out = run("replay", "archive_test.go")
+	assert.Equal(t, code, 1, out)
+}
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -1,18 +1,22 @@
 package cmds
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"os"
 
 	"filberthold/common"
 	"filberthold/config"
 	"filberthold/entry"
+	"filberthold/model"
+	"filberthold/replay"
 
 	"github.com/spf13/cobra"
 )
 
 func newEntryCommand() *cobra.Command {
-	var settingsFile string
+	var settingsFile, traceFile string
 	command := &cobra.Command{
 		Use:   "entry",
 		Short: "Run an entry host until SIGTERM",
@@ -30,9 +34,28 @@
 			if err != nil {
 				return fmt.Errorf("set up logging: %w", err)
 			}
-			return entry.NewHost(base).Run(command.Context())
+			host := entry.NewHost(base)
+			if traceFile == "" {
+				return host.Run(command.Context())
+			}
+			return runTraced(command.Context(), host, model.HostName(settings.Host), traceFile)
 		},
 	}
 	command.Flags().StringVar(&settingsFile, "settings", "entry.toml", "settings file of this host (TOML)")
+	command.Flags().StringVar(&traceFile, "trace", "", "file for a trace of all decisions, for filberthold replay")
 	return command
 }
+
+// runTraced runs a host and writes a trace of its decisions.
+func runTraced(ctx context.Context, host *entry.Host, name model.HostName, traceFile string) error {
+	file, err := os.Create(traceFile)
+	if err != nil {
+		return fmt.Errorf("create trace: %w", err)
+	}
+	recorder, err := replay.NewRecorder(file, name)
+	if err != nil {
+		return errors.Join(fmt.Errorf("start trace: %w", err), file.Close())
+	}
+	host.SetTrace(recorder)
+	return errors.Join(host.Run(ctx), recorder.Close(), file.Close())
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -73,6 +73,6 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(),
-		newExplainCommand(), newVerifyCommand())
+		newExplainCommand(), newVerifyCommand(), newReplayCommand())
 	return root
 }
--- a/entry/archive.go
+++ b/entry/archive.go
@@ -14,6 +14,7 @@
 	"filberthold/model"
 	"filberthold/place"
 	"filberthold/plat"
+	"filberthold/replay"
 
 	"github.com/oklog/ulid/v2"
 )
@@ -252,6 +253,9 @@
 	return wait/2 + rand.N(wait/2)
 }
 
+// SetTrace records all events and decisions. It is called before Serve.
+func (h *Host) SetTrace(recorder *replay.Recorder) { h.dispatcher.trace = recorder }
+
 // openArchive gives the dispatcher an archive for a new incarnation.
 func (h *Host) openArchive() (*Archive, error) {
 	host := model.HostName(h.base.Settings().Host)
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filberthold/place"
+	"filberthold/replay"
 	"filberthold/ring"
 )
 
@@ -29,6 +30,8 @@
 	open map[place.RequestID]chan place.Decision
 	// archive accounts for all events and decisions. It may be nil.
 	archive *Archive
+	// trace records all events and decisions for a replay. It may be nil.
+	trace *replay.Recorder
 }
 
 // NewDispatcher returns a dispatcher for a placement core.
@@ -83,6 +86,7 @@
 		now := time.Now()
 		decisions := d.core.Apply(event, now)
 		d.archive.Record(event, decisions, now)
+		d.trace.Record(event, decisions, now)
 		for _, decision := range decisions {
 			d.logDecision(decision)
 			d.hand(decision)
