Queue waiting requests by customer

Cause: requests must wait for a slot without one customer delaying another, and none may wait beyond its deadline.

A queue serves customers in turn and each in order, is bounded, and drops requests at their deadline. Pop takes a predicate, so that a request that only a busy region can serve does not block the others.

--- /dev/null
+++ b/admit/queue_test.go
@@ -0,0 +1,115 @@
+package admit_test
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"filberthold/admit"
+	"filberthold/model"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+type waiting struct {
+	customer model.CustomerName
+	number   int
+}
+
+// Guards against a customer that is served out of order or twice while
+// another one waits, a wrong position, a queue over its limit, and a request
+// that is lost, doubled, or served after its deadline.
+func TestCustomersTakeTurnsInOrder(t *testing.T) {
+	start := time.Unix(0, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 5
+		queue := admit.NewQueue[int](limit)
+		open := make(map[int]*waiting)
+		// passed counts, for each customer that waits, how often each other
+		// customer was served since its own last turn.
+		passed := make(map[model.CustomerName]map[model.CustomerName]int)
+		next, now := 0, start
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(t *rapid.T) {
+				if queue.Len() != len(open) || len(open) > limit {
+					t.Fatalf("queue has %d requests, want %d of %d", queue.Len(), len(open), limit)
+				}
+			},
+			"push": func(t *rapid.T) {
+				customer := rapid.SampledFrom([]model.CustomerName{"a", "b", "c"}).Draw(t, "customer")
+				deadline := now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "timeout")) * time.Second)
+				_, ok := queue.Push(admit.Item[int]{ID: next, Customer: customer, Deadline: deadline})
+				if ok != (len(open) < limit) {
+					t.Fatalf("push accepted: %v with %d waiting", ok, len(open))
+				}
+				if ok {
+					open[next] = &waiting{customer: customer, number: next}
+					next++
+				}
+			},
+			"pop": func(t *rapid.T) {
+				item, ok := queue.Pop(func(int) bool { return true })
+				if ok != (len(open) > 0) {
+					t.Fatalf("pop returned %v with %d waiting", ok, len(open))
+				}
+				if !ok {
+					return
+				}
+				served := open[item.ID]
+				delete(open, item.ID)
+				delete(passed, served.customer)
+				for _, other := range open {
+					if other.customer == served.customer && other.number < served.number {
+						t.Fatalf("request %d of %s overtook %d", served.number, served.customer, other.number)
+					}
+					if other.customer != served.customer && passed[other.customer] == nil {
+						passed[other.customer] = make(map[model.CustomerName]int)
+					}
+				}
+				for customer, counts := range passed {
+					if counts[served.customer]++; counts[served.customer] > 1 {
+						t.Fatalf("%s was served twice while %s waited", served.customer, customer)
+					}
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "time")) * time.Second)
+				for _, item := range queue.Expire(now) {
+					delete(open, item.ID)
+				}
+				if next := queue.NextDeadline(); !next.IsZero() && !next.After(now) {
+					t.Fatalf("request with deadline %v is queued at %v", next, now)
+				}
+				stillWaits := make(map[model.CustomerName]bool)
+				for _, other := range open {
+					stillWaits[other.customer] = true
+				}
+				maps.DeleteFunc(passed, func(customer model.CustomerName, _ map[model.CustomerName]int) bool {
+					return !stillWaits[customer]
+				})
+			},
+		})
+	})
+}
+
+// Guards against a position that differs from the order of service, and
+// against one request that cannot be served and blocks all others.
+func TestPositionIsTheOrderOfService(t *testing.T) {
+	queue := admit.NewQueue[int](8)
+	positions := make(map[int]int)
+	for id, customer := range []model.CustomerName{"a", "a", "b", "a", "c", "b"} {
+		positions[id], _ = queue.Push(admit.Item[int]{ID: id, Customer: customer})
+	}
+	assert.DeepEqual(t, positions, map[int]int{0: 1, 1: 2, 2: 2, 3: 4, 4: 3, 5: 5})
+	var order []int
+	isServable := func(id int) bool { return id != 0 }
+	for range 6 {
+		if item, ok := queue.Pop(isServable); ok {
+			order = append(order, item.ID)
+		}
+	}
+	assert.DeepEqual(t, order, []int{1, 2, 4, 3, 5})
+	assert.Equal(t, queue.Len(), 1)
+	assert.Assert(t, queue.Remove(0) && !queue.Remove(0))
+}
