Choose endpoints from a host's own observations

Cause: load reports lag while upstreams are slowed for moments, so a host can only trust what it sees itself.

The cost of an endpoint is its peak-sensitive mean response time, or the age of its oldest attempt in flight if that is longer, times requests in flight and recent failures, over a weight that ramps up during the slow start. Hedges and retries are bounded by credit, at 5% and 10% of requests.

Ruled out: two choices and weighted least-request as the default. A host holds few slots, so a full scan costs little and sees every straggler.

Conclusion: full scan with a hedge after the observed p95 is the default.

--- /dev/null
+++ b/score/board.go
@@ -0,0 +1,185 @@
+// Package score keeps what one host has observed of each endpoint, chooses
+// between endpoints, and bounds hedged requests and retries.
+package score
+
+import (
+	"math"
+	"time"
+
+	"filberthold/model"
+)
+
+const (
+	// decayTime is the time in which a peak of the response time falls to 37%
+	// of its distance from the median. Stragglers are slow for moments, so an
+	// endpoint is tried again after about a second.
+	decayTime = time.Second
+	// failureDecayTime is longer, because a failure costs a caller more than a
+	// slow response does.
+	failureDecayTime = 5 * time.Second
+	// failureWeight makes an endpoint look as if that many more requests were
+	// in flight for each recent failure.
+	failureWeight = 4
+	// firstWeight is the part of its full weight with which an endpoint starts.
+	firstWeight = 0.1
+)
+
+// Board holds the observations of one host. It is not safe for concurrent use.
+type Board struct {
+	endpoints map[model.EndpointName]*observed
+	services  map[model.ServiceName]*Window
+}
+
+type observed struct {
+	service model.ServiceName
+	// inFlight holds the start of each attempt in flight.
+	inFlight map[uint64]time.Time
+	// peak is the peak-sensitive mean of the response time at peakAt: a longer
+	// response replaces it, and it decays towards the median of the service.
+	peak   time.Duration
+	peakAt time.Time
+	// failures is the decayed number of failures at failedAt.
+	failures float64
+	failedAt time.Time
+	// rampFrom is the time of the first attempt.
+	rampFrom  time.Time
+	lastUsed  time.Time
+	slowStart time.Duration
+}
+
+// NewBoard returns a board without observations.
+func NewBoard() *Board {
+	return &Board{endpoints: make(map[model.EndpointName]*observed), services: make(map[model.ServiceName]*Window)}
+}
+
+// Add makes an endpoint known. Its weight ramps up from its first attempt
+// during slowStart; 0 gives full weight at once. A known endpoint keeps its
+// observations.
+func (b *Board) Add(endpoint model.EndpointName, service model.ServiceName, slowStart time.Duration) {
+	if b.endpoints[endpoint] != nil {
+		return
+	}
+	b.endpoints[endpoint] = &observed{service: service, inFlight: make(map[uint64]time.Time), slowStart: slowStart}
+	if b.services[service] == nil {
+		b.services[service] = &Window{}
+	}
+}
+
+// Forget drops an endpoint, so that its next incarnation starts slowly.
+func (b *Board) Forget(endpoint model.EndpointName) { delete(b.endpoints, endpoint) }
+
+// Sent reports that an attempt was sent.
+func (b *Board) Sent(endpoint model.EndpointName, attempt uint64, now time.Time) {
+	seen := b.endpoints[endpoint]
+	if seen == nil {
+		return
+	}
+	seen.inFlight[attempt] = now
+	seen.lastUsed = now
+	if seen.rampFrom.IsZero() {
+		seen.rampFrom = now
+	}
+}
+
+// Observe reports the end of an attempt. Of an attempt that was cancelled it
+// is known only that it took at least this long.
+func (b *Board) Observe(endpoint model.EndpointName, attempt uint64, result Result, now time.Time) {
+	seen := b.endpoints[endpoint]
+	if seen == nil {
+		return
+	}
+	start, exists := seen.inFlight[attempt]
+	if !exists {
+		return
+	}
+	delete(seen.inFlight, attempt)
+	elapsed := now.Sub(start)
+	switch result {
+	case Answered:
+		b.services[seen.service].Add(elapsed)
+		seen.raise(elapsed, b.median(seen.service), now, true)
+	case Cancelled:
+		seen.raise(elapsed, b.median(seen.service), now, false)
+	case Failed:
+		seen.failures = seen.recentFailures(now) + 1
+		seen.failedAt = now
+	}
+}
+
+// Result tells what an attempt says about its endpoint.
+type Result int
+
+const (
+	// Answered attempts give a response time.
+	Answered Result = iota + 1
+	// Cancelled attempts give a lower bound of the response time.
+	Cancelled
+	// Failed attempts count against the endpoint.
+	Failed
+)
+
+// raise takes a longer response time at once and a shorter one by half, so
+// that one fast response does not hide a slow endpoint.
+func (o *observed) raise(elapsed, median time.Duration, now time.Time, exact bool) {
+	current := o.responseTime(median, now)
+	switch {
+	case elapsed > current:
+		o.peak, o.peakAt = elapsed, now
+	case exact:
+		o.peak, o.peakAt = (current+elapsed)/2, now
+	}
+}
+
+func (o *observed) responseTime(median time.Duration, now time.Time) time.Duration {
+	if o.peakAt.IsZero() {
+		return median
+	}
+	return median + time.Duration(float64(o.peak-median)*decay(now.Sub(o.peakAt), decayTime))
+}
+
+func (o *observed) recentFailures(now time.Time) float64 {
+	return o.failures * decay(now.Sub(o.failedAt), failureDecayTime)
+}
+
+// weight is the part of its full weight that an endpoint has reached.
+func (o *observed) weight(now time.Time) float64 {
+	if o.slowStart <= 0 {
+		return 1
+	}
+	if o.rampFrom.IsZero() {
+		return firstWeight
+	}
+	part := float64(now.Sub(o.rampFrom)) / float64(o.slowStart)
+	return min(1, max(firstWeight, part))
+}
+
+// cost is the expected time until an endpoint has served one more request. An
+// attempt in flight for longer than the mean counts at once, because a
+// straggler reports nothing until it answers.
+func (b *Board) cost(seen *observed, now time.Time) float64 {
+	expected := seen.responseTime(b.median(seen.service), now)
+	for _, start := range seen.inFlight {
+		expected = max(expected, now.Sub(start))
+	}
+	load := float64(len(seen.inFlight)) + 1 + failureWeight*seen.recentFailures(now)
+	return max(1, float64(expected)) * load / seen.weight(now)
+}
+
+func (b *Board) median(service model.ServiceName) time.Duration {
+	median, _ := b.services[service].Quantile(50)
+	return median
+}
+
+// HedgeAfter returns the p95 of the observed response times of a service, and
+// false while there are too few of them.
+func (b *Board) HedgeAfter(service model.ServiceName) (time.Duration, bool) {
+	window := b.services[service]
+	if window == nil {
+		return 0, false
+	}
+	return window.Quantile(95)
+}
+
+func decay(elapsed, over time.Duration) float64 {
+	return math.Exp(-float64(elapsed) / float64(over))
+}
--- /dev/null
+++ b/score/budget.go
@@ -0,0 +1,87 @@
+package score
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// HedgePercent bounds hedged requests in relation to all requests, which
+	// bounds the extra load of upstreams.
+	HedgePercent = 5
+	// RetryPercent bounds retries. Without a bound they multiply the load of
+	// upstreams that already fail.
+	RetryPercent = 10
+	// price is the credit that one extra attempt costs; a request earns one for
+	// each percent.
+	price = 100
+	// maxCredit bounds what a quiet time saves up to 10 extra attempts.
+	maxCredit = 10 * price
+)
+
+// Budget allows extra attempts for a part of the requests. At all times
+// spent <= percent x requests / 100.
+type Budget struct {
+	percent int
+	// credit is in 0..maxCredit.
+	credit int
+}
+
+// NewBudget returns a budget of extra attempts for percent of the requests.
+func NewBudget(percent int) *Budget { return &Budget{percent: percent} }
+
+// Earn counts a request.
+func (b *Budget) Earn() { b.credit = min(b.credit+b.percent, maxCredit) }
+
+// Spend takes one extra attempt from the budget, if there is one.
+func (b *Budget) Spend() bool {
+	if b.credit < price {
+		return false
+	}
+	b.credit -= price
+	return true
+}
+
+const (
+	// windowSize is the number of recent response times that a quantile covers.
+	windowSize = 512
+	// minSamples is the least number of response times for a quantile.
+	minSamples = 40
+	// sortInterval is the number of new response times after which quantiles
+	// are computed again. Sorting on each response would cost more than the
+	// decision itself.
+	sortInterval = 16
+)
+
+// Window holds recent response times.
+type Window struct {
+	samples []time.Duration
+	next    int
+	fresh   int
+	sorted  []time.Duration
+}
+
+// Add records a response time.
+func (w *Window) Add(sample time.Duration) {
+	if len(w.samples) < windowSize {
+		w.samples = append(w.samples, sample)
+	} else {
+		w.samples[w.next] = sample
+		w.next = (w.next + 1) % windowSize
+	}
+	w.fresh++
+}
+
+// Quantile returns a percentile of the recent response times, or false while
+// there are too few.
+func (w *Window) Quantile(percent int) (time.Duration, bool) {
+	if len(w.samples) < minSamples {
+		return 0, false
+	}
+	if w.sorted == nil || w.fresh >= sortInterval {
+		w.sorted = append(w.sorted[:0], w.samples...)
+		slices.Sort(w.sorted)
+		w.fresh = 0
+	}
+	return w.sorted[len(w.sorted)*percent/100], true
+}
--- /dev/null
+++ b/score/choose.go
@@ -0,0 +1,76 @@
+package score
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"filberthold/model"
+)
+
+// Policy is a way to choose between endpoints.
+type Policy string
+
+const (
+	// FullScan takes the endpoint of least cost, and of equal ones the one that
+	// was used longest ago. It is the default: a host holds few slots.
+	FullScan Policy = "fullScan"
+	// TwoChoices takes the endpoint of less cost from two random ones.
+	TwoChoices Policy = "twoChoices"
+	// WeightedLeast takes an endpoint with a probability that falls with its
+	// requests in flight and rises with its weight.
+	WeightedLeast Policy = "weightedLeastRequest"
+)
+
+// Choose returns the index of one of the candidates, of which there must be at
+// least one. Each candidate must be known to the board.
+func (b *Board) Choose(policy Policy, candidates []model.EndpointName, random *rand.Rand, now time.Time) int {
+	switch policy {
+	case TwoChoices:
+		return b.chooseOfTwo(candidates, random, now)
+	case WeightedLeast:
+		return b.chooseWeighted(candidates, random, now)
+	case FullScan:
+	}
+	best := 0
+	for i := 1; i < len(candidates); i++ {
+		if b.isBetter(candidates[i], candidates[best], now) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (b *Board) isBetter(a, than model.EndpointName, now time.Time) bool {
+	first, second := b.endpoints[a], b.endpoints[than]
+	costA, costB := b.cost(first, now), b.cost(second, now)
+	if costA != costB {
+		return costA < costB
+	}
+	return first.lastUsed.Before(second.lastUsed)
+}
+
+func (b *Board) chooseOfTwo(candidates []model.EndpointName, random *rand.Rand, now time.Time) int {
+	first := random.IntN(len(candidates))
+	second := random.IntN(len(candidates))
+	if b.isBetter(candidates[second], candidates[first], now) {
+		return second
+	}
+	return first
+}
+
+func (b *Board) chooseWeighted(candidates []model.EndpointName, random *rand.Rand, now time.Time) int {
+	weights := make([]float64, len(candidates))
+	total := 0.0
+	for i, name := range candidates {
+		seen := b.endpoints[name]
+		weights[i] = seen.weight(now) / float64(len(seen.inFlight)+1)
+		total += weights[i]
+	}
+	pick := random.Float64() * total
+	for i, weight := range weights {
+		if pick -= weight; pick < 0 {
+			return i
+		}
+	}
+	return len(candidates) - 1
+}
