Record what the caller of each submit was told

Cause: the archive held the decisions of placement only. Answers that the register gives (kept response, pending, unknown, notRun of another attempt) and submits refused before placement left a log line but no record, so `explain` could not say how such a submit ended.

Ruled out: deriving the answer from placement's last decision; the register may still turn notRun into notSent when the store does not confirm it.

Change: an "answered" record is final for submits.

Conclusion: every answer to a submit is on record.

--- a/audit/explain.go
+++ b/audit/explain.go
@@ -158,6 +158,8 @@
 		return fmt.Sprintf("response of attempt %d delivered", step.Attempt)
 	case Refused:
 		return fmt.Sprintf("refused as %s: %s", step.Outcome, step.Reason)
+	case Answered:
+		return fmt.Sprintf("answered as %s: %s", step.Outcome, step.Reason)
 	case Abandoned, Adopted, Marked, Unmarked, Gap:
 	}
 	return strings.TrimSuffix(string(step.Kind)+": "+step.Reason, ": ")
--- a/audit/record.go
+++ b/audit/record.go
@@ -30,6 +30,8 @@
 	Delivered Kind = "delivered"
 	// Refused records that a request was answered without a response.
 	Refused Kind = "refused"
+	// Answered records tell what the caller of a submit was told.
+	Answered Kind = "answered"
 	// Adopted records that a revision of the configuration came into force.
 	Adopted Kind = "adopted"
 	// Marked records that an endpoint was marked as leaving.
@@ -88,11 +90,20 @@
 	return r.Number - r.Dropped.Total() + 1
 }
 
-// IsFinal reports whether the record ends the handling of a request.
-func (r Record) IsFinal() bool {
+// EndsPlacement reports whether placement has nothing more to decide.
+func (r Record) EndsPlacement() bool {
 	return r.Kind == Delivered || r.Kind == Refused
 }
 
+// IsFinal reports whether the record ends the handling of a request. A submit
+// ends with the answer that the register allows.
+func (r Record) IsFinal() bool {
+	if r.Class == model.Submit.String() {
+		return r.Kind == Answered
+	}
+	return r.EndsPlacement()
+}
+
 const (
 	// maxReasonBytes and maxAlternatives keep a record below maxRecordBytes,
 	// so that the room that a submit reserves is enough for its records.
--- a/caller/server.go
+++ b/caller/server.go
@@ -27,6 +27,8 @@
 	Report(ctx context.Context, event place.Event) error
 	// Close ends the delivery of decisions for a request.
 	Close(id place.RequestID)
+	// Account records how a request ended outside placement.
+	Account(request place.Request, outcome model.Outcome, reason string)
 }
 
 // Directory answers what the current configuration says about callers.
--- a/caller/submits.go
+++ b/caller/submits.go
@@ -61,13 +61,13 @@
 		return
 	}
 	if e.server.submits == nil {
-		e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: "no register"})
+		e.refuseUnplaced(w, "no register")
 		return
 	}
 	select {
 	case e.server.submits.slots <- struct{}{}:
 	default:
-		e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: "too many submits in progress"})
+		e.refuseUnplaced(w, "too many submits in progress")
 		return
 	}
 	submission := &submission{exchange: e, key: key, answers: make(chan claim.Answer, 1)}
@@ -79,6 +79,13 @@
 	}
 }
 
+// refuseUnplaced answers and accounts for a request that placement never saw.
+func (e *exchange) refuseUnplaced(w http.ResponseWriter, reason string) {
+	e.server.base.Log().Info("refuse", "request", e.request.ID, "outcome", model.NotSent, "reason", reason)
+	e.server.dispatcher.Account(e.request, model.NotSent, reason)
+	e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: reason})
+}
+
 func checkKey(key string) error {
 	if len(key) > maxKeyBytes {
 		return fmt.Errorf("%s is longer than %d bytes", KeyHeader, maxKeyBytes)
@@ -141,6 +148,7 @@
 	case claim.Answer:
 		s.exchange.server.base.Log().Info("submit", "request", s.exchange.request.ID, "outcome", action.Outcome,
 			"reason", action.Reason)
+		s.exchange.server.dispatcher.Account(s.exchange.request, action.Outcome, action.Reason)
 		s.answers <- action
 		return s.claim.Learn(ctx, claim.Answered{})
 	case claim.Place:
--- a/cmds/archive_test.go
+++ b/cmds/archive_test.go
@@ -60,6 +60,7 @@
 		{At: at(2550), Kind: audit.Sent, Request: "late", Customer: "cyril", Attempt: 10, Endpoint: "filing-desk-02", Reason: "attempt 8 did not start"},
 		{At: at(2600), Kind: audit.Ended, Request: "explained", Customer: "anna", Attempt: 9, Endpoint: "filing-desk-01", Outcome: "succeeded"},
 		{At: at(2600), Kind: audit.Delivered, Request: "explained", Customer: "anna", Attempt: 9, Outcome: "served"},
+		{At: at(2601), Kind: audit.Answered, Request: "explained", Customer: "anna", Outcome: "served", Reason: "response of attempt 9"},
 	}
 	chain, err := audit.NewChain("plzen-a-1", "01KJN0000000000000000000ZZ")
 	assert.NilError(t, err)
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"filberthold/model"
 	"filberthold/place"
 	"filberthold/replay"
 	"filberthold/ring"
@@ -69,6 +70,11 @@
 	return nil
 }
 
+// Account records how a request ended outside placement.
+func (d *Dispatcher) Account(request place.Request, outcome model.Outcome, reason string) {
+	d.archive.RecordOutcome(request, outcome, reason, time.Now())
+}
+
 // Close ends the delivery of decisions for a request.
 func (d *Dispatcher) Close(id place.RequestID) {
 	d.mu.Lock()
--- a/entry/records.go
+++ b/entry/records.go
@@ -43,6 +43,19 @@
 	a.add(record, now)
 }
 
+// RecordOutcome accounts for the answer to a submit. It follows the records of
+// placement, because the register decides after placement what may be said.
+func (a *Archive) RecordOutcome(request place.Request, outcome model.Outcome, reason string, now time.Time) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	record := about(openRequest{request: request, class: a.classOf(request.Service)}, audit.Answered)
+	record.Outcome, record.Reason = string(outcome), reason
+	a.add(record, now)
+}
+
 // Record accounts for an event and the decisions that it led to.
 func (a *Archive) Record(event place.Event, decisions []place.Decision, now time.Time) {
 	if a == nil {
@@ -73,9 +86,11 @@
 	if err := a.buffer.Add(record); err != nil {
 		a.log.Error("audit record not kept", "request", record.Request, "error", err)
 	}
+	if record.EndsPlacement() {
+		delete(a.requests, record.Request)
+	}
 	if record.IsFinal() {
 		a.buffer.Release(record.Request)
-		delete(a.requests, record.Request)
 	}
 }
 
