Stop hosts gracefully after the last lookup that names them

Cause: a stopping host closed its listener at once, while lookup responses that named it were valid, stayed in its own lookups and stayed ready. After the loss of one of its parts it waited without end for requests that could no longer be decided.

Change: a stopping host leaves its own lookups and is not ready, ends kept connections with their next response, and serves for 8 s: 3 s until no other host names it, and the 5 s for which a response is valid. Then it closes the listener and waits for requests and attempts in flight without a limit. Abort ends a host at once, for tests; the local cluster closes with it, so that its tests don't wait for lookups to expire.

Ruled out: http.Server.SetKeepAlivesEnabled(false), which closes idle connections at once, possibly under a request that is being sent.

Peers are not told yet; the call belongs next to Leave in runStop.

--- a/caller/server.go
+++ b/caller/server.go
@@ -48,11 +48,19 @@
 	http       *http.Server
 	// attempts counts the attempts in flight; they can outlive their request.
 	attempts sync.WaitGroup
+	mu       sync.Mutex
+	// isLeaving is true once the host takes itself out of its lookup responses.
+	isLeaving bool
 }
 
-// lookupLifetime bounds how long a caller may use a lookup response. A
-// stopping host serves on for this long after it has left the lookups.
-const lookupLifetime = 5 * time.Second
+const (
+	// lookupLifetime bounds how long a caller may use a lookup response.
+	lookupLifetime = 5 * time.Second
+	// leavingSpread bounds the time after which no other host names a leaving
+	// host any more. A leaving mark takes a few rounds of digests, which peers
+	// exchange every second.
+	leavingSpread = 3 * time.Second
+)
 
 // NewServer returns a server that is not yet listening.
 func NewServer(base *common.Base, dispatcher Dispatcher, directory Directory, upstreams *upstrm.Client) *Server {
@@ -60,10 +68,37 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/entries", server.handleEntries)
 	mux.HandleFunc("/s/{service}/{path...}", server.handleRequest)
-	server.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	server.http = &http.Server{Handler: server.closeWhenLeaving(mux), ReadHeaderTimeout: 5 * time.Second}
 	return server
 }
 
+// closeWhenLeaving ends kept connections of callers with a response, so that
+// none is closed while a caller is about to use it again.
+func (s *Server) closeWhenLeaving(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.IsLeaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Leave takes the host out of its lookup responses. It returns the time from
+// which no valid lookup response, of this host or another, names it.
+func (s *Server) Leave() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isLeaving = true
+	return time.Now().Add(leavingSpread + lookupLifetime)
+}
+
+// IsLeaving reports whether the host is about to stop.
+func (s *Server) IsLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isLeaving
+}
+
 // Run serves the listener until Shutdown is called.
 func (s *Server) Run(listener net.Listener) error {
 	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -81,6 +116,14 @@
 	return nil
 }
 
+// Close breaks all connections.
+func (s *Server) Close() error {
+	if err := s.http.Close(); err != nil {
+		return fmt.Errorf("close caller server: %w", err)
+	}
+	return nil
+}
+
 // report hands an event to placement. It is not given up with the request,
 // because placement would count the attempt as in flight for ever.
 func (s *Server) report(event place.Event) {
@@ -111,12 +154,26 @@
 		}
 		client = parsed
 	}
+	entries := s.entries(client)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(entries)
+}
+
+// entries holds the lock from the check to the deadline, so that the time that
+// Leave returns covers every response that names the host.
+func (s *Server) entries(client netip.Addr) Entries {
+	hosts := s.directory.Entries(client)
+	own := model.HostName(s.base.Settings().Host)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	entries := Entries{Hosts: []EntryHost{}, ValidUntil: time.Now().Add(lookupLifetime).UTC()}
-	for _, host := range s.directory.Entries(client) {
+	for _, host := range hosts {
+		if s.isLeaving && host.Name() == own {
+			continue
+		}
 		entries.Hosts = append(entries.Hosts, EntryHost{Name: host.Name(), Address: host.CallerAddress()})
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(entries)
+	return entries
 }
 
 func clientAddress(r *http.Request) netip.Addr {
--- a/entry/host.go
+++ b/entry/host.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"filberthold/admin"
@@ -40,23 +41,31 @@
 	callers    *caller.Server
 	operators  *admin.Server
 	upstreams  *upstrm.Client
+	// aborted is closed when the host must end without a graceful stop.
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
 // NewHost returns an entry host that is not yet running.
 func NewHost(base *common.Base) *Host {
+	return newHost(base, upstrm.NewClient(model.ZoneName(base.Settings().AvailabilityZone)))
+}
+
+func newHost(base *common.Base, upstreams *upstrm.Client) *Host {
 	settings := base.Settings()
 	name := model.HostName(settings.Host)
 	dispatcher := NewDispatcher(base.Log(), place.New(name))
 	directory := NewDirectory(name)
-	upstreams := upstrm.NewClient(model.ZoneName(settings.AvailabilityZone))
+	callers := caller.NewServer(base, dispatcher, directory, upstreams)
 	return &Host{
 		base:       base,
 		platform:   plat.NewClient(settings.PlatformAddress),
 		dispatcher: dispatcher,
 		directory:  directory,
 		upstreams:  upstreams,
-		callers:    caller.NewServer(base, dispatcher, directory, upstreams),
-		operators:  admin.NewServer(func() bool { return directory.Deployment() != nil }),
+		callers:    callers,
+		operators:  admin.NewServer(func() bool { return directory.Deployment() != nil && !callers.IsLeaving() }),
+		aborted:    make(chan struct{}),
 	}
 }
 
@@ -92,6 +101,7 @@
 	group.Go(func() error { return h.callers.Run(listeners.Callers) })
 	group.Go(func() error { return h.operators.Run(listeners.Operators) })
 	group.Go(func() error { return h.runStop(ctx, working, stopWorking) })
+	group.Go(func() error { return h.runAbort(working, stopWorking) })
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("run entry host: %w", err)
 	}
@@ -101,18 +111,6 @@
 // WaitReady waits until the host takes work.
 func (h *Host) WaitReady(ctx context.Context) error { return h.directory.WaitAdopted(ctx) }
 
-// runStop waits for the end of ctx and then stops the servers in order.
-func (h *Host) runStop(ctx, working context.Context, stopWorking context.CancelFunc) error {
-	select {
-	case <-ctx.Done():
-	case <-working.Done():
-	}
-	h.base.Log().Info("stopping")
-	err := h.callers.Shutdown(context.WithoutCancel(ctx))
-	stopWorking()
-	return errors.Join(err, h.operators.Shutdown())
-}
-
 // loopConfiguration polls the platform for a newer revision.
 func (h *Host) loopConfiguration(ctx context.Context) error {
 	for {
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -180,10 +180,11 @@
 	return nil
 }
 
-// Close stops everything.
+// Close stops everything at once, without a graceful stop of the hosts.
 func (c *Cluster) Close() error {
 	var errs []error
-	for name := range c.hosts {
+	for name, running := range c.hosts {
+		running.host.Abort()
 		errs = append(errs, c.StopHost(name))
 	}
 	for _, server := range c.servers {
