--- a/entry/archive.go
+++ b/entry/archive.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filberthold/audit"
@@ -59,6 +60,8 @@
 	full chan struct{}
 	// closed ends the loop after the last record.
 	closed chan struct{}
+	// discarded is true if the rest is dropped at Close.
+	discarded atomic.Bool
 	// sealed is made and not yet stored. Only the loop uses it.
 	sealed audit.Stored
 
@@ -109,6 +112,9 @@
 // Close stores the rest and ends the loop. No record may follow.
 func (a *Archive) Close() { close(a.closed) }
 
+// Discard makes Close drop the rest, as the loss of the process would.
+func (a *Archive) Discard() { a.discarded.Store(true) }
+
 // loop stores segments until Close is called.
 func (a *Archive) loop() error {
 	for {
@@ -121,7 +127,9 @@
 		timer.Stop()
 		a.storeWaiting()
 		if a.isClosed() {
-			a.flush()
+			if !a.discarded.Load() {
+				a.flush()
+			}
 			return nil
 		}
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 
 	"filberthold/admin"
 	"filberthold/caller"
@@ -29,15 +30,21 @@
 	callers    *caller.Server
 	operators  *admin.Server
 	upstreams  *upstrm.Client
+	// aborted is closed when the host must end without a graceful stop.
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
 // NewHost returns an entry host that is not yet running.
 func NewHost(base *common.Base) *Host {
+	return newHost(base, upstrm.NewClient(model.ZoneName(base.Settings().AvailabilityZone)))
+}
+
+func newHost(base *common.Base, upstreams *upstrm.Client) *Host {
 	settings := base.Settings()
 	name := model.HostName(settings.Host)
 	dispatcher := NewDispatcher(base.Log(), place.New(name))
 	directory := NewDirectory(name)
-	upstreams := upstrm.NewClient(model.ZoneName(settings.AvailabilityZone))
 	platform := plat.NewNamedClient(settings.PlatformAddress, settings.Host)
 	committer := plat.NewCommitter(platform, plat.DefaultWindow)
 	callers := caller.NewServer(base, dispatcher, directory, upstreams)
@@ -50,7 +57,8 @@
 		directory:  directory,
 		upstreams:  upstreams,
 		callers:    callers,
-		operators:  admin.NewServer(func() bool { return directory.Deployment() != nil }),
+		operators:  admin.NewServer(func() bool { return directory.Deployment() != nil && !callers.IsLeaving() }),
+		aborted:    make(chan struct{}),
 	}
 }
 
@@ -95,6 +103,7 @@
 	group.Go(func() error { return h.callers.Run(listeners.Callers) })
 	group.Go(func() error { return h.operators.Run(listeners.Operators) })
 	group.Go(func() error { return h.runStop(ctx, working, stopWorking) })
+	group.Go(func() error { return h.runAbort(working, archive, stopWorking) })
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("run entry host: %w", err)
 	}
@@ -103,15 +112,3 @@
 
 // WaitReady waits until the host takes work.
 func (h *Host) WaitReady(ctx context.Context) error { return h.directory.WaitAdopted(ctx) }
-
-// runStop waits for the end of ctx and then stops the servers in order.
-func (h *Host) runStop(ctx, working context.Context, stopWorking context.CancelFunc) error {
-	select {
-	case <-ctx.Done():
-	case <-working.Done():
-	}
-	h.base.Log().Info("stopping")
-	err := h.callers.Shutdown(context.WithoutCancel(ctx))
-	stopWorking()
-	return errors.Join(err, h.operators.Shutdown())
-}
