Adopt revisions from store or peers and follow leaving endpoints

An entry host knew the store only: it could not start while the store was down, did not notice when it was cut off, and listed all hosts to callers.

Configuration holds one revise.Holder for both sources; a goroutine of its own reads the store, so that peers are heard while the store does not answer. Host.TakesWork is false 4 s after the last contact with the store or a peer that knows no newer revision; readiness uses it. Membership turns the host list (1 s), probes (1 s, three hosts for each endpoint), Upstream-Leaving answers and marks of peers into Marked and Unmarked. A mark holds for one run of an endpoint; earlier runs that a lagging list shows again are ignored. An endpoint that does not answer a probe is not marked, because its health may mislead.

A stopping host sets its leaving flag and serves on for 6 s (1 s for the flag to spread, 5 s for lookup responses). Host.SkipGrace ends that wait for clusters without callers. Settings gain peerSecret; an empty one is allowed and logged. Dispatcher gains one line that follows which endpoint an attempt went to.

--- a/config/document.go
+++ b/config/document.go
@@ -13,6 +13,7 @@
 	OperatorAddress  string        `toml:"operatorAddress"`
 	PlatformAddress  string        `toml:"platformAddress"`
 	PeerSeeds        []string      `toml:"peerSeeds"`
+	PeerSecret       string        `toml:"peerSecret"`
 	Log              LogSettings   `toml:"log"`
 	Placement        PlacementMode `toml:"placement"`
 }
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"filberthold/config"
-	"filberthold/place"
+	"filberthold/model"
+	"filberthold/peers"
+	"filberthold/plat"
 	"filberthold/revise"
+	"filberthold/ring"
 )
 
 const (
@@ -15,16 +19,45 @@
 	headPollInterval = 3 * time.Second
 	// firstPollInterval applies until a first revision has been adopted.
 	firstPollInterval = 200 * time.Millisecond
+	// offerCapacity bounds the bodies that wait to be parsed.
+	offerCapacity = 4
 )
 
-// loopConfiguration polls the platform for a newer revision.
-func (h *Host) loopConfiguration(ctx context.Context) error {
+// configurationStore is the part of the platform that holds the configuration.
+type configurationStore interface {
+	Get(ctx context.Context, key string) (plat.Row, error)
+	Object(ctx context.Context, name string) ([]byte, error)
+}
+
+// offer is a revision from the store or from a peer.
+type offer struct {
+	head revise.Head
+	body []byte
+	// at is a time at which the source had the revision as its highest one.
+	at time.Time
+}
+
+// Configuration decides which revision this host has in force.
+type Configuration struct {
+	log    *slog.Logger
+	store  configurationStore
+	state  *peers.State
+	offers *ring.Ring[offer]
+	// holder is used by loopOffers only.
+	holder revise.Holder
+	// adopt puts a deployment into force, and is called with ascending
+	// numbers only.
+	adopt func(ctx context.Context, deployment *model.Deployment, head revise.Head, body []byte) error
+}
+
+// loopPoll asks the store for a newer revision.
+func (c *Configuration) loopPoll(ctx context.Context) error {
 	for {
-		if err := h.refresh(ctx); err != nil {
-			h.base.Log().Warn("configuration not refreshed", "error", err)
+		if err := c.poll(ctx, time.Now()); err != nil {
+			c.log.Warn("configuration not refreshed", "error", err)
 		}
 		interval := headPollInterval
-		if h.directory.Deployment() == nil {
+		if head, _ := c.state.Current(); head.Number() == 0 {
 			interval = firstPollInterval
 		}
 		select {
@@ -35,10 +68,11 @@
 	}
 }
 
-func (h *Host) refresh(ctx context.Context) error {
+// poll reads the head once and offers its body if it is newer.
+func (c *Configuration) poll(ctx context.Context, now time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, headPollInterval)
 	defer cancel()
-	row, err := h.platform.Get(ctx, revise.HeadKey)
+	row, err := c.store.Get(ctx, revise.HeadKey)
 	if err != nil {
 		return fmt.Errorf("read head: %w", err)
 	}
@@ -46,26 +80,58 @@
 	if err != nil {
 		return fmt.Errorf("parse head: %w", err)
 	}
-	revision := head.Number()
-	if current := h.directory.Deployment(); current != nil && current.Revision() >= revision {
+	current, _ := c.state.Current()
+	if head.Number() == current.Number() && head != current {
+		return fmt.Errorf("store has revision %s, and %s is in force", head, current)
+	}
+	if head.Number() <= current.Number() {
+		c.state.Confirm(head.Number(), now)
 		return nil
 	}
-	name := revise.ObjectName(revision)
-	body, err := h.platform.Object(ctx, name)
+	body, err := c.store.Object(ctx, revise.ObjectName(head.Number()))
 	if err != nil {
-		return fmt.Errorf("read revision %d: %w", revision, err)
+		return fmt.Errorf("read revision %s: %w", head, err)
+	}
+	if err := c.offers.Put(ctx, offer{head: head, body: body, at: now}); err != nil {
+		return fmt.Errorf("offer revision %s: %w", head, err)
+	}
+	return nil
+}
+
+// loopOffers takes offered revisions in turn. It is separate from loopPoll, so
+// that peers are heard while the store does not answer.
+func (c *Configuration) loopOffers(ctx context.Context) error {
+	for {
+		offered, err := c.offers.Get(ctx)
+		if err != nil {
+			return fmt.Errorf("wait for revision: %w", err)
+		}
+		if err := c.consider(ctx, offered); err != nil {
+			c.log.Error("revision not adopted", "revision", offered.head.String(), "error", err)
+		}
 	}
-	if !head.Matches(body) {
-		return fmt.Errorf("body of revision %s has digest %s", head, revise.DigestOf(body))
+}
+
+// consider adopts an offered revision if it is newer than the one in force and
+// can be parsed.
+func (c *Configuration) consider(ctx context.Context, offered offer) error {
+	switch verdict := c.holder.Judge(offered.head, offered.body); verdict {
+	case revise.Stale:
+		c.state.Confirm(offered.head.Number(), offered.at)
+		return nil
+	case revise.Corrupt, revise.Contradicts:
+		return fmt.Errorf("%s; revision %s is in force", verdict, c.holder.Current())
+	case revise.Adopted:
 	}
-	deployment, err := config.ParseDeployment(name, body, revision)
+	deployment, err := config.ParseDeployment(revise.ObjectName(offered.head.Number()), offered.body, offered.head.Number())
 	if err != nil {
-		return fmt.Errorf("parse revision %d: %w", revision, err)
+		return fmt.Errorf("parse revision: %w", err)
 	}
-	h.directory.Adopt(deployment)
-	h.base.Log().Info("adopted configuration", "revision", revision)
-	if err := h.dispatcher.Report(ctx, place.Adopted{Deployment: deployment, Revision: revision}); err != nil {
-		return fmt.Errorf("adopt revision %d: %w", revision, err)
+	c.holder.Offer(offered.head, offered.body)
+	if err := c.adopt(ctx, deployment, offered.head, offered.body); err != nil {
+		return fmt.Errorf("adopt revision: %w", err)
 	}
+	c.state.Confirm(offered.head.Number(), offered.at)
+	c.log.Info("adopted configuration", "revision", offered.head.String())
 	return nil
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -24,7 +24,9 @@
 	log    *slog.Logger
 	core   *place.Core
 	events *ring.Ring[place.Event]
-	mu     sync.Mutex
+	// leaving is used by loop only.
+	leaving leavingAnswers
+	mu      sync.Mutex
 	// open holds the decision channel of each request that is being served.
 	open map[place.RequestID]chan place.Decision
 }
@@ -36,6 +38,8 @@
 		core:   core,
 		events: ring.New[place.Event](eventCapacity),
 		open:   make(map[place.RequestID]chan place.Decision),
+
+		leaving: newLeavingAnswers(),
 	}
 }
 
@@ -74,7 +78,9 @@
 		if err != nil {
 			return fmt.Errorf("wait for event: %w", err)
 		}
-		for _, decision := range d.core.Apply(event, time.Now()) {
+		decisions := d.core.Apply(event, time.Now())
+		d.leaving.observe(event, decisions)
+		for _, decision := range decisions {
 			d.logDecision(decision)
 			d.hand(decision)
 		}
--- a/entry/host.go
+++ b/entry/host.go
@@ -7,66 +7,111 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
+	"time"
 
 	"filberthold/admin"
 	"filberthold/caller"
 	"filberthold/common"
 	"filberthold/model"
+	"filberthold/peers"
 	"filberthold/place"
 	"filberthold/plat"
+	"filberthold/revise"
+	"filberthold/ring"
 	"filberthold/upstrm"
 
+	"github.com/oklog/ulid/v2"
 	"golang.org/x/sync/errgroup"
 )
 
+// stopGrace is the time from the leaving flag to the end of the listener: the
+// flag reaches all hosts within 1 s, and lookup responses that still name this
+// host are valid for 5 s.
+const stopGrace = 6 * time.Second
+
 // Host is one entry host process.
 type Host struct {
-	base       *common.Base
-	platform   *plat.Client
-	dispatcher *Dispatcher
-	directory  *Directory
-	callers    *caller.Server
-	operators  *admin.Server
-	upstreams  *upstrm.Client
+	base          *common.Base
+	platform      *plat.Client
+	dispatcher    *Dispatcher
+	directory     *Directory
+	callers       *caller.Server
+	operators     *admin.Server
+	upstreams     *upstrm.Client
+	mesh          *peers.Mesh
+	configuration *Configuration
+	membership    *Membership
+	prober        *Prober
+	// hurried is closed when the stop does not wait for lookup responses.
+	hurried     chan struct{}
+	hurriedOnce sync.Once
 }
 
 // NewHost returns an entry host that is not yet running.
 func NewHost(base *common.Base) *Host {
 	settings := base.Settings()
 	name := model.HostName(settings.Host)
+	mesh := newMesh(base, ulid.Make().String())
 	dispatcher := NewDispatcher(base.Log(), place.New(name))
-	directory := NewDirectory(name)
+	directory := NewDirectory(name, mesh.State())
 	upstreams := upstrm.NewClient(model.ZoneName(settings.AvailabilityZone))
-	return &Host{
+	platform := plat.NewNamedClient(settings.PlatformAddress, settings.Host)
+	membership := newMembership(base.Log(), platform, mesh, directory, dispatcher.Report)
+	host := &Host{
 		base:       base,
-		platform:   plat.NewNamedClient(settings.PlatformAddress, settings.Host),
+		platform:   platform,
 		dispatcher: dispatcher,
 		directory:  directory,
 		upstreams:  upstreams,
 		callers:    caller.NewServer(base, dispatcher, directory, upstreams),
-		operators:  admin.NewServer(func() bool { return directory.Deployment() != nil }),
+		mesh:       mesh,
+		membership: membership,
+		prober:     newProber(name, directory, membership),
+		hurried:    make(chan struct{}),
+	}
+	host.operators = admin.NewServer(func() bool { return host.TakesWork(time.Now()) })
+	host.configuration = &Configuration{
+		log: base.Log(), store: platform, state: mesh.State(), offers: ring.New[offer](offerCapacity), adopt: host.adopt,
 	}
+	return host
 }
 
 // Listeners are the open sockets of an entry host.
 type Listeners struct {
 	Callers   net.Listener
 	Operators net.Listener
+	// Peers is the UDP socket for other entry hosts.
+	Peers net.PacketConn
 }
 
 // Run opens the sockets that the settings name and serves until ctx ends.
 func (h *Host) Run(ctx context.Context) error {
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	return h.Serve(ctx, listeners)
+}
+
+func (h *Host) listen() (Listeners, error) {
 	settings := h.base.Settings()
 	callers, err := net.Listen("tcp", settings.CallerAddress)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return Listeners{}, fmt.Errorf("listen for callers: %w", err)
 	}
 	operators, err := net.Listen("tcp", settings.OperatorAddress)
 	if err != nil {
 		_ = callers.Close()
-		return fmt.Errorf("listen for operators: %w", err)
+		return Listeners{}, fmt.Errorf("listen for operators: %w", err)
 	}
-	return h.Serve(ctx, Listeners{Callers: callers, Operators: operators})
+	peerConn, err := net.ListenPacket("udp", settings.PeerAddress)
+	if err != nil {
+		_ = callers.Close()
+		_ = operators.Close()
+		return Listeners{}, fmt.Errorf("listen for peers: %w", err)
+	}
+	return Listeners{Callers: callers, Operators: operators, Peers: peerConn}, nil
 }
 
 // Serve serves until ctx ends, and then stops gracefully: requests in flight
@@ -74,9 +119,16 @@
 func (h *Host) Serve(ctx context.Context, listeners Listeners) error {
 	working, stopWorking := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWorking()
+	defer h.platform.Close()
 	group, working := errgroup.WithContext(working)
 	group.Go(func() error { return h.dispatcher.loop(working) })
-	group.Go(func() error { return h.loopConfiguration(working) })
+	group.Go(func() error { return h.configuration.loopPoll(working) })
+	group.Go(func() error { return h.configuration.loopOffers(working) })
+	group.Go(func() error { return h.membership.loopMembers(working) })
+	group.Go(func() error { return h.prober.loop(working) })
+	group.Go(func() error { return h.loopLeavingAnswers(working) })
+	group.Go(func() error { return h.loopPeers(working) })
+	group.Go(func() error { return h.mesh.Run(working, listeners.Peers) })
 	group.Go(func() error { return h.callers.Run(listeners.Callers) })
 	group.Go(func() error { return h.operators.Run(listeners.Operators) })
 	group.Go(func() error { return h.runStop(ctx, working, stopWorking) })
@@ -89,6 +141,16 @@
 // WaitReady waits until the host takes work.
 func (h *Host) WaitReady(ctx context.Context) error { return h.directory.WaitAdopted(ctx) }
 
+// TakesWork reports whether the host takes new work: it has a configuration
+// that is confirmed, and it is not stopping.
+func (h *Host) TakesWork(now time.Time) bool {
+	return h.directory.Confirmed(now) && !h.directory.Leaving()
+}
+
+// SkipGrace makes the stop of this host not wait for the end of lookup
+// responses. It is for hosts that no caller uses.
+func (h *Host) SkipGrace() { h.hurriedOnce.Do(func() { close(h.hurried) }) }
+
 // runStop waits for the end of ctx and then stops the servers in order.
 func (h *Host) runStop(ctx, working context.Context, stopWorking context.CancelFunc) error {
 	select {
@@ -96,7 +158,24 @@
 	case <-working.Done():
 	}
 	h.base.Log().Info("stopping")
+	h.mesh.Leave()
+	select {
+	case <-time.After(stopGrace):
+	case <-h.hurried:
+	case <-working.Done():
+	}
 	err := h.callers.Shutdown(context.WithoutCancel(ctx))
 	stopWorking()
 	return errors.Join(err, h.operators.Shutdown())
 }
+
+// adopt puts a deployment into force in all parts of the host.
+func (h *Host) adopt(ctx context.Context, deployment *model.Deployment, head revise.Head, body []byte) error {
+	h.directory.Adopt(deployment)
+	h.mesh.Publish(head, body, deployment)
+	event := place.Adopted{Deployment: deployment, Revision: head.Number()}
+	if err := h.dispatcher.Report(ctx, event); err != nil {
+		return fmt.Errorf("report revision: %w", err)
+	}
+	return nil
+}
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -41,6 +41,8 @@
 	hosts      map[model.HostName]*runningHost
 	servers    []*http.Server
 	group      sync.WaitGroup
+	// platformAddress is the address of the platform stand-in.
+	platformAddress string
 }
 
 type runningHost struct {
@@ -68,8 +70,8 @@
 }
 
 func (c *Cluster) start() error {
-	platformAddress, err := c.startPlatform()
-	if err != nil {
+	var err error
+	if c.platformAddress, err = c.startPlatform(); err != nil {
 		return fmt.Errorf("start platform stand-in: %w", err)
 	}
 	document := c.options.Document
@@ -85,12 +87,12 @@
 	if err != nil {
 		return fmt.Errorf("build deployment: %w", err)
 	}
-	if err := publish(platformAddress, document); err != nil {
+	if err := publish(c.platformAddress, document); err != nil {
 		return fmt.Errorf("publish configuration: %w", err)
 	}
 	c.startUpstreams(endpointListeners)
 	for name, listeners := range hostListeners {
-		if err := c.startHost(name, listeners, platformAddress); err != nil {
+		if err := c.startHost(name, listeners); err != nil {
 			return fmt.Errorf("start host %q: %w", name, err)
 		}
 	}
@@ -115,7 +117,7 @@
 	}
 }
 
-func (c *Cluster) startHost(name model.HostName, listeners entry.Listeners, platformAddress string) error {
+func (c *Cluster) startHost(name model.HostName, listeners entry.Listeners) error {
 	host, _ := c.deployment.Host(name)
 	settings := config.Settings{
 		Host:             string(name),
@@ -123,7 +125,9 @@
 		CallerAddress:    host.CallerAddress(),
 		PeerAddress:      host.PeerAddress(),
 		OperatorAddress:  host.OperatorAddress(),
-		PlatformAddress:  platformAddress,
+		PlatformAddress:  c.platformAddress,
+		PeerSeeds:        c.peerSeeds(),
+		PeerSecret:       "local",
 		Log:              config.LogSettings{Format: "text", Level: "info"},
 		Placement:        c.options.Placement,
 	}
@@ -138,6 +142,17 @@
 	return nil
 }
 
+// peerSeeds returns the peer addresses of the first hosts.
+func (c *Cluster) peerSeeds() []string {
+	var seeds []string
+	for _, host := range c.deployment.Hosts() {
+		if len(seeds) < 3 {
+			seeds = append(seeds, host.PeerAddress())
+		}
+	}
+	return seeds
+}
+
 func (r *runningHost) run(ctx context.Context) {
 	defer close(r.done)
 	r.err = r.host.Serve(ctx, r.listeners)
@@ -183,6 +198,10 @@
 // Close stops everything.
 func (c *Cluster) Close() error {
 	var errs []error
+	for _, running := range c.hosts {
+		running.host.SkipGrace()
+		running.stop()
+	}
 	for name := range c.hosts {
 		errs = append(errs, c.StopHost(name))
 	}
@@ -225,10 +244,15 @@
 		if err != nil {
 			return nil, err
 		}
+		peerConn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("listen for peers: %w", err)
+		}
+		host.PeerAddress = peerConn.LocalAddr().String()
 		host.CallerAddress = callers.Addr().String()
 		host.OperatorAddress = operators.Addr().String()
 		bound[i] = host
-		listeners[model.HostName(host.Name)] = entry.Listeners{Callers: callers, Operators: operators}
+		listeners[model.HostName(host.Name)] = entry.Listeners{Callers: callers, Operators: operators, Peers: peerConn}
 	}
 	document.Hosts = bound
 	return listeners, nil
--- /dev/null
+++ b/local/restart.go
@@ -0,0 +1,38 @@
+package local
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"filberthold/entry"
+	"filberthold/model"
+)
+
+// RestartHost stops an entry host without grace, and starts a new process of it
+// at the same addresses. It does not wait until the new one is ready.
+func (c *Cluster) RestartHost(name model.HostName) error {
+	c.hosts[name].host.SkipGrace()
+	if err := c.StopHost(name); err != nil {
+		return fmt.Errorf("stop host %q: %w", name, err)
+	}
+	host, _ := c.deployment.Host(name)
+	callers, err := net.Listen("tcp", host.CallerAddress())
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	operators, err := net.Listen("tcp", host.OperatorAddress())
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	peerConn, err := net.ListenPacket("udp", host.PeerAddress())
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	return c.startHost(name, entry.Listeners{Callers: callers, Operators: operators, Peers: peerConn})
+}
+
+// TakesWork reports whether an entry host takes new work.
+func (c *Cluster) TakesWork(name model.HostName, now time.Time) bool {
+	return c.hosts[name].host.TakesWork(now)
+}
--- a/plat/types.go
+++ b/plat/types.go
@@ -73,6 +73,14 @@
 	Leaving MemberState = "leaving"
 )
 
+// Kinds of members of the host list.
+const (
+	// KindEntry stands for an entry host.
+	KindEntry = "entry"
+	// KindEndpoint stands for an upstream endpoint.
+	KindEndpoint = "endpoint"
+)
+
 // Member is an entry host or an upstream endpoint on the host list.
 type Member struct {
 	Name        string      `json:"name"`
--- a/revise/holder.go
+++ b/revise/holder.go
@@ -26,9 +26,8 @@
 	announced Head
 }
 
-// Offer adopts a revision if its number is higher than the current one and its
-// body matches the digest.
-func (h *Holder) Offer(head Head, body []byte) Verdict {
+// Judge tells what Offer would do, without a change.
+func (h *Holder) Judge(head Head, body []byte) Verdict {
 	if head.number == h.current.number && head.digest != h.current.digest {
 		return Contradicts
 	}
@@ -38,10 +37,19 @@
 	if !head.Matches(body) {
 		return Corrupt
 	}
-	h.current, h.body = head, body
 	return Adopted
 }
 
+// Offer adopts a revision if its number is higher than the current one and its
+// body matches the digest.
+func (h *Holder) Offer(head Head, body []byte) Verdict {
+	verdict := h.Judge(head, body)
+	if verdict == Adopted {
+		h.current, h.body = head, body
+	}
+	return verdict
+}
+
 // Announce notes that a revision exists, without its body.
 func (h *Holder) Announce(head Head) {
 	if head.number > h.announced.number {
