Measure control traffic between hosts at three sizes

BenchmarkControlTraffic runs the meshes of a group in one process on loopback, with a socket that counts bytes with 28 bytes of headers a packet.

The time to all is without network delay; a hop takes three one-way delays (digest, question, body).

--- /dev/null
+++ b/peers/traffic_test.go
@@ -0,0 +1,115 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"filberthold/model"
+	"filberthold/peers"
+	"filberthold/revise"
+
+	"gotest.tools/v3/assert"
+)
+
+// countedConn counts what it sends. It hides the extensions of a UDP socket, so
+// that each packet is one call.
+type countedConn struct {
+	net.PacketConn
+	bytes, packets *atomic.Int64
+}
+
+// headerBytes is the size of the IPv4 and UDP headers of a packet.
+const headerBytes = 28
+
+func (c countedConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	c.bytes.Add(int64(len(data)) + headerBytes)
+	c.packets.Add(1)
+	return c.PacketConn.WriteTo(data, to)
+}
+
+// BenchmarkControlTraffic measures a whole group of hosts in one process. Run it
+// with -benchtime 1x; one run watches an idle group for 10 s and then spreads
+// one revision.
+func BenchmarkControlTraffic(b *testing.B) {
+	for _, count := range []int{12, 48, 96} {
+		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
+			var bytes, packets atomic.Int64
+			deployment, conns := deploy(b, count)
+			hosts := deployment.Hosts()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var meshes []*peers.Mesh
+			for i, host := range hosts {
+				meshes = append(meshes, runMesh(b, host, countedConn{conns[i], &bytes, &packets}, "secret"))
+			}
+			publish(meshes, deployment, 1)
+			waitLinked(b, meshes, hosts)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				const idle = 10 * time.Second
+				bytes.Store(0)
+				packets.Store(0)
+				cpu := processTime(b)
+				time.Sleep(idle)
+				perHost := float64(count) * idle.Seconds()
+				b.ReportMetric(float64(bytes.Load())/perHost, "sent-bytes/s/host")
+				b.ReportMetric(float64(packets.Load())/perHost, "sent-packets/s/host")
+				b.ReportMetric(100*(processTime(b)-cpu).Seconds()/perHost, "cpu-percent/host")
+				b.ReportMetric(spread(b, meshes, deployment).Seconds()*1000, "ms-to-all")
+			}
+			b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/float64(count), "memory-bytes/host")
+		})
+	}
+}
+
+func publish(meshes []*peers.Mesh, deployment *model.Deployment, number uint64) {
+	body := fmt.Appendf(nil, "name = 'revision-%d'\n", number)
+	for _, mesh := range meshes {
+		mesh.Publish(revise.HeadOf(number, body), body, deployment)
+	}
+}
+
+// waitLinked waits until every host is connected with all its peers.
+func waitLinked(b *testing.B, meshes []*peers.Mesh, hosts []model.Host) {
+	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+	defer cancel()
+	for i, mesh := range meshes {
+		for len(mesh.Linked()) < len(peers.Subset(hosts[i].Name(), hosts)) {
+			assert.NilError(b, ctx.Err())
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// spread gives one host a new revision and returns the time until the last one
+// has it.
+func spread(b *testing.B, meshes []*peers.Mesh, deployment *model.Deployment) time.Duration {
+	start := time.Now()
+	publish(meshes[:1], deployment, 2)
+	var group sync.WaitGroup
+	for _, mesh := range meshes[1:] {
+		group.Go(func() {
+			event, err := mesh.Events().Get(b.Context())
+			assert.Check(b, err)
+			revised := event.(peers.Revised)
+			mesh.Publish(revised.Head, revised.Body, deployment)
+		})
+	}
+	group.Wait()
+	return time.Since(start)
+}
+
+func processTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
