--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -26,7 +26,9 @@
 	log    *slog.Logger
 	core   *place.Core
 	events *ring.Ring[place.Event]
-	mu     sync.Mutex
+	// leaving is used by loop only.
+	leaving leavingAnswers
+	mu      sync.Mutex
 	// open holds the decision channel of each request that is being served.
 	open map[place.RequestID]chan place.Decision
 	// archive accounts for all events and decisions. It may be nil.
@@ -42,6 +44,8 @@
 		core:   core,
 		events: ring.New[place.Event](eventCapacity),
 		open:   make(map[place.RequestID]chan place.Decision),
+
+		leaving: newLeavingAnswers(),
 	}
 }
 
@@ -93,6 +97,7 @@
 		decisions := d.core.Apply(event, now)
 		d.archive.Record(event, decisions, now)
 		d.trace.Record(event, decisions, now)
+		d.leaving.observe(event, decisions)
 		for _, decision := range decisions {
 			d.logDecision(decision)
 			d.hand(decision)
--- a/entry/host.go
+++ b/entry/host.go
@@ -8,28 +8,37 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 
 	"filberthold/admin"
 	"filberthold/caller"
 	"filberthold/common"
 	"filberthold/model"
+	"filberthold/peers"
 	"filberthold/place"
 	"filberthold/plat"
+	"filberthold/revise"
+	"filberthold/ring"
 	"filberthold/upstrm"
 
+	"github.com/oklog/ulid/v2"
 	"golang.org/x/sync/errgroup"
 )
 
 // Host is one entry host process.
 type Host struct {
-	base       *common.Base
-	platform   *plat.Client
-	committer  *plat.Committer
-	dispatcher *Dispatcher
-	directory  *Directory
-	callers    *caller.Server
-	operators  *admin.Server
-	upstreams  *upstrm.Client
+	base          *common.Base
+	platform      *plat.Client
+	committer     *plat.Committer
+	dispatcher    *Dispatcher
+	directory     *Directory
+	callers       *caller.Server
+	operators     *admin.Server
+	upstreams     *upstrm.Client
+	mesh          *peers.Mesh
+	configuration *Configuration
+	membership    *Membership
+	prober        *Prober
 	// aborted is closed when the host must end without a graceful stop.
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -43,13 +52,15 @@
 func newHost(base *common.Base, upstreams *upstrm.Client) *Host {
 	settings := base.Settings()
 	name := model.HostName(settings.Host)
+	mesh := newMesh(base, ulid.Make().String())
 	dispatcher := NewDispatcher(base.Log(), place.New(name))
-	directory := NewDirectory(name)
+	directory := NewDirectory(name, mesh.State())
 	platform := plat.NewNamedClient(settings.PlatformAddress, settings.Host)
 	committer := plat.NewCommitter(platform, plat.DefaultWindow)
 	callers := caller.NewServer(base, dispatcher, directory, upstreams)
 	callers.UseRegister(plat.NewRegister(platform, committer, name))
-	return &Host{
+	membership := newMembership(base.Log(), platform, mesh, directory, dispatcher.Report)
+	host := &Host{
 		base:       base,
 		platform:   platform,
 		committer:  committer,
@@ -57,30 +68,54 @@
 		directory:  directory,
 		upstreams:  upstreams,
 		callers:    callers,
-		operators:  admin.NewServer(func() bool { return directory.Deployment() != nil && !callers.IsLeaving() }),
+		mesh:       mesh,
+		membership: membership,
+		prober:     newProber(name, directory, membership),
 		aborted:    make(chan struct{}),
 	}
+	host.operators = admin.NewServer(func() bool { return host.TakesWork(time.Now()) })
+	host.configuration = &Configuration{
+		log: base.Log(), store: platform, state: mesh.State(), offers: ring.New[offer](offerCapacity), adopt: host.adopt,
+	}
+	return host
 }
 
 // Listeners are the open sockets of an entry host.
 type Listeners struct {
 	Callers   net.Listener
 	Operators net.Listener
+	// Peers is the UDP socket for other entry hosts. It is nil for a host that
+	// talks to none.
+	Peers net.PacketConn
 }
 
 // Run opens the sockets that the settings name and serves until ctx ends.
 func (h *Host) Run(ctx context.Context) error {
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	return h.Serve(ctx, listeners)
+}
+
+func (h *Host) listen() (Listeners, error) {
 	settings := h.base.Settings()
 	callers, err := net.Listen("tcp", settings.CallerAddress)
 	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
+		return Listeners{}, fmt.Errorf("listen for callers: %w", err)
 	}
 	operators, err := net.Listen("tcp", settings.OperatorAddress)
 	if err != nil {
 		_ = callers.Close()
-		return fmt.Errorf("listen for operators: %w", err)
+		return Listeners{}, fmt.Errorf("listen for operators: %w", err)
+	}
+	peerConn, err := net.ListenPacket("udp", settings.PeerAddress)
+	if err != nil {
+		_ = callers.Close()
+		_ = operators.Close()
+		return Listeners{}, fmt.Errorf("listen for peers: %w", err)
 	}
-	return h.Serve(ctx, Listeners{Callers: callers, Operators: operators})
+	return Listeners{Callers: callers, Operators: operators, Peers: peerConn}, nil
 }
 
 // Serve serves until ctx ends, and then stops gracefully: requests in flight
@@ -88,6 +123,7 @@
 func (h *Host) Serve(ctx context.Context, listeners Listeners) error {
 	working, stopWorking := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWorking()
+	defer h.platform.Close()
 	group, working := errgroup.WithContext(working)
 	archive, err := h.openArchive()
 	if err != nil {
@@ -99,7 +135,15 @@
 	})
 	group.Go(archive.loop)
 	group.Go(func() error { return h.committer.Loop(working) })
-	group.Go(func() error { return h.loopConfiguration(working) })
+	group.Go(func() error { return h.configuration.loopPoll(working) })
+	group.Go(func() error { return h.configuration.loopOffers(working) })
+	group.Go(func() error { return h.membership.loopMembers(working) })
+	group.Go(func() error { return h.prober.loop(working) })
+	group.Go(func() error { return h.loopLeavingAnswers(working) })
+	group.Go(func() error { return h.loopPeers(working) })
+	if listeners.Peers != nil {
+		group.Go(func() error { return h.mesh.Run(working, listeners.Peers) })
+	}
 	group.Go(func() error { return h.callers.Run(listeners.Callers) })
 	group.Go(func() error { return h.operators.Run(listeners.Operators) })
 	group.Go(func() error { return h.runStop(ctx, working, stopWorking) })
@@ -112,3 +156,20 @@
 
 // WaitReady waits until the host takes work.
 func (h *Host) WaitReady(ctx context.Context) error { return h.directory.WaitAdopted(ctx) }
+
+// TakesWork reports whether the host takes new work: it has a configuration
+// that is confirmed, and it is not stopping.
+func (h *Host) TakesWork(now time.Time) bool {
+	return h.directory.Confirmed(now) && !h.callers.IsLeaving()
+}
+
+// adopt puts a deployment into force in all parts of the host.
+func (h *Host) adopt(ctx context.Context, deployment *model.Deployment, head revise.Head, body []byte) error {
+	h.directory.Adopt(deployment)
+	h.mesh.Publish(head, body, deployment)
+	event := place.Adopted{Deployment: deployment, Revision: head.Number()}
+	if err := h.dispatcher.Report(ctx, event); err != nil {
+		return fmt.Errorf("report revision: %w", err)
+	}
+	return nil
+}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,6 +15,7 @@
 	case <-working.Done():
 		return h.closeServers()
 	}
+	h.mesh.Leave()
 	named := h.callers.Leave()
 	h.base.Log().Info("leaving", "servesUntil", named)
 	select {
