Generate configurations from the answers to the questionnaire

Teams answer questions and do not write the configuration. The answers of both deployments give the committed deployment.toml byte for byte. Answers are checked against each other: whether requests must never be repeated has to be answered, long requests that must never be repeated are refused, and the peak work has to fit into the slots. Durations are written without units that are 0, as in the committed files.

plan adds a drain or a move to the text of the answers, whose comments stay, and writes them only after they have given a valid configuration. lookup, status and version ask a host or the binary.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"filberthold/config"
+	"filberthold/quest"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/samber/oops"
@@ -15,7 +16,7 @@
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE...",
-		Short: "Check documents: settings of a host, or the configuration of a deployment",
+		Short: "Check documents: answers, settings of a host, or the configuration of a deployment",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(command *cobra.Command, files []string) error {
 			var faults []error
@@ -41,6 +42,13 @@
 	keys := make(map[string]any)
 	// A syntax error is reported by the parser of the document.
 	_ = toml.Unmarshal(text, &keys)
+	if _, isAnswers := keys["questionnaire"]; isAnswers {
+		answers, err := quest.Parse(file, text)
+		if err == nil {
+			_, err = quest.Generate(answers)
+		}
+		return "answers", wrapInvalid(err)
+	}
 	if _, isSettings := keys["callerAddress"]; isSettings {
 		_, err := config.ParseSettings(file, text)
 		return "settings", wrapInvalid(err)
--- /dev/null
+++ b/cmds/generate.go
@@ -0,0 +1,110 @@
+package cmds
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"filberthold/model"
+	"filberthold/quest"
+
+	"github.com/samber/oops"
+	"github.com/spf13/cobra"
+)
+
+func newGenerateCommand() *cobra.Command {
+	var outFile string
+	command := &cobra.Command{
+		Use:   "generate ANSWERS",
+		Short: "Generate the configuration of a deployment from the answers to the questionnaire",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			text, err := os.ReadFile(arguments[0])
+			if err != nil {
+				return fmt.Errorf("read answers: %w", err)
+			}
+			answers, err := quest.Parse(arguments[0], text)
+			if err != nil {
+				return wrapInvalid(err)
+			}
+			generated, err := quest.Generate(answers)
+			if err != nil {
+				return wrapInvalid(err)
+			}
+			return writeDocument(command, outFile, generated)
+		},
+	}
+	command.Flags().StringVar(&outFile, "out", "", "file for the configuration; without it, it goes to standard output")
+	return command
+}
+
+func writeDocument(command *cobra.Command, file string, text []byte) error {
+	if file == "" {
+		if _, err := command.OutOrStdout().Write(text); err != nil {
+			return fmt.Errorf("write configuration: %w", err)
+		}
+		return nil
+	}
+	if err := os.WriteFile(file, text, 0o644); err != nil {
+		return fmt.Errorf("write configuration: %w", err)
+	}
+	return nil
+}
+
+// planning holds the flags of the plan command.
+type planning struct {
+	answersFile, outFile, start string
+	shift                       quest.Shift
+}
+
+func newPlanCommand() *cobra.Command {
+	var plan planning
+	command := &cobra.Command{
+		Use:       "plan drain|move",
+		Short:     "Add a drain or a move to the answers and generate the configuration",
+		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
+		ValidArgs: []string{string(model.Drain), string(model.Move)},
+		RunE: func(command *cobra.Command, arguments []string) error {
+			return plan.run(command, model.PlanKind(arguments[0]))
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&plan.answersFile, "answers", "", "answers to the questionnaire; the plan is added to this file")
+	flags.StringVar(&plan.outFile, "out", "", "file for the configuration; without it, it goes to standard output")
+	flags.StringVar(&plan.shift.Name, "name", "", "name of the plan")
+	flags.StringVar(&plan.shift.Service, "service", "", "service whose traffic moves")
+	flags.StringVar(&plan.shift.From, "from", "", "region that the traffic leaves")
+	flags.StringVar(&plan.shift.To, "to", "", "region that receives the traffic; a drain may go without")
+	flags.StringVar(&plan.start, "start", "", "time at which the shift begins (RFC 3339)")
+	flags.Float64Var(&plan.shift.PercentPerMinute, "rate", 5, "percent of the traffic that moves each minute")
+	flags.IntVar(&plan.shift.AtMostPercent, "cap", 100, "percent of the traffic that moves at most")
+	for _, name := range []string{"answers", "name", "service", "from", "start"} {
+		_ = command.MarkFlagRequired(name)
+	}
+	return command
+}
+
+func (p *planning) run(command *cobra.Command, kind model.PlanKind) error {
+	start, err := time.Parse(time.RFC3339, p.start)
+	if err != nil {
+		return oops.Code("invalidStart").Hint("give a time with a zone, as in 2026-03-01T22:00:00Z").Wrapf(err, "parse start")
+	}
+	p.shift.Start = start.UTC()
+	text, err := os.ReadFile(p.answersFile)
+	if err != nil {
+		return fmt.Errorf("read answers: %w", err)
+	}
+	whole, answers, err := quest.AddShift(p.answersFile, text, kind, p.shift)
+	if err != nil {
+		return wrapInvalid(err)
+	}
+	generated, err := quest.Generate(answers)
+	if err != nil {
+		return wrapInvalid(err)
+	}
+	// The answers are written only after they have given a configuration.
+	if err := os.WriteFile(p.answersFile, whole, 0o644); err != nil {
+		return fmt.Errorf("write answers: %w", err)
+	}
+	return writeDocument(command, p.outFile, generated)
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -73,6 +73,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(),
-		newExplainCommand(), newVerifyCommand(), newReplayCommand(), newCheckCommand())
+		newExplainCommand(), newVerifyCommand(), newReplayCommand(), newCheckCommand(),
+		newGenerateCommand(), newPlanCommand(), newLookupCommand(), newStatusCommand(), newVersionCommand())
 	return root
 }
--- a/config/checker.go
+++ b/config/checker.go
@@ -12,22 +12,23 @@
 	path, message, hint string
 }
 
-// checker collects the faults of a decoded document.
-type checker struct {
+// Checker collects the faults of a decoded document.
+type Checker struct {
 	findings []finding
 	// definedAt holds the first path of each name, by kind and name.
 	definedAt map[string]string
 }
 
-func newChecker() *checker { return &checker{definedAt: make(map[string]string)} }
+func newChecker() *Checker { return &Checker{definedAt: make(map[string]string)} }
 
-func (c *checker) add(path, hint, format string, arguments ...any) {
+// Add reports a fault at a path such as endpoints[2].slots.
+func (c *Checker) Add(path, hint, format string, arguments ...any) {
 	c.findings = append(c.findings, finding{path: path, message: fmt.Sprintf(format, arguments...), hint: hint})
 }
 
 // problems places the findings in the text. A line that the decoder has
 // already reported is left out: the value there is unknown.
-func (c *checker) problems(text []byte, known []Problem) []Problem {
+func (c *Checker) problems(text []byte, known []Problem) []Problem {
 	if len(c.findings) == 0 {
 		return known
 	}
@@ -46,83 +47,83 @@
 }
 
 // name checks a name and that it is defined once among its kind.
-func (c *checker) name(path, kind, name string) {
+func (c *Checker) name(path, kind, name string) {
 	if name == "" {
-		c.add(path, "each "+kind+" needs a name of its own", "%s has no name", kind)
+		c.Add(path, "each "+kind+" needs a name of its own", "%s has no name", kind)
 		return
 	}
 	if !regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`).MatchString(name) {
-		c.add(path, "use up to 63 letters, digits, dots, hyphens and underscores", "%s name %q is not allowed", kind, name)
+		c.Add(path, "use up to 63 letters, digits, dots, hyphens and underscores", "%s name %q is not allowed", kind, name)
 	}
 	c.once(path, kind, name)
 }
 
 // once checks that a value is used once among its kind.
-func (c *checker) once(path, kind, value string) {
+func (c *Checker) once(path, kind, value string) {
 	key := kind + " " + value
 	if first, exists := c.definedAt[key]; exists {
-		c.add(path, "it is first used at "+first, "%s %q is defined twice", kind, value)
+		c.Add(path, "it is first used at "+first, "%s %q is defined twice", kind, value)
 		return
 	}
 	c.definedAt[key] = path
 }
 
 // reference checks that something of a kind is defined.
-func (c *checker) reference(path, kind, name string) {
+func (c *Checker) reference(path, kind, name string) {
 	if _, exists := c.definedAt[kind+" "+name]; exists {
 		return
 	}
 	if name == "" {
-		c.add(path, "name one that the document defines", "%s is missing", kind)
+		c.Add(path, "name one that the document defines", "%s is missing", kind)
 		return
 	}
-	c.add(path, "define it or correct the name", "unknown %s %q", kind, name)
+	c.Add(path, "define it or correct the name", "unknown %s %q", kind, name)
 }
 
 // address checks an IP address with a port. Protocol tells which addresses
 // must differ from each other.
-func (c *checker) address(path, protocol, address string) {
+func (c *Checker) address(path, protocol, address string) {
 	const hint = "give an IP address and a port, as in '192.0.2.7:8000'"
 	if address == "" {
-		c.add(path, hint, "%s is missing", lastKey(path))
+		c.Add(path, hint, "%s is missing", lastKey(path))
 		return
 	}
 	parsed, err := netip.ParseAddrPort(address)
 	switch {
 	case err != nil:
-		c.add(path, hint+"; host names are not looked up", "%q is not an IP address with a port", address)
+		c.Add(path, hint+"; host names are not looked up", "%q is not an IP address with a port", address)
 	case parsed.Port() == 0:
-		c.add(path, hint, "%q has no port", address)
+		c.Add(path, hint, "%q has no port", address)
 	case parsed.Addr().IsUnspecified():
-		c.add(path, "give the address that others use", "%q is not the address of one host", address)
+		c.Add(path, "give the address that others use", "%q is not the address of one host", address)
 	default:
 		c.once(path, protocol+" address", parsed.String())
 	}
 }
 
-func (c *checker) atLeast(path string, value, least int) {
+func (c *Checker) atLeast(path string, value, least int) {
 	if value < least {
-		c.add(path, fmt.Sprintf("give a number of at least %d", least), "%s is %d", lastKey(path), value)
+		c.Add(path, fmt.Sprintf("give a number of at least %d", least), "%s is %d", lastKey(path), value)
 	}
 }
 
-func (c *checker) percent(path string, value, least int) {
+func (c *Checker) percent(path string, value, least int) {
 	if value < least || value > 100 {
-		c.add(path, fmt.Sprintf("give a percentage in %d..100", least), "%s is %d", lastKey(path), value)
+		c.Add(path, fmt.Sprintf("give a percentage in %d..100", least), "%s is %d", lastKey(path), value)
 	}
 }
 
 // duration checks a duration. An integer in the document counts nanoseconds,
 // which is never meant.
-func (c *checker) duration(path string, value Duration, isRequired bool) {
+func (c *Checker) duration(path string, value Duration, isRequired bool) {
 	const hint = "give a number and a unit, as in '2s' or '10m'"
 	switch {
 	case value < 0:
-		c.add(path, hint, "%s is negative", lastKey(path))
+		c.Add(path, hint, "%s is negative", lastKey(path))
 	case value == 0 && isRequired:
-		c.add(path, hint, "%s is missing or 0", lastKey(path))
+		c.Add(path, hint, "%s is missing or 0", lastKey(path))
 	case value > 0 && time.Duration(value) < time.Microsecond:
-		c.add(path, hint, "%s has no unit", lastKey(path))
+		c.Add(path, hint, "%s has no unit", lastKey(path))
 	}
 }
 
--- a/config/document.go
+++ b/config/document.go
@@ -2,7 +2,10 @@
 // settings of one process and the configuration of a deployment.
 package config
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Settings is the settings document of one entry host process.
 type Settings struct {
@@ -52,9 +55,16 @@
 // Duration is a time.Duration in the form of time.ParseDuration.
 type Duration time.Duration
 
-// MarshalText returns the text form.
+// MarshalText returns the text form without units that are 0, such as 10m.
 func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+	text := time.Duration(d).String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return []byte(text), nil
 }
 
 // UnmarshalText parses the text form.
--- a/config/parse.go
+++ b/config/parse.go
@@ -14,17 +14,12 @@
 // InvalidError with all faults. The file name is used in error messages only.
 func ParseSettings(file string, text []byte) (Settings, error) {
 	var settings Settings
-	problems, isWhole := decode(text, func() any {
+	err := Parse(file, text, func() any {
 		settings = Settings{Log: LogSettings{Format: "text", Level: "info"}, Placement: Steered}
 		return &settings
-	})
-	if isWhole {
-		checker := newChecker()
-		checker.settings(settings)
-		problems = checker.problems(text, problems)
-	}
-	if len(problems) > 0 {
-		return Settings{}, newInvalidError(file, problems)
+	}, func(checker *Checker) { checker.settings(settings) })
+	if err != nil {
+		return Settings{}, err
 	}
 	return settings, nil
 }
@@ -46,19 +41,30 @@
 // returns an InvalidError with all faults.
 func ParseDocument(file string, text []byte) (Document, error) {
 	var document Document
-	problems, isWhole := decode(text, func() any {
+	err := Parse(file, text, func() any {
 		document = Document{}
 		return &document
-	})
+	}, func(checker *Checker) { checker.document(document) })
+	if err != nil {
+		return Document{}, err
+	}
+	return document, nil
+}
+
+// Parse decodes a TOML document into what into returns and lets check look for
+// further faults. It returns an InvalidError with all faults. Unknown keys are
+// faults. Decoding may be tried again, so into returns an empty value each time.
+func Parse(file string, text []byte, into func() any, check func(*Checker)) error {
+	problems, isWhole := decode(text, into)
 	if isWhole {
 		checker := newChecker()
-		checker.document(document)
+		check(checker)
 		problems = checker.problems(text, problems)
 	}
 	if len(problems) > 0 {
-		return Document{}, newInvalidError(file, problems)
+		return newInvalidError(file, problems)
 	}
-	return document, nil
+	return nil
 }
 
 // Encode returns the TOML form of a deployment's configuration.
--- a/config/validate.go
+++ b/config/validate.go
@@ -9,7 +9,7 @@
 	"filberthold/model"
 )
 
-func (c *checker) settings(settings Settings) {
+func (c *Checker) settings(settings Settings) {
 	c.name("host", "host", settings.Host)
 	c.name("availabilityZone", "availability zone", settings.AvailabilityZone)
 	c.address("callerAddress", "TCP", settings.CallerAddress)
@@ -20,20 +20,20 @@
 		c.address(fmt.Sprintf("peerSeeds[%d]", i), "UDP", seed)
 	}
 	if format := settings.Log.Format; format != "text" && format != "json" {
-		c.add("log.format", "use text or json", "unknown log format %q", format)
+		c.Add("log.format", "use text or json", "unknown log format %q", format)
 	}
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(settings.Log.Level)); err != nil {
-		c.add("log.level", "use debug, info, warn or error", "unknown log level %q", settings.Log.Level)
+		c.Add("log.level", "use debug, info, warn or error", "unknown log level %q", settings.Log.Level)
 	}
 	if mode := settings.Placement; mode != Steered && mode != RoundRobin && mode != Random {
-		c.add("placement", "use steered, roundRobin or random", "unknown placement %q", mode)
+		c.Add("placement", "use steered, roundRobin or random", "unknown placement %q", mode)
 	}
 }
 
-func (c *checker) document(document Document) {
+func (c *Checker) document(document Document) {
 	if document.Name == "" {
-		c.add("name", "name the deployment", "name is missing")
+		c.Add("name", "name the deployment", "name is missing")
 	}
 	c.duration("delays.betweenZones", document.Delays.BetweenZones, false)
 	c.duration("delays.betweenRegions", document.Delays.BetweenRegions, false)
@@ -45,7 +45,7 @@
 		// host without a new assignment of its client blocks.
 		c.definedAt["site "+zone.Name] = path
 		if zone.Region == "" {
-			c.add(path+".region", "name the region of the availability zone", "region is missing")
+			c.Add(path+".region", "name the region of the availability zone", "region is missing")
 		}
 		c.definedAt["region "+zone.Region] = path
 	}
@@ -57,12 +57,12 @@
 	c.plans(document.Plans)
 }
 
-func (c *checker) services(services []ServiceDocument) {
+func (c *Checker) services(services []ServiceDocument) {
 	for i, service := range services {
 		path := fmt.Sprintf("services[%d]", i)
 		c.name(path+".name", "service", service.Name)
 		if _, err := model.ParseClass(service.Class); err != nil {
-			c.add(path+".class", "use read, submit or export", "unknown class %q", service.Class)
+			c.Add(path+".class", "use read, submit or export", "unknown class %q", service.Class)
 		}
 		c.duration(path+".defaultTimeout", service.DefaultTimeout, true)
 		c.duration(path+".slowStart", service.SlowStart, false)
@@ -71,7 +71,7 @@
 	}
 }
 
-func (c *checker) endpoints(endpoints []EndpointDoc) {
+func (c *Checker) endpoints(endpoints []EndpointDoc) {
 	for i, endpoint := range endpoints {
 		path := fmt.Sprintf("endpoints[%d]", i)
 		c.name(path+".name", "endpoint", endpoint.Name)
@@ -80,19 +80,19 @@
 		c.address(path+".address", "TCP", endpoint.Address)
 		c.atLeast(path+".slots", endpoint.Slots, 1)
 		if endpoint.Connections < endpoint.Slots {
-			c.add(path+".connections", "each slot needs a connection", "%d connections are fewer than %d slots",
+			c.Add(path+".connections", "each slot needs a connection", "%d connections are fewer than %d slots",
 				endpoint.Connections, endpoint.Slots)
 		}
 	}
 }
 
-func (c *checker) hosts(hosts []HostDocument) {
+func (c *Checker) hosts(hosts []HostDocument) {
 	for i, host := range hosts {
 		path := fmt.Sprintf("hosts[%d]", i)
 		c.name(path+".name", "host", host.Name)
 		c.reference(path+".availabilityZone", "availability zone", host.AvailabilityZone)
 		if host.Site == "" {
-			c.add(path+".site", "name the site of the host", "site is missing")
+			c.Add(path+".site", "name the site of the host", "site is missing")
 		}
 		c.definedAt["site "+host.Site] = path
 		c.address(path+".callerAddress", "TCP", host.CallerAddress)
@@ -101,24 +101,24 @@
 	}
 }
 
-func (c *checker) links(links []LinkDocument) {
+func (c *Checker) links(links []LinkDocument) {
 	for i, link := range links {
 		path := fmt.Sprintf("links[%d]", i)
 		between := slices.Sorted(slices.Values(link.Between[:]))
 		c.reference(path+".between", "region", link.Between[0])
 		c.reference(path+".between", "region", link.Between[1])
 		if between[0] == between[1] {
-			c.add(path+".between", "name two regions", "link joins region %q with itself", between[0])
+			c.Add(path+".between", "name two regions", "link joins region %q with itself", between[0])
 		}
 		c.once(path+".between", "link between", between[0]+" and "+between[1])
 		if link.BitsPerSecond < 1 {
-			c.add(path+".bitsPerSecond", "give the capacity in each direction", "bitsPerSecond is %d", link.BitsPerSecond)
+			c.Add(path+".bitsPerSecond", "give the capacity in each direction", "bitsPerSecond is %d", link.BitsPerSecond)
 		}
 	}
 }
 
 // blocks checks that no address belongs to two client blocks.
-func (c *checker) blocks(blocks []BlockDocument) {
+func (c *Checker) blocks(blocks []BlockDocument) {
 	type located struct {
 		prefix netip.Prefix
 		path   string
@@ -130,10 +130,10 @@
 		prefix, err := netip.ParsePrefix(block.Prefix)
 		switch {
 		case err != nil:
-			c.add(path+".prefix", "give an IP prefix, as in '192.0.2.0/24'", "%q is not an IP prefix", block.Prefix)
+			c.Add(path+".prefix", "give an IP prefix, as in '192.0.2.0/24'", "%q is not an IP prefix", block.Prefix)
 			continue
 		case prefix != prefix.Masked():
-			c.add(path+".prefix", "write "+prefix.Masked().String(), "prefix %q has bits after its length", block.Prefix)
+			c.Add(path+".prefix", "write "+prefix.Masked().String(), "prefix %q has bits after its length", block.Prefix)
 		}
 		prefixes = append(prefixes, located{prefix: prefix.Masked(), path: path + ".prefix"})
 	}
@@ -144,12 +144,12 @@
 		if !wide.prefix.Overlaps(next.prefix) {
 			continue
 		}
-		c.add(next.path, "it overlaps "+wide.path, "client block %s overlaps %s", next.prefix, wide.prefix)
+		c.Add(next.path, "it overlaps "+wide.path, "client block %s overlaps %s", next.prefix, wide.prefix)
 		prefixes[i] = wide
 	}
 }
 
-func (c *checker) plans(plans []PlanDocument) {
+func (c *Checker) plans(plans []PlanDocument) {
 	for i, plan := range plans {
 		path := fmt.Sprintf("plans[%d]", i)
 		c.name(path+".name", "plan", plan.Name)
@@ -158,21 +158,21 @@
 		kind := model.PlanKind(plan.Kind)
 		switch {
 		case kind != model.Drain && kind != model.Move && kind != model.Failover:
-			c.add(path+".kind", "use drain, move or failover", "unknown kind of plan %q", plan.Kind)
+			c.Add(path+".kind", "use drain, move or failover", "unknown kind of plan %q", plan.Kind)
 		case kind == model.Move && plan.To == "":
-			c.add(path+".to", "name the region that receives the traffic", "a move has no target")
+			c.Add(path+".to", "name the region that receives the traffic", "a move has no target")
 		}
 		if plan.To != "" {
 			c.reference(path+".to", "region", plan.To)
 			if plan.To == plan.From {
-				c.add(path+".to", "name another region", "plan moves traffic from region %q to itself", plan.To)
+				c.Add(path+".to", "name another region", "plan moves traffic from region %q to itself", plan.To)
 			}
 		}
 		if plan.Start.IsZero() {
-			c.add(path+".start", "give a time, as in 2026-03-01T22:00:00Z", "start is missing")
+			c.Add(path+".start", "give a time, as in 2026-03-01T22:00:00Z", "start is missing")
 		}
 		if !(plan.RatePercentPerMinute > 0) {
-			c.add(path+".ratePercentPerMinute", "give a rate above 0", "ratePercentPerMinute is %v", plan.RatePercentPerMinute)
+			c.Add(path+".ratePercentPerMinute", "give a rate above 0", "ratePercentPerMinute is %v", plan.RatePercentPerMinute)
 		}
 		c.percent(path+".capPercent", plan.CapPercent, 1)
 	}
--- /dev/null
+++ b/quest/quest_test.go
@@ -0,0 +1,89 @@
+package quest_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"filberthold/config"
+	"filberthold/model"
+	"filberthold/quest"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func answersOf(t *testing.T, deployment string) []byte {
+	t.Helper()
+	text, err := os.ReadFile("../deployments/" + deployment + "/answers.toml")
+	assert.NilError(t, err)
+	return text
+}
+
+// Guards against configurations that differ from the answers, by an edit of
+// one of the two files or a generator that changes.
+func TestCommittedConfigurationsAreGenerated(t *testing.T) {
+	for _, deployment := range []string{"hlukodenik", "guild"} {
+		answers, err := quest.Parse("answers.toml", answersOf(t, deployment))
+		assert.NilError(t, err)
+		generated, err := quest.Generate(answers)
+		assert.NilError(t, err)
+		committed, err := os.ReadFile("../deployments/" + deployment + "/deployment.toml")
+		assert.NilError(t, err)
+		assert.Equal(t, string(generated), string(committed))
+	}
+}
+
+// Guards against answers that are accepted although they leave a question
+// open or contradict each other.
+func TestContradictions(t *testing.T) {
+	cases := []struct{ title, from, to string }{
+		{"repeat-unanswered", "mustNeverRepeat = true\n", ""},
+		{"long-and-never-repeated", "takesMinutes = false\nanswerWithin = '5s'", "takesMinutes = true\nanswerWithin = '5s'"},
+		{"too-much-work", "peakRequestsPerSecond = 400.0", "peakRequestsPerSecond = 4000.0"},
+		{"large-responses", "largestResponseBytes = 1048576", "largestResponseBytes = 104857600"},
+		{"no-place", "endpointRange = { count = 16, firstAddress = '127.0.0.1:8000' }\n", ""},
+		{"unknown-key", "team = 'diaries'", "owner = 'diaries'"},
+		{"old-version", "questionnaire = 1", "questionnaire = 0"},
+		{"unknown-site", "site = 'plzen-a'", "site = 'paris'"},
+	}
+	for _, test := range cases {
+		t.Run(test.title, func(t *testing.T) {
+			whole := string(answersOf(t, "hlukodenik"))
+			assert.Assert(t, strings.Contains(whole, test.from))
+			answers, err := quest.Parse("answers.toml", []byte(strings.Replace(whole, test.from, test.to, 1)))
+			if err == nil {
+				_, err = quest.Generate(answers)
+			}
+			var invalid *config.InvalidError
+			assert.Assert(t, errors.As(err, &invalid), "%v", err)
+			golden.Assert(t, err.Error()+"\n", test.title+".txt")
+		})
+	}
+}
+
+// Guards against a plan that loses other answers or that is not checked.
+func TestAddShift(t *testing.T) {
+	text := answersOf(t, "guild")
+	shift := quest.Shift{Name: "empty-south", Service: "specbook", From: "south", To: "west",
+		Start: time.Date(2026, 3, 1, 22, 0, 0, 0, time.UTC), PercentPerMinute: 5, AtMostPercent: 50}
+	whole, answers, err := quest.AddShift("answers.toml", text, model.Drain, shift)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(whole), string(text)))
+	generated, err := quest.Generate(answers)
+	assert.NilError(t, err)
+	deployment, err := config.ParseDeployment("generated", generated, 2)
+	assert.NilError(t, err)
+	plan := deployment.Plans()[0]
+	assert.Equal(t, plan.Kind(), model.Drain)
+	assert.Equal(t, plan.To(), model.RegionName("west"))
+	assert.Equal(t, plan.CapPercent(), 50)
+
+	shift.From = "east"
+	_, answers, err = quest.AddShift("answers.toml", whole, model.Move, shift)
+	assert.NilError(t, err)
+	_, err = quest.Generate(answers)
+	assert.ErrorContains(t, err, `unknown region "east"`)
+}
