Keep the writes of the archive to its interval

Under steady load the loop stored a segment for the few records that came while it stored the one before. It now goes on only if a segment is full. A segment after an outage may hold 2 MiB, so that a full buffer takes 8 writes, not 64, of those that all hosts share. Compression happens without the lock that placement needs. Records carry the number of the attempt within its request, which explain shows.

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -34,9 +34,11 @@
 	for i := range 5 {
 		assert.NilError(t, buffer.Add(recordOf(model.Submit, fmt.Sprintf("r%d", i), i)))
 		assert.NilError(t, buffer.Add(recordOf(model.Read, fmt.Sprintf("s%d", i), i)))
-		segment, err := buffer.Seal(chain, audit.MemoryLimit, i == 4)
+		batch, err := buffer.Take(audit.MemoryLimit)
 		assert.NilError(t, err)
 		buffer.Stored()
+		segment, err := chain.AppendBatch(batch, i == 4)
+		assert.NilError(t, err)
 		segments = append(segments, segment)
 	}
 	return segments
@@ -134,10 +136,12 @@
 	assert.NilError(t, err)
 	var segments []audit.Stored
 	for final := false; !final; {
-		final = buffer.Len() <= 64<<10
-		segment, err := buffer.Seal(chain, 64<<10, final)
+		batch, err := buffer.Take(64 << 10)
 		assert.NilError(t, err)
 		buffer.Stored()
+		final = batch.IsLast
+		segment, err := chain.AppendBatch(batch, final)
+		assert.NilError(t, err)
 		segments = append(segments, segment)
 	}
 	assert.Equal(t, buffer.Used(), 0)
--- a/audit/buffer.go
+++ b/audit/buffer.go
@@ -225,35 +225,38 @@
 	return gap{number: record.Number, at: record.At, dropped: dropped}
 }
 
-// Seal makes a segment of up to size bytes of the oldest records. Their room
-// stays in use until Stored is called.
-func (b *Buffer) Seal(chain *Chain, size int, final bool) (Stored, error) {
+// Batch holds the records of one segment.
+type Batch struct {
+	records []cbor.RawMessage
+	// IsLast is true if no records are left in the buffer.
+	IsLast bool
+}
+
+// Take removes up to size bytes of the oldest records, at least one. Their
+// room stays in use until Stored is called.
+func (b *Buffer) Take(size int) (Batch, error) {
 	count, taken := 0, 0
 	for count < len(b.items) && (count == 0 || taken+b.items[count].size() <= size) {
 		taken += b.items[count].size()
 		count++
 	}
-	raw := make([]cbor.RawMessage, 0, count)
+	records := make([]cbor.RawMessage, 0, count)
 	for _, held := range b.items[:count] {
 		b.heldOf[held.rank] -= held.size()
 		if held.gap == nil {
-			raw = append(raw, held.raw)
+			records = append(records, held.raw)
 			continue
 		}
 		encoded, err := b.codec.encodeRecord(held.gap.record())
 		if err != nil {
-			return Stored{}, err
+			return Batch{}, err
 		}
-		raw = append(raw, encoded)
-	}
-	stored, err := chain.appendEncoded(raw, final && count == len(b.items))
-	if err != nil {
-		return Stored{}, err
+		records = append(records, encoded)
 	}
 	b.items = slices.Delete(b.items, 0, count)
 	b.held -= taken
 	b.storing += taken
-	return stored, nil
+	return Batch{records: records, IsLast: len(b.items) == 0}, nil
 }
 
 // Stored frees the room of the sealed records.
--- a/audit/chain.go
+++ b/audit/chain.go
@@ -71,6 +71,11 @@
 	return c.appendEncoded(raw, final)
 }
 
+// AppendBatch makes the next segment of the chain from a batch.
+func (c *Chain) AppendBatch(batch Batch, final bool) (Stored, error) {
+	return c.appendEncoded(batch.records, final)
+}
+
 func (c *Chain) appendEncoded(records []cbor.RawMessage, final bool) (Stored, error) {
 	segment := storedSegment{
 		Host: c.host, Incarnation: c.incarnation, Number: c.number + 1,
--- a/audit/explain.go
+++ b/audit/explain.go
@@ -142,7 +142,7 @@
 	case Waiting:
 		return fmt.Sprintf("waits at position %d: %s", step.Position, step.Reason)
 	case Sent:
-		text := fmt.Sprintf("attempt %d sent to %s: %s", step.Attempt, step.Endpoint, step.Reason)
+		text := fmt.Sprintf("attempt %d sent to %s: %s", step.Try, step.Endpoint, step.Reason)
 		if step.Hedge {
 			text = "hedged " + text
 		}
@@ -151,11 +151,11 @@
 		}
 		return text
 	case Ended:
-		return strings.TrimSuffix(fmt.Sprintf("attempt %d at %s ended: %s: %s", step.Attempt, step.Endpoint, step.Outcome, step.Reason), ": ")
+		return strings.TrimSuffix(fmt.Sprintf("attempt %d at %s ended: %s: %s", step.Try, step.Endpoint, step.Outcome, step.Reason), ": ")
 	case Cancelled:
-		return fmt.Sprintf("attempt %d at %s cancelled: %s", step.Attempt, step.Endpoint, step.Reason)
+		return fmt.Sprintf("attempt %d at %s cancelled: %s", step.Try, step.Endpoint, step.Reason)
 	case Delivered:
-		return fmt.Sprintf("response of attempt %d delivered", step.Attempt)
+		return "response delivered"
 	case Refused:
 		return fmt.Sprintf("refused as %s: %s", step.Outcome, step.Reason)
 	case Abandoned, Adopted, Marked, Unmarked, Gap:
--- a/cmds/archive_test.go
+++ b/cmds/archive_test.go
@@ -52,13 +52,13 @@
 		{At: at(100), Kind: audit.Admitted, Request: "explained", Customer: "anna", Deadline: at(5100)},
 		{At: at(100), Kind: audit.Waiting, Request: "explained", Customer: "anna", Position: 2, Reason: "no free slot"},
 		{At: at(200), Kind: audit.Admitted, Request: "late", Customer: "cyril", Deadline: at(5200)},
-		{At: at(1300), Kind: audit.Sent, Request: "early", Customer: "bert", Attempt: 7, Endpoint: "filing-desk-01", Reason: "first in turn"},
-		{At: at(1400), Kind: audit.Sent, Request: "late", Customer: "cyril", Attempt: 8, Endpoint: "filing-desk-04", Reason: "turn of customer cyril"},
+		{At: at(1300), Kind: audit.Sent, Request: "early", Customer: "bert", Attempt: 7, Try: 1, Endpoint: "filing-desk-01", Reason: "first in turn"},
+		{At: at(1400), Kind: audit.Sent, Request: "late", Customer: "cyril", Attempt: 8, Try: 1, Endpoint: "filing-desk-04", Reason: "turn of customer cyril"},
 		{At: at(1500), Kind: audit.Gap, Dropped: &audit.Dropped{Since: at(1450), Reads: 3}, Reason: "memory for records is full"},
-		{At: at(2500), Kind: audit.Sent, Request: "explained", Customer: "anna", Attempt: 9, Endpoint: "filing-desk-01",
+		{At: at(2500), Kind: audit.Sent, Request: "explained", Customer: "anna", Attempt: 9, Try: 1, Endpoint: "filing-desk-01",
 			Reason: "first in turn", Alternatives: []model.EndpointName{"filing-desk-02"}},
-		{At: at(2550), Kind: audit.Sent, Request: "late", Customer: "cyril", Attempt: 10, Endpoint: "filing-desk-02", Reason: "attempt 8 did not start"},
-		{At: at(2600), Kind: audit.Ended, Request: "explained", Customer: "anna", Attempt: 9, Endpoint: "filing-desk-01", Outcome: "succeeded"},
+		{At: at(2550), Kind: audit.Sent, Request: "late", Customer: "cyril", Attempt: 10, Try: 2, Endpoint: "filing-desk-02", Reason: "attempt 8 did not start"},
+		{At: at(2600), Kind: audit.Ended, Request: "explained", Customer: "anna", Attempt: 9, Try: 1, Endpoint: "filing-desk-01", Outcome: "succeeded"},
 		{At: at(2600), Kind: audit.Delivered, Request: "explained", Customer: "anna", Attempt: 9, Outcome: "served"},
 	}
 	chain, err := audit.NewChain("plzen-a-1", "01KJN0000000000000000000ZZ")
--- a/entry/archive.go
+++ b/entry/archive.go
@@ -30,6 +30,10 @@
 	manyHosts = 100
 	// segmentBytes of records make a segment before the interval ends.
 	segmentBytes = 256 << 10
+	// backlogBytes bounds a segment. After an outage a full buffer takes 8
+	// writes; with segmentBytes it would be 64, of the several hundred a second
+	// that all hosts share.
+	backlogBytes = 2 << 20
 	// storeTimeout bounds one attempt to store a segment.
 	storeTimeout = 5 * time.Second
 	// firstBackoff is the wait after the first failed attempt.
@@ -59,8 +63,10 @@
 	full chan struct{}
 	// closed ends the loop after the last record.
 	closed chan struct{}
-	// sealed is made and not yet stored. Only the loop uses it.
-	sealed audit.Stored
+	// sealed is made and not yet stored. isFinished is true after the final
+	// segment was made. Only the loop uses them.
+	sealed     audit.Stored
+	isFinished bool
 
 	mu sync.Mutex
 	// buffer bounds the memory for records that are not yet stored.
@@ -71,8 +77,6 @@
 	interval   time.Duration
 	// threshold is the size of records that makes a segment, or 0 for none.
 	threshold int
-	// isFinished is true after the final segment was made.
-	isFinished bool
 }
 
 // openRequest is what records say of a request that is not yet answered.
@@ -85,6 +89,7 @@
 type openAttempt struct {
 	openRequest
 	endpoint model.EndpointName
+	try      int
 }
 
 // NewArchive returns an archive of one incarnation of a host.
@@ -142,7 +147,9 @@
 	return a.interval
 }
 
-// storeWaiting stores the records that wait, until Close is called.
+// storeWaiting stores the records that wait, and those that come meanwhile if
+// they fill a segment. Fewer wait for the next interval, since the store takes
+// only so many writes.
 func (a *Archive) storeWaiting() {
 	for backoff := newBackoff(); !a.isClosed(); {
 		if !a.sealNext(false) {
@@ -150,6 +157,9 @@
 		}
 		err := a.storeSealed(context.Background())
 		if err == nil {
+			if !a.hasBacklog() {
+				return
+			}
 			backoff = newBackoff()
 			continue
 		}
@@ -162,6 +172,16 @@
 	}
 }
 
+func (a *Archive) hasBacklog() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	least := a.threshold
+	if least == 0 {
+		least = backlogBytes
+	}
+	return a.buffer.Len() >= least
+}
+
 // flush stores what is left within flushTimeout, so that an outage of the
 // store does not delay a graceful shutdown for ever.
 func (a *Archive) flush() {
@@ -192,25 +212,44 @@
 	if a.sealed.Name != "" {
 		return true
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.isFinished || (a.buffer.Waiting() == 0 && !final) {
+	if a.isFinished {
+		return false
+	}
+	batch, exists, err := a.take(final)
+	if err == nil && !exists {
 		return false
 	}
-	size := a.threshold
-	if size == 0 {
-		size = audit.MemoryLimit
+	// Compression happens without the lock, so that placement goes on.
+	if err == nil {
+		a.sealed, err = a.chain.AppendBatch(batch, final && batch.IsLast)
 	}
-	sealed, err := a.buffer.Seal(a.chain, size, final)
 	if err != nil {
-		a.log.Error("audit segment not made", "error", err)
+		a.log.Error("audit segment not made, its records are lost", "error", err)
 		return false
 	}
-	a.sealed = sealed
-	a.isFinished = final && a.buffer.Waiting() == 0
+	a.isFinished = final && batch.IsLast
 	return true
 }
 
+// take removes the records of the next segment from the buffer. A final
+// segment may be without records.
+func (a *Archive) take(final bool) (batch audit.Batch, exists bool, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case <-a.full:
+	default:
+	}
+	if a.buffer.Waiting() == 0 && !final {
+		return audit.Batch{}, false, nil
+	}
+	batch, err = a.buffer.Take(backlogBytes)
+	if err != nil {
+		return audit.Batch{}, false, fmt.Errorf("take records: %w", err)
+	}
+	return batch, true, nil
+}
+
 // storeSealed stores the sealed segment once. If the name exists, a response
 // of an earlier attempt was lost, and the contents must be the same.
 func (a *Archive) storeSealed(ctx context.Context) error {
--- a/entry/archive_test.go
+++ b/entry/archive_test.go
@@ -30,6 +30,7 @@
 	mu           sync.Mutex
 	objects      map[string][]byte
 	isDown       bool
+	latency      time.Duration
 	losesAnswers bool
 }
 
@@ -40,6 +41,7 @@
 }
 
 func (s *memoryStore) PutObject(_ context.Context, name string, body []byte) error {
+	time.Sleep(s.latency)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isDown {
@@ -180,6 +182,23 @@
 	})
 }
 
+// Guards against a segment for each few records under steady load, which the
+// store could not take from all hosts.
+func TestSegmentsFollowTheInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSession(t)
+		s.store.latency = 5 * time.Millisecond
+		const seconds = 10
+		for i := range seconds * 50 {
+			assert.Check(t, s.serve("filing-desk", fmt.Sprintf("submit-%d", i)))
+			time.Sleep(20 * time.Millisecond)
+		}
+		s.stop(t)
+		_, report := s.store.verify(t)
+		assert.Check(t, report.Head.Segment <= seconds+1, "%d segments in %d s", report.Head.Segment, seconds)
+	})
+}
+
 // Guards against a segment that is stored twice, or given up, after its
 // response was lost.
 func TestArchiveSettlesLostResponse(t *testing.T) {
--- a/entry/records.go
+++ b/entry/records.go
@@ -56,9 +56,13 @@
 	for _, decision := range decisions {
 		a.add(a.recordDecision(decision), now)
 	}
+	if finished, isFinished := event.(place.Finished); isFinished {
+		delete(a.attempts, finished.Attempt)
+	}
 	if abandoned, isAbandoned := event.(place.Abandoned); isAbandoned &&
 		a.requests[abandoned.Request].class != model.Submit.String() {
 		delete(a.requests, abandoned.Request)
+		a.buffer.Release(abandoned.Request)
 	}
 	if a.threshold > 0 && a.buffer.Len() >= a.threshold {
 		select {
@@ -100,9 +104,8 @@
 		return record, true
 	case place.Finished:
 		ended, exists := a.attempts[event.Attempt]
-		delete(a.attempts, event.Attempt)
 		record := about(ended.openRequest, audit.Ended)
-		record.Attempt, record.Endpoint = event.Attempt, ended.endpoint
+		record.Attempt, record.Try, record.Endpoint = event.Attempt, ended.try, ended.endpoint
 		record.Outcome, record.Reason = string(event.Result), event.Detail
 		return record, exists
 	case place.Abandoned:
@@ -124,9 +127,10 @@
 	open := a.open(decision.For())
 	switch decision := decision.(type) {
 	case place.Send:
-		a.attempts[decision.Attempt] = openAttempt{openRequest: open, endpoint: decision.Endpoint}
+		a.attempts[decision.Attempt] = openAttempt{openRequest: open, endpoint: decision.Endpoint, try: decision.Number}
 		record := about(open, audit.Sent)
-		record.Attempt, record.Endpoint, record.Hedge = decision.Attempt, decision.Endpoint, decision.Hedge
+		record.Attempt, record.Try = decision.Attempt, decision.Number
+		record.Endpoint, record.Hedge = decision.Endpoint, decision.Hedge
 		record.Reason, record.Alternatives, record.Deadline = decision.Reason, decision.Alternatives, decision.Deadline
 		return record
 	case place.Wait:
@@ -139,18 +143,24 @@
 		return record
 	case place.Deliver:
 		record := about(open, audit.Delivered)
-		record.Attempt, record.Outcome = decision.Attempt, string(model.Served)
-		record.Endpoint = a.attempts[decision.Attempt].endpoint
+		record.Outcome = string(model.Served)
+		a.addAttempt(&record, decision.Attempt)
 		return record
 	case place.Cancel:
 		record := about(open, audit.Cancelled)
-		record.Attempt, record.Reason = decision.Attempt, decision.Reason
-		record.Endpoint = a.attempts[decision.Attempt].endpoint
+		record.Reason = decision.Reason
+		a.addAttempt(&record, decision.Attempt)
 		return record
 	}
 	return about(open, audit.Kind(fmt.Sprintf("%T", decision)))
 }
 
+// addAttempt names an attempt in a record.
+func (a *Archive) addAttempt(record *audit.Record, id place.AttemptID) {
+	sent := a.attempts[id]
+	record.Attempt, record.Try, record.Endpoint = id, sent.try, sent.endpoint
+}
+
 // open returns what is known of a request, at least its identifier.
 func (a *Archive) open(id place.RequestID) openRequest {
 	open, exists := a.requests[id]
