--- a/config/parse.go
+++ b/config/parse.go
@@ -1,11 +1,8 @@
 package config
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"net/netip"
-	"strings"
 	"time"
 
 	"filberthold/model"
@@ -13,15 +10,16 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// ParseSettings decodes the settings of a process. Unknown keys are errors.
-// The file name is used in error messages only.
+// ParseSettings decodes and checks the settings of a process. It returns an
+// InvalidError with all faults. The file name is used in error messages only.
 func ParseSettings(file string, text []byte) (Settings, error) {
-	settings := Settings{
-		Log:       LogSettings{Format: "text", Level: "info"},
-		Placement: Steered,
-	}
-	if err := decodeStrict(file, text, &settings); err != nil {
-		return Settings{}, fmt.Errorf("parse settings: %w", err)
+	var settings Settings
+	err := Parse(file, text, func() any {
+		settings = Settings{Log: LogSettings{Format: "text", Level: "info"}, Placement: Steered}
+		return &settings
+	}, func(checker *Checker) { checker.settings(settings) })
+	if err != nil {
+		return Settings{}, err
 	}
 	return settings, nil
 }
@@ -39,16 +37,36 @@
 	return deployment, nil
 }
 
-// ParseDocument decodes the configuration of a deployment. Unknown keys are
-// errors.
+// ParseDocument decodes and checks the configuration of a deployment. It
+// returns an InvalidError with all faults.
 func ParseDocument(file string, text []byte) (Document, error) {
 	var document Document
-	if err := decodeStrict(file, text, &document); err != nil {
-		return Document{}, fmt.Errorf("parse deployment: %w", err)
+	err := Parse(file, text, func() any {
+		document = Document{}
+		return &document
+	}, func(checker *Checker) { checker.document(document) })
+	if err != nil {
+		return Document{}, err
 	}
 	return document, nil
 }
 
+// Parse decodes a TOML document into what into returns and lets check look for
+// further faults. It returns an InvalidError with all faults. Unknown keys are
+// faults. Decoding may be tried again, so into returns an empty value each time.
+func Parse(file string, text []byte, into func() any, check func(*Checker)) error {
+	problems, isWhole := decode(text, into)
+	if isWhole {
+		checker := newChecker()
+		check(checker)
+		problems = checker.problems(text, problems)
+	}
+	if len(problems) > 0 {
+		return newInvalidError(file, problems)
+	}
+	return nil
+}
+
 // Encode returns the TOML form of a deployment's configuration.
 func Encode(document Document) ([]byte, error) {
 	text, err := toml.Marshal(document)
@@ -58,29 +76,6 @@
 	return text, nil
 }
 
-func decodeStrict(file string, text []byte, into any) error {
-	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
-	var unknown *toml.StrictMissingError
-	if errors.As(err, &unknown) {
-		var problems []Problem
-		for i := range unknown.Errors {
-			line, column := unknown.Errors[i].Position()
-			problems = append(problems, Problem{Line: line, Column: column,
-				Message: fmt.Sprintf("unknown key %q", strings.Join(unknown.Errors[i].Key(), "."))})
-		}
-		return newInvalidError(file, problems)
-	}
-	var malformed *toml.DecodeError
-	if errors.As(err, &malformed) {
-		line, column := malformed.Position()
-		return newInvalidError(file, []Problem{{Line: line, Column: column, Message: malformed.Error()}})
-	}
-	if err != nil {
-		return fmt.Errorf("%s: %w", file, err)
-	}
-	return nil
-}
-
 // Build converts the document to a deployment.
 func (doc Document) Build(revision uint64) (*model.Deployment, error) {
 	parts := model.DeploymentParts{
