Serve status and metrics, and record answers in their order

Cause: operators had no view of a running host beyond readiness, and the "answered" record of a submit stood before the end of its own attempt, so `explain` left the attempt's end out.

Ruled out: sorting records when they are read; the order in the archive is the evidence and must be right when it is written.

Change: GET /v1/status and Prometheus counters of decisions, outcomes and latency; answers to submits enter the event stream of the dispatcher, so that records and traces hold them after the attempt's end.

Conclusion: records are in the order in which things happened at the host.

--- a/admin/server.go
+++ b/admin/server.go
@@ -19,12 +19,12 @@
 
 // Server answers operators.
 type Server struct {
-	http     *http.Server
-	registry *prometheus.Registry
+	http    *http.Server
+	metrics *Metrics
 }
 
-// NewServer returns a server; ready tells whether the host takes work.
-func NewServer(ready func() bool) *Server {
+// NewServer returns a server; status tells what the host is doing.
+func NewServer(status func() Status) *Server {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
@@ -33,20 +33,21 @@
 		_, _ = io.WriteString(w, "ok\n")
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !ready() {
+		if !status().Ready {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
 		_, _ = io.WriteString(w, "ready\n")
 	})
+	mux.HandleFunc("GET /v1/status", statusHandler(status))
 	return &Server{
-		http:     &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second},
-		registry: registry,
+		http:    &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second},
+		metrics: NewMetrics(registry),
 	}
 }
 
-// Registry returns the registry for the metrics of the process.
-func (s *Server) Registry() *prometheus.Registry { return s.registry }
+// Metrics returns the metrics of the process.
+func (s *Server) Metrics() *Metrics { return s.metrics }
 
 // Run serves the listener until Shutdown is called.
 func (s *Server) Run(listener net.Listener) error {
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -69,6 +69,10 @@
 		writeProblem(w, http.StatusBadRequest, problem{Reason: err.Error()})
 		return
 	}
+	if s.observe != nil {
+		started := time.Now()
+		defer func() { s.observe(service, model.Outcome(w.Header().Get(OutcomeHeader)), time.Since(started)) }()
+	}
 	if service.Class() == model.Submit {
 		exchange.serveSubmit(w, r)
 		return
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -162,8 +162,6 @@
 
 func (h *harness) Close(place.RequestID) {}
 
-func (h *harness) Account(place.Request, model.Outcome, string) {}
-
 // results returns how the attempts ended, in order.
 func (h *harness) results() []place.Result {
 	h.mu.Lock()
--- a/caller/server.go
+++ b/caller/server.go
@@ -27,8 +27,6 @@
 	Report(ctx context.Context, event place.Event) error
 	// Close ends the delivery of decisions for a request.
 	Close(id place.RequestID)
-	// Account records how a request ended outside placement.
-	Account(request place.Request, outcome model.Outcome, reason string)
 }
 
 // Directory answers what the current configuration says about callers.
@@ -48,6 +46,8 @@
 	directory  Directory
 	upstreams  *upstrm.Client
 	http       *http.Server
+	// observe counts requests that have ended. It may be nil.
+	observe func(service model.Service, outcome model.Outcome, elapsed time.Duration)
 	// attempts counts the attempts in flight; they can outlive their request.
 	attempts sync.WaitGroup
 	// submits is nil until UseRegister is called.
@@ -103,6 +103,12 @@
 	return s.isLeaving
 }
 
+// ObserveRequests makes the server report each request that has ended. It must
+// be called before Run.
+func (s *Server) ObserveRequests(observe func(model.Service, model.Outcome, time.Duration)) {
+	s.observe = observe
+}
+
 // Run serves the listener until Shutdown is called.
 func (s *Server) Run(listener net.Listener) error {
 	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/caller/submits.go
+++ b/caller/submits.go
@@ -82,7 +82,7 @@
 // refuseUnplaced answers and accounts for a request that placement never saw.
 func (e *exchange) refuseUnplaced(w http.ResponseWriter, reason string) {
 	e.server.base.Log().Info("refuse", "request", e.request.ID, "outcome", model.NotSent, "reason", reason)
-	e.server.dispatcher.Account(e.request, model.NotSent, reason)
+	e.server.report(place.Answered{Request: e.request, Outcome: model.NotSent, Reason: reason})
 	e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: reason})
 }
 
@@ -148,7 +148,7 @@
 	case claim.Answer:
 		s.exchange.server.base.Log().Info("submit", "request", s.exchange.request.ID, "outcome", action.Outcome,
 			"reason", action.Reason)
-		s.exchange.server.dispatcher.Account(s.exchange.request, action.Outcome, action.Reason)
+		s.exchange.server.report(place.Answered{Request: s.exchange.request, Outcome: action.Outcome, Reason: action.Reason})
 		s.answers <- action
 		return s.claim.Learn(ctx, claim.Answered{})
 	case claim.Place:
--- a/entry/archive.go
+++ b/entry/archive.go
@@ -16,8 +16,6 @@
 	"filberthold/place"
 	"filberthold/plat"
 	"filberthold/replay"
-
-	"github.com/oklog/ulid/v2"
 )
 
 const (
@@ -117,6 +115,17 @@
 // Close stores the rest and ends the loop. No record may follow.
 func (a *Archive) Close() { close(a.closed) }
 
+// UnsentBytes returns the memory of the records that are not stored yet, with
+// the room that is reserved for submits.
+func (a *Archive) UnsentBytes() int {
+	if a == nil {
+		return 0
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.buffer.Used()
+}
+
 // Discard makes Close drop the rest, as the loss of the process would.
 func (a *Archive) Discard() { a.discarded.Store(true) }
 
@@ -303,10 +312,10 @@
 // SetTrace records all events and decisions. It is called before Serve.
 func (h *Host) SetTrace(recorder *replay.Recorder) { h.dispatcher.trace = recorder }
 
-// openArchive gives the dispatcher an archive for a new incarnation.
+// openArchive gives the dispatcher the archive of this incarnation.
 func (h *Host) openArchive() (*Archive, error) {
 	host := model.HostName(h.base.Settings().Host)
-	archive, err := NewArchive(h.base.Log(), h.platform, host, ulid.Make().String())
+	archive, err := NewArchive(h.base.Log(), h.platform, host, h.incarnation)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"filberthold/model"
+	"filberthold/admin"
 	"filberthold/place"
 	"filberthold/replay"
 	"filberthold/ring"
@@ -33,6 +33,8 @@
 	open map[place.RequestID]chan place.Decision
 	// archive accounts for all events and decisions. It may be nil.
 	archive *Archive
+	// metrics counts decisions. It may be nil.
+	metrics *admin.Metrics
 	// trace records all events and decisions for a replay. It may be nil.
 	trace *replay.Recorder
 }
@@ -74,11 +76,6 @@
 	return nil
 }
 
-// Account records how a request ended outside placement.
-func (d *Dispatcher) Account(request place.Request, outcome model.Outcome, reason string) {
-	d.archive.RecordOutcome(request, outcome, reason, time.Now())
-}
-
 // Close ends the delivery of decisions for a request.
 func (d *Dispatcher) Close(id place.RequestID) {
 	d.mu.Lock()
@@ -100,6 +97,7 @@
 		d.leaving.observe(event, decisions)
 		for _, decision := range decisions {
 			d.logDecision(decision)
+			d.metrics.ObserveDecision(decision)
 			d.hand(decision)
 		}
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -28,6 +28,7 @@
 // Host is one entry host process.
 type Host struct {
 	base          *common.Base
+	incarnation   string
 	platform      *plat.Client
 	committer     *plat.Committer
 	dispatcher    *Dispatcher
@@ -52,7 +53,8 @@
 func newHost(base *common.Base, upstreams *upstrm.Client) *Host {
 	settings := base.Settings()
 	name := model.HostName(settings.Host)
-	mesh := newMesh(base, ulid.Make().String())
+	incarnation := ulid.Make().String()
+	mesh := newMesh(base, incarnation)
 	dispatcher := NewDispatcher(base.Log(), place.New(name))
 	directory := NewDirectory(name, mesh.State())
 	platform := plat.NewNamedClient(settings.PlatformAddress, settings.Host)
@@ -61,19 +63,22 @@
 	callers.UseRegister(plat.NewRegister(platform, committer, name))
 	membership := newMembership(base.Log(), platform, mesh, directory, dispatcher.Report)
 	host := &Host{
-		base:       base,
-		platform:   platform,
-		committer:  committer,
-		dispatcher: dispatcher,
-		directory:  directory,
-		upstreams:  upstreams,
-		callers:    callers,
-		mesh:       mesh,
-		membership: membership,
-		prober:     newProber(name, directory, membership),
-		aborted:    make(chan struct{}),
+		base:        base,
+		incarnation: incarnation,
+		platform:    platform,
+		committer:   committer,
+		dispatcher:  dispatcher,
+		directory:   directory,
+		upstreams:   upstreams,
+		callers:     callers,
+		mesh:        mesh,
+		membership:  membership,
+		prober:      newProber(name, directory, membership),
+		aborted:     make(chan struct{}),
 	}
-	host.operators = admin.NewServer(func() bool { return host.TakesWork(time.Now()) })
+	host.operators = admin.NewServer(host.Status)
+	dispatcher.metrics = host.operators.Metrics()
+	callers.ObserveRequests(host.operators.Metrics().ObserveRequest)
 	host.configuration = &Configuration{
 		log: base.Log(), store: platform, state: mesh.State(), offers: ring.New[offer](offerCapacity), adopt: host.adopt,
 	}
--- a/entry/records.go
+++ b/entry/records.go
@@ -43,19 +43,6 @@
 	a.add(record, now)
 }
 
-// RecordOutcome accounts for the answer to a submit. It follows the records of
-// placement, because the register decides after placement what may be said.
-func (a *Archive) RecordOutcome(request place.Request, outcome model.Outcome, reason string, now time.Time) {
-	if a == nil {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	record := about(openRequest{request: request, class: a.classOf(request.Service)}, audit.Answered)
-	record.Outcome, record.Reason = string(outcome), reason
-	a.add(record, now)
-}
-
 // Record accounts for an event and the decisions that it led to.
 func (a *Archive) Record(event place.Event, decisions []place.Decision, now time.Time) {
 	if a == nil {
@@ -132,6 +119,11 @@
 		return audit.Record{Kind: audit.Adopted, Revision: event.Revision}, true
 	case place.Marked:
 		return audit.Record{Kind: audit.Marked, Endpoint: event.Endpoint, Reason: event.Source}, true
+	case place.Answered:
+		// The register decides after placement what the caller may be told.
+		record := about(openRequest{request: event.Request, class: a.classOf(event.Request.Service)}, audit.Answered)
+		record.Outcome, record.Reason = string(event.Outcome), event.Reason
+		return record, true
 	case place.Unmarked:
 		return audit.Record{Kind: audit.Unmarked, Endpoint: event.Endpoint, Reason: event.Incarnation}, true
 	}
--- /dev/null
+++ b/place/kind.go
@@ -0,0 +1,18 @@
+package place
+
+// KindOf returns the short name of a decision's type for logs and metrics.
+func KindOf(decision Decision) string {
+	switch decision.(type) {
+	case Send:
+		return "send"
+	case Wait:
+		return "wait"
+	case Refuse:
+		return "refuse"
+	case Deliver:
+		return "deliver"
+	case Cancel:
+		return "cancel"
+	}
+	return "other"
+}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -130,6 +130,8 @@
 		return place.Ticked{}, nil
 	case kindOf(place.Marked{}):
 		return decode[place.Marked](next.Event)
+	case kindOf(place.Answered{}):
+		return decode[place.Answered](next.Event)
 	case kindOf(place.Unmarked{}):
 		return decode[place.Unmarked](next.Event)
 	case kindOf(place.Adopted{}):
