Test submits over HTTP under faults

Cause: the state machine is proved without I/O; the flow around it can still send twice or report a false outcome.

Change: entry hosts run against fakes.Platform, each behind a gate of its own that loses answers, holds them past the deadline or cuts the host off; executions are counted by fakes.Ledger. A host that is cut off for good stands for a dead host: others cannot tell the two apart.

--- /dev/null
+++ b/caller/cluster_test.go
@@ -0,0 +1,132 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"filberthold/common"
+	"filberthold/config"
+	"filberthold/entry"
+	"filberthold/fakes"
+	"filberthold/model"
+	"filberthold/plat"
+
+	"gotest.tools/v3/assert"
+)
+
+// gate stands before a stand-in. The fault, if set, handles requests in place
+// of the stand-in.
+type gate struct {
+	handler http.Handler
+	fault   atomic.Pointer[func(w http.ResponseWriter, r *http.Request)]
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if fault := g.fault.Load(); fault != nil {
+		(*fault)(w, r)
+		return
+	}
+	g.handler.ServeHTTP(w, r)
+}
+
+func (g *gate) set(fault func(w http.ResponseWriter, r *http.Request)) { g.fault.Store(&fault) }
+
+// down answers in place of a stand-in that is down.
+func down(w http.ResponseWriter, _ *http.Request) { http.Error(w, "down", http.StatusBadGateway) }
+
+// cluster is a set of entry hosts, each with a gate of its own before the one
+// platform, and an upstream service with one endpoint.
+type cluster struct {
+	platform  *fakes.Platform
+	ledger    *fakes.Ledger
+	stores    []*gate
+	upstream  *gate
+	addresses []string
+}
+
+func startCluster(t testing.TB, hosts, slots int, serviceTime time.Duration) *cluster {
+	c := &cluster{platform: fakes.NewPlatform(), ledger: fakes.NewLedger(), upstream: &gate{}}
+	serve := func(g *gate) string {
+		server := httptest.NewServer(g)
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	endpoint := config.EndpointDoc{Name: "desk-1", Service: "desk", AvailabilityZone: "a", Slots: slots,
+		Address: serve(c.upstream)}
+	document := config.Document{
+		Name:              "test",
+		AvailabilityZones: []config.ZoneDocument{{Name: "a", Region: "r"}},
+		Services: []config.ServiceDocument{{Name: "desk", Class: "submit", QueueLimit: 999,
+			DefaultTimeout: config.Duration(10 * time.Second)}},
+		Endpoints: []config.EndpointDoc{endpoint},
+	}
+	listeners := make([]entry.Listeners, hosts)
+	for i := range listeners {
+		listeners[i] = entry.Listeners{Callers: listen(t), Operators: listen(t)}
+		c.addresses = append(c.addresses, listeners[i].Callers.Addr().String())
+		document.Hosts = append(document.Hosts, config.HostDocument{Name: fmt.Sprint("host-", i), AvailabilityZone: "a"})
+		c.stores = append(c.stores, &gate{handler: c.platform})
+	}
+	deployment, err := document.Build(1)
+	assert.NilError(t, err)
+	c.upstream.handler = fakes.NewUpstream(deployment.Endpoints()[0], model.Submit, c.ledger, serviceTime)
+	text, err := config.Encode(document)
+	assert.NilError(t, err)
+	for i := range listeners {
+		address := serve(c.stores[i])
+		if i == 0 {
+			client := plat.NewClient(address)
+			assert.NilError(t, client.PutObject(t.Context(), "config/1", text))
+			_, err = client.Commit(t.Context(), plat.Write{Key: entry.HeadKey, Value: []byte("1")})
+			assert.NilError(t, err)
+			client.Close()
+		}
+		c.startHost(t, document.Hosts[i].Name, address, listeners[i])
+	}
+	return c
+}
+
+func (c *cluster) startHost(t testing.TB, name, platform string, listeners entry.Listeners) {
+	base, err := common.NewBase(config.Settings{Host: name, AvailabilityZone: "a", PlatformAddress: platform,
+		Log: config.LogSettings{Level: "info"}}, io.Discard)
+	assert.NilError(t, err)
+	host := entry.NewHost(base)
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { assert.Check(t, host.Serve(ctx, listeners)) })
+	t.Cleanup(func() { stop(); running.Wait() })
+	assert.NilError(t, host.WaitReady(t.Context()))
+}
+
+func listen(t testing.TB) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+// submit sends a submit to a host and returns its outcome and its body.
+func (c *cluster) submit(ctx context.Context, host int, key string, deadline time.Time) (model.Outcome, string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.addresses[host]+"/s/desk/order",
+		strings.NewReader("order "+key))
+	if err != nil {
+		return "", err.Error()
+	}
+	request.Header.Set("Idempotency-Key", key)
+	request.Header.Set("Filberthold-Deadline", deadline.Format(time.RFC3339Nano))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", err.Error()
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return model.Outcome(response.Header.Get("Filberthold-Outcome")), string(body)
+}
