--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -196,9 +196,7 @@
 	case place.Send:
 		e.send(decision)
 	case place.Cancel:
-		if cancel, exists := e.cancels[decision.Attempt]; exists {
-			cancel()
-		}
+		e.forget(decision.Attempt)
 	case place.Refuse:
 		e.abortStarted()
 		e.refuse(w, decision)
@@ -239,10 +237,19 @@
 		e.takeExportEnd(reply)
 	default:
 		e.whole[reply.attempt] = reply.whole
+		e.forget(reply.attempt)
 		e.reportEnd(reply)
 	}
 }
 
+// forget releases the deadline of an attempt that has ended.
+func (e *exchange) forget(attempt place.AttemptID) {
+	if cancel, exists := e.cancels[attempt]; exists {
+		cancel()
+		delete(e.cancels, attempt)
+	}
+}
+
 // reportEnd tells placement how an attempt ended.
 func (e *exchange) reportEnd(reply reply) {
 	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded, Leaving: reply.leaving}
--- a/caller/exports.go
+++ b/caller/exports.go
@@ -153,6 +153,7 @@
 // takeExportEnd handles the end of an attempt, after which placement may send
 // the next one.
 func (e *exchange) takeExportEnd(reply reply) {
+	e.forget(reply.attempt)
 	export := e.export
 	var refused *callerError
 	if copying := export.copying; copying != nil && copying.reply.attempt == reply.attempt {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -74,24 +74,41 @@
 		if err != nil {
 			return fmt.Errorf("wait for event: %w", err)
 		}
-		for _, decision := range d.core.Apply(event, time.Now()) {
-			d.logDecision(decision)
-			d.hand(decision)
+		d.apply(event)
+	}
+}
+
+func (d *Dispatcher) apply(event place.Event) {
+	for _, decision := range d.core.Apply(event, time.Now()) {
+		d.logDecision(decision)
+		send, isSend := decision.(place.Send)
+		if d.hand(decision) || !isSend {
+			continue
+		}
+		// Nobody will carry the attempt out, so nobody else reports its end. The
+		// event follows the end of the request, which is in the ring already.
+		unsent := place.Finished{Attempt: send.Attempt, Result: place.NotStarted, Detail: "request has ended"}
+		if !d.events.TryPut(unsent) {
+			d.apply(unsent)
 		}
 	}
 }
 
-func (d *Dispatcher) hand(decision place.Decision) {
+// hand reports whether an exchange took the decision or holds it to be taken.
+// It keeps the lock, so that after Close no decision is handed any more.
+func (d *Dispatcher) hand(decision place.Decision) bool {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	decisions, exists := d.open[decision.For()]
-	d.mu.Unlock()
 	if !exists {
-		return
+		return false
 	}
 	select {
 	case decisions <- decision:
+		return true
 	default:
 		d.log.Error("decision dropped: exchange does not take decisions", "request", decision.For())
+		return false
 	}
 }
 
