Probe endpoints and tighten the forwarding tests

Change: ProbeHealth and ProbeLoad ask on a connection of their own. The stand-in can shed a part of all requests; fakes.Raw answers with bytes that need not be valid HTTP.

--- a/fakes/upstream_behaviour.go
+++ b/fakes/upstream_behaviour.go
@@ -13,6 +13,9 @@
 	// Jitter is the largest relative deviation of a service time, in 0..1.
 	Jitter float64
 	Seed   uint64
+	// ShedProbability is the part of the requests that are shed before they
+	// start, in 0..1, besides those that Shed demands.
+	ShedProbability float64
 	// LoadLag is the age of the load report.
 	LoadLag time.Duration
 	// ColdFactor multiplies the service time of the first request; it falls to
@@ -93,7 +96,10 @@
 func (u *Upstream) takeShed() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return takeOne(&u.shedNext)
+	if takeOne(&u.shedNext) {
+		return true
+	}
+	return u.behaviour.ShedProbability > 0 && u.random.Float64() < u.behaviour.ShedProbability
 }
 
 func (u *Upstream) takeCut() bool {
--- /dev/null
+++ b/fakes/upstream_raw.go
@@ -0,0 +1,21 @@
+package fakes
+
+import (
+	"io"
+	"net/http"
+)
+
+// Raw is an upstream that answers every request with bytes that need not be
+// valid HTTP, and then closes the connection.
+type Raw string
+
+// ServeHTTP implements http.Handler.
+func (text Raw) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(connection, string(text))
+	_ = connection.Close()
+}
--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -27,12 +27,6 @@
 	LeavingHeader = "Upstream-Leaving"
 )
 
-// Load is the load report of an endpoint. It lags and may mislead.
-type Load struct {
-	BusySlots int `json:"busySlots"`
-	Slots     int `json:"slots"`
-}
-
 // Call is one request to an endpoint.
 type Call struct {
 	Class    model.Class
@@ -74,6 +68,7 @@
 	options    Options
 	transports map[model.Class]*http.Transport
 	pacer      *pacer
+	probes     *http.Transport
 }
 
 // Options are the limits of a client. NewClient uses DefaultOptions.
@@ -107,6 +102,7 @@
 // NewClientWith returns a client with options of its own.
 func NewClientWith(options Options) *Client {
 	client := &Client{options: options, transports: make(map[model.Class]*http.Transport), pacer: newPacer()}
+	client.probes = &http.Transport{DialContext: options.Dial, DisableKeepAlives: true}
 	for _, class := range model.Classes() {
 		client.transports[class] = &http.Transport{
 			DialContext:           dialFunc(options.Dial).wrap(headerTimeout(class, options.ProgressTimeout)),
--- /dev/null
+++ b/upstrm/probe.go
@@ -0,0 +1,74 @@
+package upstrm
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	// probeTimeout bounds one probe. A probe takes 6 ms at a healthy endpoint of
+	// the Guild, and an endpoint may straggle by a factor of 10.
+	probeTimeout = time.Second
+	// maxProbeBytes bounds the answer to a probe.
+	maxProbeBytes = 4 << 10
+)
+
+// Load is the load report of an endpoint. It lags and may mislead.
+type Load struct {
+	BusySlots int `json:"busySlots"`
+	Slots     int `json:"slots"`
+}
+
+// ProbeHealth asks an endpoint whether it is up. A draining endpoint may say
+// so as well; NotStartedError.Leaving and Reply.Leaving tell that it leaves.
+func (c *Client) ProbeHealth(ctx context.Context, address string) error {
+	if _, err := c.probe(ctx, address, "/healthz"); err != nil {
+		return fmt.Errorf("probe health of %s: %w", address, err)
+	}
+	return nil
+}
+
+// ProbeLoad returns the load report of an endpoint.
+func (c *Client) ProbeLoad(ctx context.Context, address string) (Load, error) {
+	text, err := c.probe(ctx, address, "/load")
+	if err != nil {
+		return Load{}, fmt.Errorf("probe load of %s: %w", address, err)
+	}
+	var load Load
+	if err := json.Unmarshal(text, &load); err != nil {
+		return Load{}, fmt.Errorf("parse load of %s: %w", address, err)
+	}
+	if load.BusySlots < 0 || load.Slots < 1 {
+		return Load{}, fmt.Errorf("load of %s is impossible: %d of %d slots", address, load.BusySlots, load.Slots)
+	}
+	return load, nil
+}
+
+// probe uses a connection of its own. One that was kept could have gone silent
+// and would tell of itself in place of the endpoint.
+func (c *Client) probe(ctx context.Context, address, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	request.Header.Set(ZoneHeader, string(c.options.Zone))
+	response, err := c.probes.RoundTrip(request)
+	if err != nil {
+		return nil, fmt.Errorf("send probe: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("probe has status %d", response.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxProbeBytes))
+	if err != nil {
+		return nil, fmt.Errorf("read answer to probe: %w", err)
+	}
+	return text, nil
+}
