Give up callers that take no bytes of a response

Cause: the header of an export was written without a deadline on the goroutine of its exchange. A trial with a caller that takes 100 bytes held the upstream's slot for the hour until its deadline, and a refusal by placement meanwhile changed nothing. Whole replies had no deadline either, so one such caller would keep a planned stop from ending. The deadline of the last write could also replace the one that ends a copy.

Change: all responses are written in pieces of 32 KiB, each with 30 s to be taken. The header of an export is written by its copy. The end of the exchange is checked after the deadline is set. Whole replies always carry their length, so that a caller can tell a part from the whole.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -282,8 +283,13 @@
 		return
 	}
 	e.passHeader(w, whole.header)
+	if e.call.Method != http.MethodHead && whole.status != http.StatusNoContent && whole.status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
+	}
 	w.WriteHeader(whole.status)
-	_, _ = w.Write(whole.body)
+	if _, err := writePieces(w, whole.body, func() error { return nil }); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // passHeader passes on the end-to-end headers of a response.
--- a/caller/exports.go
+++ b/caller/exports.go
@@ -13,15 +13,6 @@
 	"filberthold/upstrm"
 )
 
-const (
-	// copyBufferBytes bounds the memory that an export takes up while it is
-	// passed on.
-	copyBufferBytes = 32 << 10
-	// callerTimeout bounds how long a caller may take no byte of an export. It
-	// holds a slot of the upstream meanwhile.
-	callerTimeout = 30 * time.Second
-)
-
 // export is the response to an export, which several attempts may carry one
 // after the other. It belongs to the goroutine of its exchange.
 type export struct {
@@ -142,7 +133,6 @@
 		export.begin(reply.opened)
 		e.passHeader(export.w, reply.opened.Header)
 		export.w.WriteHeader(reply.opened.Status)
-		_ = export.control.Flush()
 	}
 	e.server.report(place.Responded{Attempt: reply.attempt})
 	export.copying = &copying{exchange: e, reply: reply, next: export.next, done: make(chan struct{})}
@@ -180,7 +170,7 @@
 type callerError struct{ cause error }
 
 // Error implements error.
-func (e *callerError) Error() string { return "write to caller: " + e.cause.Error() }
+func (e *callerError) Error() string { return "pass on export: " + e.cause.Error() }
 
 // copying passes the body of one attempt on to the caller.
 type copying struct {
@@ -202,7 +192,10 @@
 
 func (c *copying) copy() error {
 	export := c.exchange.export
-	buffer := make([]byte, copyBufferBytes)
+	buffer := make([]byte, pieceBytes)
+	if err := c.pass(nil); err != nil {
+		return err
+	}
 	for {
 		count, err := c.reply.opened.Body.Read(buffer)
 		if count > 0 {
@@ -223,24 +216,25 @@
 
 // pass writes bytes to the caller as they arrive.
 func (c *copying) pass(data []byte) error {
-	export := c.exchange.export
-	select {
-	case <-c.exchange.ended:
-		return &callerError{cause: errors.New("request has ended")}
-	default:
-	}
-	_ = export.control.SetWriteDeadline(time.Now().Add(callerTimeout))
-	count, err := export.w.Write(data)
-	c.next += int64(count)
-	if err == nil {
-		err = export.control.Flush()
-	}
+	written, err := writePieces(c.exchange.export.w, data, c.proceed)
+	c.next += int64(written)
 	if err != nil {
 		return &callerError{cause: err}
 	}
 	return nil
 }
 
+// proceed fails once the exchange has ended. It is called after a deadline was
+// set, so that it cannot undo the one that export.wait sets after the end.
+func (c *copying) proceed() error {
+	select {
+	case <-c.exchange.ended:
+		return errors.New("request has ended")
+	default:
+		return nil
+	}
+}
+
 // contentRange is a part of some content, from first up to but without end.
 type contentRange struct {
 	first, end int64
--- a/caller/exports_test.go
+++ b/caller/exports_test.go
@@ -123,3 +123,23 @@
 		assert.Equal(t, upstream.Busy(), 0)
 	})
 }
+
+// Guards against a caller that takes no bytes and holds a slot of the upstream
+// for as long as it likes, or keeps its exchange from ending.
+func TestCallerThatTakesNothingIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		upstream := newExporter(fakes.Behaviour{})
+		h := newHarness(t, model.Export, upstream)
+		stalled, err := h.network.Dial(t.Context(), "", "h1:1")
+		assert.NilError(t, err)
+		defer stalled.Close()
+		_, err = io.WriteString(stalled, "GET /s/export/x HTTP/1.1\r\nHost: h1\r\n\r\n")
+		assert.NilError(t, err)
+		time.Sleep(29 * time.Second)
+		assert.Equal(t, upstream.Busy(), 1)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, upstream.Busy(), 0)
+		synctest.Wait()
+		assert.DeepEqual(t, h.results, []place.Result{place.Lost})
+	})
+}
