Give up callers that stop sending their request

Cause: a caller that stops in the middle of a body kept its request, and a planned stop, from ending: bodies were read without a deadline.

Change: a body must arrive within 30 s. After an error the deadline stays, because net/http reads the rest of the body to keep the connection, and would wait there.

Ruled out: http.Server.ReadTimeout, which also applies to the read that watches for a caller that goes while its request is served.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -77,10 +77,16 @@
 	if service.Class() == model.Submit && r.Header.Get(KeyHeader) == "" {
 		return nil, errors.New("an Idempotency-Key header is required")
 	}
+	// A caller that stops sending would keep a planned stop from ending. The
+	// server's ReadTimeout would also end requests that are being served. After
+	// an error the deadline stays, because net/http reads the rest of the body.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(callerTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		return nil, fmt.Errorf("read request body: %w", err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	deadline, err := requestDeadline(r, service)
 	if err != nil {
 		return nil, fmt.Errorf("parse deadline: %w", err)
--- a/caller/write.go
+++ b/caller/write.go
@@ -10,9 +10,9 @@
 	// pieceBytes is the part of a response that must be taken within
 	// callerTimeout. It bounds the copy buffer of an export as well.
 	pieceBytes = 32 << 10
-	// callerTimeout bounds how long a caller may take no byte of a response.
-	// An export holds a slot of the upstream meanwhile, and a planned stop
-	// waits for every response.
+	// callerTimeout bounds how long a caller may take no byte of a response,
+	// and how long it may take to send a body. An export holds a slot of the
+	// upstream meanwhile, and a planned stop waits for every request.
 	callerTimeout = 30 * time.Second
 )
 
