--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -84,10 +85,16 @@
 	if service.Class() == model.Submit && r.Header.Get(KeyHeader) == "" {
 		return nil, errors.New("an Idempotency-Key header is required")
 	}
+	// A caller that stops sending would keep a planned stop from ending. The
+	// server's ReadTimeout would also end requests that are being served. After
+	// an error the deadline stays, because net/http reads the rest of the body.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(callerTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		return nil, fmt.Errorf("read request body: %w", err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	deadline, err := requestDeadline(r, service)
 	if err != nil {
 		return nil, fmt.Errorf("parse deadline: %w", err)
@@ -199,9 +206,7 @@
 	case place.Send:
 		e.send(decision)
 	case place.Cancel:
-		if cancel, exists := e.cancels[decision.Attempt]; exists {
-			cancel()
-		}
+		e.forget(decision.Attempt)
 	case place.Refuse:
 		e.abortStarted()
 		e.refuse(w, decision)
@@ -247,10 +252,19 @@
 		e.takeExportEnd(reply)
 	default:
 		e.whole[reply.attempt] = reply.whole
+		e.forget(reply.attempt)
 		e.reportEnd(reply)
 	}
 }
 
+// forget releases the deadline of an attempt that has ended.
+func (e *exchange) forget(attempt place.AttemptID) {
+	if cancel, exists := e.cancels[attempt]; exists {
+		cancel()
+		delete(e.cancels, attempt)
+	}
+}
+
 // reportEnd tells placement how an attempt ended.
 func (e *exchange) reportEnd(reply reply) {
 	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded, Leaving: reply.leaving}
@@ -283,8 +297,13 @@
 		return
 	}
 	e.passHeader(w, whole.header)
+	if e.call.Method != http.MethodHead && whole.status != http.StatusNoContent && whole.status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(whole.body)))
+	}
 	w.WriteHeader(whole.status)
-	_, _ = w.Write(whole.body)
+	if _, err := writePieces(w, whole.body, func() error { return nil }); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // passHeader passes on the end-to-end headers of a response.
