Prove that lookups leave out leaving hosts; ask for bodies every 2 s

Nothing covered the way from the leaving flag and from silence to a lookup response. The local cluster now puts its endpoints on the host list, so that marks have an incarnation. A body of 7 MB can take longer than 1 s, and asking a second peer after 1 s would fetch it twice; the interval is now 2 s.

Naive versions, run in a scratch copy: - the leaving flag is ignored: directory_test.go:39: assertion failed: 5 (int) != 4 (int) - silent hosts in place: directory_test.go:40: assertion failed: h1 (model.HostName) != h4 (model.HostName): h4 is silent

--- /dev/null
+++ b/entry/directory_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"filberthold/model"
+	"filberthold/peers"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a lookup that names a leaving host, whoever says that it
+// leaves, or that names a silent host before one that is heard.
+func TestEntriesLeaveOutLeavingHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		parts := model.DeploymentParts{Name: "test", Zones: []model.Zone{model.NewZone("z", "r")}}
+		for i := range 5 {
+			parts.Hosts = append(parts.Hosts, model.NewHost(model.HostParts{Name: model.HostName(fmt.Sprint("h", i)), Zone: "z", Site: "s"}))
+		}
+		deployment, err := model.NewDeployment(parts)
+		assert.NilError(t, err)
+		state := peers.NewState("h0", "1")
+		directory := NewDirectory("h0", state)
+		client := netip.MustParseAddr("192.0.2.1")
+		assert.Equal(t, len(directory.Entries(client)), 0)
+		directory.Adopt(deployment)
+		state.SetSubset(deployment.Hosts(), time.Now())
+		assert.Equal(t, len(directory.Entries(client)), 5)
+
+		time.Sleep(5 * time.Second)
+		for _, digest := range []peers.Digest{{Host: "h1"}, {Host: "h2", Leaving: true}, {Host: "h3"}} {
+			state.ReceiveDigest(digest, time.Now())
+		}
+		hosts := directory.Entries(client)
+		assert.Equal(t, len(hosts), 4)
+		assert.Equal(t, hosts[3].Name(), model.HostName("h4"), "h4 is silent")
+		directory.setLeavingHosts(map[model.HostName]bool{"h3": true})
+		state.Leave()
+		hosts = directory.Entries(client)
+		assert.Equal(t, len(hosts), 2)
+		assert.Equal(t, hosts[0].Name(), model.HostName("h1"))
+	})
+}
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -113,6 +113,9 @@
 		service, _ := c.deployment.Service(endpoint.Service())
 		upstream := fakes.NewUpstream(endpoint, service.Class(), c.ledger, c.options.ServiceTime[service.Class()])
 		c.upstreams[endpoint.Name()] = upstream
+		c.platform.SetMember(plat.Member{
+			Name: string(endpoint.Name()), Kind: plat.KindEndpoint, Incarnation: "1", State: plat.Live,
+		})
 		c.serve(listeners[endpoint.Name()], upstream)
 	}
 }
--- a/peers/state.go
+++ b/peers/state.go
@@ -14,7 +14,7 @@
 	confirmedFor = 4 * time.Second
 	// askInterval bounds how long a host waits for a body before it asks
 	// another peer.
-	askInterval = time.Second
+	askInterval = 2 * time.Second
 )
 
 // State is what a host knows about its peers, without any I/O. It is safe for
