Refuse to accept a configuration that no host can parse

Accept stored any body. One that is not valid would have become the head and stayed without effect at every host until the next change.

Naive version, run in a scratch copy (the check disabled): accept_test.go:64: assertion failed: expected an error, got nil: name =

--- a/revise/accept.go
+++ b/revise/accept.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 
+	"filberthold/config"
 	"filberthold/plat"
 )
 
@@ -30,11 +31,15 @@
 	Object(ctx context.Context, name string) ([]byte, error)
 }
 
-// Accept makes body the successor of the revision base. It returns a
+// Accept makes body the successor of the revision base. A body that is not a
+// valid configuration is refused, since no host could adopt it. It returns a
 // ConflictError if another revision has succeeded base. Accepting the same
 // body on the same base again returns the first result, so that the call may
 // be repeated after any error.
 func Accept(ctx context.Context, store Store, base uint64, body []byte) (Head, error) {
+	if _, err := config.ParseDeployment("new configuration", body, base+1); err != nil {
+		return Head{}, fmt.Errorf("accept on revision %d: %w", base, err)
+	}
 	row, current, err := readHead(ctx, store)
 	if err != nil {
 		return Head{}, fmt.Errorf("accept on revision %d: %w", base, err)
--- a/revise/accept_test.go
+++ b/revise/accept_test.go
@@ -36,7 +36,7 @@
 	var group sync.WaitGroup
 	for i := range operators {
 		group.Go(func() {
-			body := fmt.Appendf(nil, "name = 'first'\n[[hosts]]\nname = 'h'\nsite = 'site-%d'\n", i)
+			body := fmt.Appendf(nil, "name = 'first'\n[[availabilityZones]]\nname = 'z'\n[[hosts]]\nname = 'h'\navailabilityZone = 'z'\nsite = 'site-%d'\n", i)
 			heads[i], errs[i] = revise.Accept(t.Context(), client, base.Number(), body)
 		})
 	}
@@ -56,6 +56,16 @@
 	assert.Equal(t, winners, 1, "%v", heads)
 }
 
+// Guards against an accepted body that no host can adopt.
+func TestInvalidBodyIsRefused(t *testing.T) {
+	platform, client := newStore(t)
+	for _, body := range []string{"name = ", "unknownKey = 1\n", "[[hosts]]\nname = 'h'\navailabilityZone = 'absent'\n"} {
+		_, err := revise.Accept(t.Context(), client, 0, []byte(body))
+		assert.ErrorContains(t, err, "new configuration", body)
+	}
+	assert.Equal(t, platform.Writes(), 0)
+}
+
 // Guards against a lost answer that is reported as a refusal, or that makes a
 // change take effect twice; also when the next operator is faster than the
 // read-back.
--- a/revise/example_test.go
+++ b/revise/example_test.go
@@ -20,12 +20,12 @@
 
 	first, err := revise.Accept(ctx, store, 0, []byte("name = 'guild'\n"))
 	fmt.Println(first.Number(), err)
-	second, err := revise.Accept(ctx, store, 1, []byte("name = 'guild'\nqueueLimit = 64\n"))
+	second, err := revise.Accept(ctx, store, 1, []byte("name = 'guild'\ndelays.toClients = '8ms'\n"))
 	fmt.Println(second.Number(), err)
-	_, err = revise.Accept(ctx, store, 1, []byte("name = 'guild'\nqueueLimit = 32\n"))
+	_, err = revise.Accept(ctx, store, 1, []byte("name = 'guild'\ndelays.toClients = '9ms'\n"))
 	fmt.Println(err)
 	// Output:
 	// 1 <nil>
 	// 2 <nil>
-	// revision 2@86cbb0609cf4 was accepted on revision 1 before this change; differing keys: 1; queueLimit: accepted "64", refused "32"
+	// revision 2@fe670e709b6d was accepted on revision 1 before this change; differing keys: 1; delays.toClients: accepted "8ms", refused "9ms"
 }
