Spread the polls of the head over time

Hosts that started together polled together: the store got its reads in bursts and a revision waited for the common time of the next poll. The first interval is now drawn from 0 to 3 s and later ones from 2.5 to 3.5 s; the mean stays 3 s.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"filberthold/config"
@@ -17,6 +18,10 @@
 const (
 	// headPollInterval keeps 680 hosts at 227 reads a second of the store.
 	headPollInterval = 3 * time.Second
+	// headPollSpread is the width of the interval from which the time to the
+	// next poll is drawn. Without it, hosts that start together poll together:
+	// they load the store in bursts, and a revision waits up to 3 s for a poll.
+	headPollSpread = time.Second
 	// firstPollInterval applies until a first revision has been adopted.
 	firstPollInterval = 200 * time.Millisecond
 	// offerCapacity bounds the bodies that wait to be parsed.
@@ -52,13 +57,17 @@
 
 // loopPoll asks the store for a newer revision.
 func (c *Configuration) loopPoll(ctx context.Context) error {
+	isFirst := true
 	for {
 		if err := c.poll(ctx, time.Now()); err != nil {
 			c.log.Warn("configuration not refreshed", "error", err)
 		}
-		interval := headPollInterval
+		interval := headPollInterval - headPollSpread/2 + rand.N(headPollSpread)
 		if head, _ := c.state.Current(); head.Number() == 0 {
 			interval = firstPollInterval
+		} else if isFirst {
+			interval = rand.N(headPollInterval)
+			isFirst = false
 		}
 		select {
 		case <-time.After(interval):
