Close peer links with their context and links to the own address

A read of a stream does not end with its context, so a stop could wait up to 10 s for a silent peer; the link is now closed when its context ends. Seeds that name this host itself led to a link to itself that stayed open.

--- a/peers/connect.go
+++ b/peers/connect.go
@@ -98,11 +98,13 @@
 		link.send(m.state.Digest(time.Now()))
 	}
 	group, ctx := errgroup.WithContext(ctx)
+	// Reads of a stream do not end with the context, only with the connection.
+	stop := context.AfterFunc(ctx, func() { link.close("link ended") })
+	defer stop()
 	group.Go(func() error { return link.loopSend(ctx) })
 	group.Go(func() error { return link.loopStreams(ctx) })
 	group.Go(func() error { return link.loopDatagrams(ctx) })
 	err := group.Wait()
-	link.close("link ended")
 	m.log.Debug("peer link ended", "peer", conn.RemoteAddr(), "error", err)
 	return nil
 }
@@ -132,7 +134,7 @@
 func (m *Mesh) register(link *link, digest Digest) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if link.host != "" || digest.Host == m.options.Host {
+	if link.host != "" {
 		return false
 	}
 	link.host, link.incarnation = digest.Host, digest.Incarnation
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -219,6 +219,10 @@
 }
 
 func (m *Mesh) receiveDigest(from *link, digest Digest) {
+	if digest.Host == m.options.Host {
+		from.close("own address") // The seeds may name this host too.
+		return
+	}
 	now := time.Now()
 	if m.register(from, digest) {
 		from.send(m.state.Digest(now))
