Prove that leaving marks reach hosts without the store

The parts were covered one by one; the way from the host list at one host over peers to placement at others was not. go.mod lists the libraries in use.

Naive version, run in a scratch copy (marks are not spread): TestMarksReachHostsWithoutTheStore: panic: test timed out after 20s

--- /dev/null
+++ b/local/marks_test.go
@@ -0,0 +1,49 @@
+package local_test
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"filberthold/config"
+	"filberthold/local"
+	"filberthold/plat"
+
+	"gotest.tools/v3/assert"
+)
+
+// markedByPeer gets an item for each log line that says that a peer has marked
+// an endpoint.
+type markedByPeer chan struct{}
+
+func (m markedByPeer) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("endpoint is leaving")) && bytes.Contains(line, []byte("source=peer")) {
+		m <- struct{}{}
+	}
+	return len(line), nil
+}
+
+// Guards against hosts that go on sending work to a leaving endpoint because
+// they are cut off from the host list that shows it as leaving.
+func TestMarksReachHostsWithoutTheStore(t *testing.T) {
+	text, err := os.ReadFile("../deployments/guild/deployment.toml")
+	assert.NilError(t, err)
+	document, err := config.ParseDocument("guild", text)
+	assert.NilError(t, err)
+	marked := make(markedByPeer, 16)
+	cluster, err := local.Start(local.Options{Document: document, Hosts: 4, Log: marked})
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, cluster.Close()) })
+	assert.NilError(t, cluster.WaitReady(t.Context()))
+	hosts := cluster.Deployment().Hosts()
+	for _, host := range hosts[1:] {
+		cluster.Platform().SetCutOff(string(host.Name()), true)
+	}
+	endpoint := cluster.Deployment().Endpoints()[0].Name()
+	cluster.Platform().SetMember(plat.Member{
+		Name: string(endpoint), Kind: plat.KindEndpoint, Incarnation: "1", State: plat.Leaving,
+	})
+	for range hosts[1:] {
+		<-marked
+	}
+}
