--- a/audit/buffer.go
+++ b/audit/buffer.go
@@ -232,6 +232,9 @@
 	IsLast bool
 }
 
+// Len returns the number of records in the batch.
+func (b Batch) Len() int { return len(b.records) }
+
 // Take removes up to size bytes of the oldest records, at least one. Their
 // room stays in use until Stored is called.
 func (b *Buffer) Take(size int) (Batch, error) {
--- a/config/checker.go
+++ b/config/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"strings"
 	"time"
 )
 
@@ -26,6 +27,18 @@
 	c.findings = append(c.findings, finding{path: path, message: fmt.Sprintf(format, arguments...), hint: hint})
 }
 
+// Check checks a document that was made from the one that is checked. rename
+// gives the path there for a path of the made document.
+func (c *Checker) Check(made Document, rename func(path string) string) {
+	inner := newChecker()
+	inner.document(made)
+	for _, finding := range inner.findings {
+		path := rename(finding.path)
+		message := strings.Replace(finding.message, lastKey(finding.path), lastKey(path), 1)
+		c.Add(path, finding.hint, "%s", message)
+	}
+}
+
 // problems places the findings in the text. A line that the decoder has
 // already reported is left out: the value there is unknown.
 func (c *Checker) problems(text []byte, known []Problem) []Problem {
--- a/config/decode.go
+++ b/config/decode.go
@@ -70,7 +70,7 @@
 		problems = append(problems, Problem{
 			Line: line, Column: column,
 			Message: fmt.Sprintf("unknown key %q", strings.Join(unknown.Errors[i].Key(), ".")),
-			Hint:    "names of keys are in camelCase; see docs/operators/first-run.md",
+			Hint:    "names of keys are in camelCase; see docs/operators",
 		})
 	}
 	return problems
--- a/config/invalid.go
+++ b/config/invalid.go
@@ -26,7 +26,8 @@
 	slices.SortStableFunc(problems, func(a, b Problem) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 	})
-	return &InvalidError{file: file, problems: problems}
+	// One answer may stand for many parts of a configuration.
+	return &InvalidError{file: file, problems: slices.Compact(problems)}
 }
 
 // Problems returns the faults in the order of the document.
--- a/entry/archive.go
+++ b/entry/archive.go
@@ -63,10 +63,11 @@
 	full chan struct{}
 	// closed ends the loop after the last record.
 	closed chan struct{}
-	// sealed is made and not yet stored. isFinished is true after the final
-	// segment was made. Only the loop uses them.
-	sealed     audit.Stored
-	isFinished bool
+	// sealed is made and not yet stored, with sealedRecords records. isFinished
+	// is true after the final segment was made. Only the loop uses them.
+	sealed        audit.Stored
+	sealedRecords int
+	isFinished    bool
 
 	mu sync.Mutex
 	// buffer bounds the memory for records that are not yet stored.
@@ -202,8 +203,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.log.Error("audit records lost at shutdown", "segment", a.sealed.Name, "bytes", a.buffer.Used(),
-		"recordsWithoutSegment", a.buffer.Waiting())
+	a.log.Error("audit records lost at shutdown", "firstSegment", a.sealed.Name,
+		"records", a.sealedRecords+a.buffer.Waiting())
 }
 
 // sealNext makes the next segment unless one is still to be stored. It
@@ -227,6 +228,7 @@
 		a.log.Error("audit segment not made, its records are lost", "error", err)
 		return false
 	}
+	a.sealedRecords = batch.Len()
 	a.isFinished = final && batch.IsLast
 	return true
 }
@@ -262,7 +264,7 @@
 	if err != nil {
 		return fmt.Errorf("store segment: %w", err)
 	}
-	a.sealed = audit.Stored{}
+	a.sealed, a.sealedRecords = audit.Stored{}, 0
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.buffer.Stored()
--- a/entry/archive_test.go
+++ b/entry/archive_test.go
@@ -225,7 +225,7 @@
 		begin := time.Now()
 		s.stop(t)
 		assert.Assert(t, time.Since(begin) <= flushTimeout+storeTimeout)
-		assert.Assert(t, strings.Contains(s.log.String(), "audit records lost at shutdown"), s.log.String())
+		assert.Assert(t, strings.Contains(s.log.String(), "audit records lost at shutdown") && strings.Contains(s.log.String(), "records=5"), s.log.String())
 	})
 }
 
--- a/quest/generate.go
+++ b/quest/generate.go
@@ -20,8 +20,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("generate configuration: %w", err)
 	}
-	// The checks of configurations find what answers contradict, such as a
-	// drain of an unknown region.
+	// Answers that were not parsed may be wrong.
 	if _, err := config.ParseDocument("generated configuration", text); err != nil {
 		return nil, fmt.Errorf("answers give an invalid configuration:\n%w", err)
 	}
--- a/quest/parse.go
+++ b/quest/parse.go
@@ -49,6 +49,12 @@
 	if (a.HostRange.PerZone > 0) == (len(a.Hosts) > 0) {
 		c.Add("hosts", "give either hostRange or hosts", "it is not clear where entry hosts run")
 	}
+	document, err := a.document()
+	if err != nil {
+		c.Add("", "", "%v", err)
+		return
+	}
+	c.Check(document, a.pathOf)
 }
 
 func (s Service) check(c *config.Checker, path string) {
--- a/quest/quest_test.go
+++ b/quest/quest_test.go
@@ -48,6 +48,8 @@
 		{"unknown-key", "team = 'diaries'", "owner = 'diaries'"},
 		{"old-version", "questionnaire = 1", "questionnaire = 0"},
 		{"unknown-site", "site = 'plzen-a'", "site = 'paris'"},
+		{"no-queue", "mayWait = 256", "mayWait = 0"},
+		{"connections", "connections = 360", "connections = 2"},
 	}
 	for _, test := range cases {
 		t.Run(test.title, func(t *testing.T) {
@@ -82,8 +84,6 @@
 	assert.Equal(t, plan.CapPercent(), 50)
 
 	shift.From = "east"
-	_, answers, err = quest.AddShift("answers.toml", whole, model.Move, shift)
-	assert.NilError(t, err)
-	_, err = quest.Generate(answers)
+	_, _, err = quest.AddShift("answers.toml", whole, model.Move, shift)
 	assert.ErrorContains(t, err, `unknown region "east"`)
 }
