--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -65,6 +65,40 @@
 	}
 }
 
+// anew makes a segment with the same records in a chain of its own, after a
+// number of empty segments.
+func anew(t *testing.T, stored audit.Stored, incarnation string, before int) audit.Stored {
+	t.Helper()
+	segment, err := audit.DecodeSegment(stored.Body)
+	assert.NilError(t, err)
+	chain, err := audit.NewChain("plzen-a-1", incarnation)
+	assert.NilError(t, err)
+	for range before {
+		_, err := chain.Append(nil, false)
+		assert.NilError(t, err)
+	}
+	made, err := chain.Append(segment.Records, segment.Final)
+	assert.NilError(t, err)
+	return made
+}
+
+// withoutRecord makes the chain anew without the last record of segment 2.
+func withoutRecord(t *testing.T, segments []audit.Stored) []audit.Stored {
+	t.Helper()
+	chain, err := audit.NewChain("plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	for i := range segments {
+		segment, err := audit.DecodeSegment(segments[i].Body)
+		assert.NilError(t, err)
+		if i == 1 {
+			segment.Records = segment.Records[:1]
+		}
+		segments[i], err = chain.Append(segment.Records, segment.Final)
+		assert.NilError(t, err)
+	}
+	return segments
+}
+
 // Guards against evidence that can be altered without a trace: each case
 // changes the archive and names exactly the faults that have to be reported.
 func TestVerifyFindsTampering(t *testing.T) {
@@ -88,6 +122,16 @@
 		{"tail removed, no head noted", func(s []audit.Stored) []audit.Stored { return s[:3] }, nil, nil, false},
 		{"tail removed, head noted", func(s []audit.Stored) []audit.Stored { return s[:3] }, &whole.Head,
 			[]string{name(4) + " missing", name(5) + " missing"}, false},
+		{"a segment made anew without the ones before", func(s []audit.Stored) []audit.Stored {
+			s[2] = anew(t, s[2], "run-1", 2)
+			return s
+		}, nil, []string{name(3) + " changed"}, true},
+		{"the first segment of another chain", func(s []audit.Stored) []audit.Stored {
+			s[0].Body = anew(t, s[0], "run-2", 0).Body
+			return s
+		}, nil, []string{name(1) + " reordered", name(1) + " missing"}, true},
+		{"records left out by the host", func(s []audit.Stored) []audit.Stored { return withoutRecord(t, s) }, nil,
+			[]string{name(3) + " lost records"}, true},
 		{"removed and changed", func(s []audit.Stored) []audit.Stored { forge(t, s, 1); return slices.Delete(s, 3, 4) }, nil,
 			[]string{name(2) + " changed", name(4) + " missing"}, true},
 	}
--- a/audit/find.go
+++ b/audit/find.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sort"
@@ -49,27 +50,34 @@
 
 // Find returns the records of the host that handled a request, from the
 // arrival of the request to its end. It looks only at segments of the time
-// that the request's identifier holds.
-func Find(ctx context.Context, source Source, request place.RequestID) ([]Record, error) {
+// that the request's identifier holds, below a prefix of names.
+func Find(ctx context.Context, source Source, prefix string, request place.RequestID) ([]Record, error) {
 	id, err := ulid.ParseStrict(string(request))
 	if err != nil {
 		return nil, fmt.Errorf("parse request identifier %q: %w", request, err)
 	}
-	chains, err := ChainNames(ctx, source, Prefix)
+	chains, err := ChainNames(ctx, source, prefix)
 	if err != nil {
 		return nil, err
 	}
+	// A chain that cannot be read does not hide the request in another one.
+	var faults []error
 	for _, names := range chains {
 		search := search{source: source, names: names, request: request, arrived: ulid.Time(id.Time())}
+		if search.isLaterRun() {
+			continue
+		}
 		records, found, err := search.run(ctx)
 		if err != nil {
-			return nil, err
+			faults = append(faults, err)
+			continue
 		}
 		if found {
 			return records, nil
 		}
 	}
-	return nil, fmt.Errorf("no record of request %s in %d chains", request, len(chains))
+	missing := fmt.Errorf("no record of request %s in %d chains", request, len(chains))
+	return nil, errors.Join(append([]error{missing}, faults...)...)
 }
 
 // search looks for a request in one chain.
@@ -80,6 +88,16 @@
 	arrived time.Time
 }
 
+// isLaterRun reports whether the incarnation began after the request arrived.
+func (s *search) isLaterRun() bool {
+	_, incarnation, _, err := ParseName(s.names[0])
+	if err != nil {
+		return false
+	}
+	id, err := ulid.ParseStrict(incarnation)
+	return err == nil && ulid.Time(id.Time()).After(s.arrived.Add(searchMargin))
+}
+
 func (s *search) run(ctx context.Context) (records []Record, found bool, err error) {
 	first := sort.Search(len(s.names), func(i int) bool {
 		segment, loadError := s.load(ctx, s.names[i])
--- a/audit/verify.go
+++ b/audit/verify.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 
 	"filberthold/model"
 )
@@ -53,147 +54,179 @@
 	Findings []Finding `json:"findings"`
 }
 
-// chainCheck verifies one chain.
-type chainCheck struct {
+// Verifier checks the chain of one incarnation of a host. It keeps a summary
+// of each segment, because a chain of a day has too many records to hold.
+type Verifier struct {
 	host        model.HostName
 	incarnation string
 	// last is the highest segment number that is known to have existed.
-	last    uint64
-	bodies  map[uint64][]byte
-	decoded map[uint64]Segment
-	report  Report
+	last     uint64
+	segments map[uint64]summary
+	report   Report
+}
+
+// summary is what the checks need of a segment.
+type summary struct {
+	hash Hash
+	// decodes is false if only the hash is known.
+	decodes  bool
+	previous Hash
+	final    bool
+	// first and end are the lowest record number and the one after the highest.
+	// They are equal if there are no records.
+	first, end uint64
 }
 
 // Verify checks the segments of one incarnation of a host. A noted head may
 // be nil.
 func Verify(segments []Stored, noted *Head) (Report, error) {
-	check := chainCheck{bodies: make(map[uint64][]byte), decoded: make(map[uint64]Segment)}
-	check.report.Findings = []Finding{}
+	verifier := NewVerifier()
 	for _, stored := range segments {
-		if err := check.load(stored); err != nil {
+		if err := verifier.Load(stored); err != nil {
 			return Report{}, err
 		}
 	}
-	if noted != nil {
-		check.host, check.incarnation = noted.Host, noted.Incarnation
-		check.last = max(check.last, noted.Segment)
-	}
-	if check.last > uint64(len(segments))+maxMissing {
-		return Report{}, fmt.Errorf("chain of %d segments names segment %d", len(segments), check.last)
-	}
-	check.findMissing()
-	check.findChanged(noted)
-	check.countRecords()
-	slices.SortStableFunc(check.report.Findings, func(a, b Finding) int {
-		if a.Segment < b.Segment {
-			return -1
-		}
-		return 1
-	})
-	return check.report, nil
+	return verifier.Report(noted)
 }
 
-func (c *chainCheck) name(number uint64) string { return Name(c.host, c.incarnation, number) }
-
-func (c *chainCheck) find(number uint64, fault Fault, format string, arguments ...any) {
-	finding := Finding{Segment: c.name(number), Fault: fault, Detail: fmt.Sprintf(format, arguments...)}
-	c.report.Findings = append(c.report.Findings, finding)
+// NewVerifier returns a verifier without segments.
+func NewVerifier() *Verifier {
+	return &Verifier{segments: make(map[uint64]summary), report: Report{Findings: []Finding{}}}
 }
 
-// load decodes a segment and files it under the number that it contains.
-func (c *chainCheck) load(stored Stored) error {
+// Load takes a segment. It is filed under the number that it contains.
+func (v *Verifier) Load(stored Stored) error {
 	host, incarnation, number, err := ParseName(stored.Name)
 	if err != nil {
 		return err
 	}
-	if c.host != "" && (host != c.host || incarnation != c.incarnation) {
-		return fmt.Errorf("object %q belongs to another chain than %q", stored.Name, c.name(1))
+	if v.host != "" && (host != v.host || incarnation != v.incarnation) {
+		return fmt.Errorf("object %q belongs to another chain than %q", stored.Name, v.name(1))
 	}
-	c.host, c.incarnation = host, incarnation
-	c.last = max(c.last, number)
+	v.host, v.incarnation = host, incarnation
+	v.last = max(v.last, number)
 	segment, err := DecodeSegment(stored.Body)
 	if err != nil {
-		c.bodies[number] = stored.Body
-		c.find(number, Changed, "%v", err)
+		v.segments[number] = summary{hash: HashOf(stored.Body)}
+		v.find(number, Changed, "%v", err)
 		return nil
 	}
 	if segment.Host != host || segment.Incarnation != incarnation {
-		c.find(number, Reordered, "holds a segment of host %s, incarnation %s", segment.Host, segment.Incarnation)
+		v.find(number, Reordered, "holds a segment of host %s, incarnation %s", segment.Host, segment.Incarnation)
 		return nil
 	}
 	if segment.Number != number {
-		c.find(number, Reordered, "holds segment %d", segment.Number)
+		v.find(number, Reordered, "holds segment %d", segment.Number)
 	}
-	c.bodies[segment.Number] = stored.Body
-	c.decoded[segment.Number] = segment
+	v.segments[segment.Number] = v.condense(stored.Body, segment)
 	return nil
 }
 
-func (c *chainCheck) findMissing() {
-	for number := uint64(1); number <= c.last; number++ {
-		if _, exists := c.bodies[number]; !exists {
-			c.find(number, Missing, "segment %d of at least %d", number, c.last)
+// condense counts the records of a segment and checks that their numbers go
+// on without holes.
+func (v *Verifier) condense(body []byte, segment Segment) summary {
+	result := summary{hash: HashOf(body), decodes: true, previous: segment.Previous, final: segment.Final}
+	for i, record := range segment.Records {
+		if i == 0 {
+			result.first = record.first()
+		} else if record.first() != result.end {
+			v.find(segment.Number, Lost, "record %d follows record %d", record.first(), result.end-1)
+		}
+		result.end = record.Number + 1
+		if record.Dropped != nil {
+			v.report.Dropped += record.Dropped.Total()
+			continue
+		}
+		v.report.Records++
+	}
+	return result
+}
+
+// Report returns the result for all segments that were loaded. A noted head
+// may be nil. It is called once.
+func (v *Verifier) Report(noted *Head) (Report, error) {
+	if noted != nil {
+		v.host, v.incarnation = noted.Host, noted.Incarnation
+		v.last = max(v.last, noted.Segment)
+	}
+	if v.last > uint64(len(v.segments))+maxMissing {
+		return Report{}, fmt.Errorf("chain of %d segments names segment %d", len(v.segments), v.last)
+	}
+	v.findMissing()
+	v.findChanged(noted)
+	v.findLost()
+	v.report.Head = Head{Host: v.host, Incarnation: v.incarnation, Segment: v.last}
+	if last, exists := v.segments[v.last]; exists {
+		v.report.Head.Hash = last.hash.String()
+		v.report.Closed = last.final
+	}
+	slices.SortStableFunc(v.report.Findings, func(a, b Finding) int { return strings.Compare(a.Segment, b.Segment) })
+	return v.report, nil
+}
+
+func (v *Verifier) name(number uint64) string { return Name(v.host, v.incarnation, number) }
+
+func (v *Verifier) find(number uint64, fault Fault, format string, arguments ...any) {
+	finding := Finding{Segment: v.name(number), Fault: fault, Detail: fmt.Sprintf(format, arguments...)}
+	v.report.Findings = append(v.report.Findings, finding)
+}
+
+func (v *Verifier) findMissing() {
+	for number := uint64(1); number <= v.last; number++ {
+		if _, exists := v.segments[number]; !exists {
+			v.find(number, Missing, "segment %d of at least %d", number, v.last)
 		}
 	}
 }
 
 // findChanged compares each segment with the hash that its successor holds,
-// from the end to the start. A segment that is itself changed does not
-// testify against the one before it unless it cannot be decided otherwise.
-func (c *chainCheck) findChanged(noted *Head) {
+// from the end to the start. A segment that is missing or changed itself does
+// not testify against the one before it.
+func (v *Verifier) findChanged(noted *Head) {
 	trusted := true
-	for number := c.last; number >= 1; number-- {
-		body, exists := c.bodies[number]
-		expected, known := c.expectedHash(number, noted)
+	for number := v.last; number >= 1; number-- {
+		segment, exists := v.segments[number]
 		if !exists {
 			trusted = false
 			continue
 		}
-		_, decodes := c.decoded[number]
-		isIntact := decodes && (!known || expected == HashOf(body).String())
-		if decodes && !isIntact && trusted {
-			c.find(number, Changed, "its hash is %s, the chain holds %s", HashOf(body), expected)
+		expected, known := v.expectedHash(number, noted)
+		isIntact := segment.decodes && (!known || expected == segment.hash.String())
+		if segment.decodes && !isIntact && trusted {
+			v.find(number, Changed, "its hash is %s, the chain holds %s", segment.hash, expected)
 		}
-		trusted = decodes && (isIntact || !trusted)
+		trusted = segment.decodes && (isIntact || !trusted)
 	}
-	if first, exists := c.decoded[1]; exists && first.Previous != (Hash{}) {
-		c.find(1, Changed, "the first segment names a segment before it")
+	if first := v.segments[1]; first.decodes && first.previous != (Hash{}) {
+		v.find(1, Changed, "the first segment names a segment before it")
 	}
 }
 
 // expectedHash returns what the chain or the noted head says of a segment.
-func (c *chainCheck) expectedHash(number uint64, noted *Head) (string, bool) {
+func (v *Verifier) expectedHash(number uint64, noted *Head) (string, bool) {
 	if noted != nil && noted.Segment == number {
 		return noted.Hash, true
 	}
-	next, exists := c.decoded[number+1]
-	return next.Previous.String(), exists
+	next := v.segments[number+1]
+	return next.previous.String(), next.decodes
 }
 
-// countRecords checks that record numbers go on without holes.
-func (c *chainCheck) countRecords() {
-	var lastNumber, lastSegment uint64
-	for number := uint64(1); number <= c.last; number++ {
-		segment, exists := c.decoded[number]
-		if !exists {
+// findLost checks that record numbers go on from segment to segment. After a
+// segment that is missing or cannot be read, any number may follow.
+func (v *Verifier) findLost() {
+	next, isKnown := uint64(1), true
+	for number := uint64(1); number <= v.last; number++ {
+		segment := v.segments[number]
+		if !segment.decodes {
+			isKnown = false
 			continue
 		}
-		for i, record := range segment.Records {
-			if record.first() != lastNumber+1 && (i > 0 || lastSegment == number-1) {
-				c.find(number, Lost, "record %d follows record %d", record.first(), lastNumber)
-			}
-			lastNumber = record.Number
-			if record.Dropped != nil {
-				c.report.Dropped += record.Dropped.Total()
-				continue
-			}
-			c.report.Records++
+		if segment.first == segment.end {
+			continue
 		}
-		lastSegment = number
-	}
-	c.report.Head = Head{Host: c.host, Incarnation: c.incarnation, Segment: c.last}
-	if body, exists := c.bodies[c.last]; exists {
-		c.report.Head.Hash = HashOf(body).String()
+		if isKnown && segment.first != next {
+			v.find(number, Lost, "record %d follows record %d", segment.first, next-1)
+		}
+		next, isKnown = segment.end, true
 	}
-	c.report.Closed = c.decoded[c.last].Final
 }
--- a/cmds/archive_test.go
+++ b/cmds/archive_test.go
@@ -61,7 +61,7 @@
 		{At: at(2600), Kind: audit.Ended, Request: "explained", Customer: "anna", Attempt: 9, Try: 1, Endpoint: "filing-desk-01", Outcome: "succeeded"},
 		{At: at(2600), Kind: audit.Delivered, Request: "explained", Customer: "anna", Attempt: 9, Outcome: "served"},
 	}
-	chain, err := audit.NewChain("plzen-a-1", "01KJN0000000000000000000ZZ")
+	chain, err := audit.NewChain("plzen-a-1", "01KJMM00000000000000000000")
 	assert.NilError(t, err)
 	client := plat.NewClient(address)
 	number := uint64(0)
@@ -85,7 +85,10 @@
 // Guards against an explanation that leaves out who was served before, why the
 // request waited or what the archive lacks.
 func TestExplain(t *testing.T) {
-	_, address := startArchive(t)
+	client, address := startArchive(t)
+	// A chain that cannot be read must not hide the others.
+	damaged := audit.Name("brno-b-1", "01KJMM00000000000000000001", 1)
+	assert.NilError(t, client.PutObject(t.Context(), damaged, []byte("damaged")))
 	id := idAt(noon.Add(100 * time.Millisecond))
 	code, out := run("explain", id, "--platform", address)
 	assert.Equal(t, code, 0, out)
@@ -93,6 +96,8 @@
 	code, out = run("explain", id, "--platform", address, "--json")
 	assert.Equal(t, code, 0, out)
 	golden.Assert(t, out, "explain.json")
+	code, out = run("explain", id, "--platform", address, "--host", "plzen-a-1")
+	assert.Equal(t, code, 0, out)
 	code, out = run("explain", idAt(noon.Add(time.Hour)), "--platform", address)
 	assert.Equal(t, code, 1)
 	golden.Assert(t, out, "explain-unknown.txt")
--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -21,7 +21,7 @@
 }
 
 func newExplainCommand() *cobra.Command {
-	var address string
+	var address, host string
 	var asJSON bool
 	command := &cobra.Command{
 		Use:   "explain REQUEST",
@@ -30,8 +30,12 @@
 		RunE: func(command *cobra.Command, arguments []string) error {
 			client := plat.NewClient(address)
 			defer client.Close()
+			prefix := audit.Prefix
+			if host != "" {
+				prefix += host + "/"
+			}
 			request := place.RequestID(arguments[0])
-			records, err := audit.Find(command.Context(), client, request)
+			records, err := audit.Find(command.Context(), client, prefix, request)
 			if err != nil {
 				return oops.Code("requestNotFound").
 					Hint("the identifier is the Filberthold-Request header of the response; the host stores records within 10 s").
@@ -48,6 +52,7 @@
 		},
 	}
 	platformFlag(command, &address)
+	command.Flags().StringVar(&host, "host", "", "entry host that handled the request; saves reading the archive of the others")
 	command.Flags().BoolVar(&asJSON, "json", false, "write JSON")
 	return command
 }
--- a/cmds/verify.go
+++ b/cmds/verify.go
@@ -4,7 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"strings"
 
 	"filberthold/audit"
 	"filberthold/plat"
@@ -85,38 +88,43 @@
 	}
 	reports := []audit.Report{}
 	for _, names := range chains {
-		var segments []audit.Stored
+		verifier := audit.NewVerifier()
 		for _, name := range names {
 			body, err := source.Object(ctx, name)
 			if err != nil {
 				return nil, fmt.Errorf("read segment: %w", err)
 			}
-			segments = append(segments, audit.Stored{Name: name, Body: body})
-		}
-		host, incarnation, _, err := audit.ParseName(names[0])
-		if err != nil {
-			return nil, err
+			if err := verifier.Load(audit.Stored{Name: name, Body: body}); err != nil {
+				return nil, err
+			}
 		}
-		report, err := verifyChain(segments, noted, audit.Head{Host: host, Incarnation: incarnation})
+		report, err := verifier.Report(takeHead(noted, names[0]))
 		if err != nil {
 			return nil, err
 		}
 		reports = append(reports, report)
 	}
+	if prefix != audit.Prefix {
+		return reports, nil
+	}
 	return appendVanished(reports, noted)
 }
 
-func verifyChain(segments []audit.Stored, noted map[string]audit.Head, chain audit.Head) (audit.Report, error) {
-	if head, exists := noted[chainOf(chain)]; exists {
-		delete(noted, chainOf(chain))
-		return audit.Verify(segments, &head)
+// takeHead removes and returns the noted head of a segment's chain, or nil.
+func takeHead(noted map[string]audit.Head, segment string) *audit.Head {
+	chain := strings.TrimPrefix(segment[:strings.LastIndex(segment, "/")], audit.Prefix)
+	head, exists := noted[chain]
+	if !exists {
+		return nil
 	}
-	return audit.Verify(segments, nil)
+	delete(noted, chain)
+	return &head
 }
 
 // appendVanished reports the chains that were noted and are no longer there.
 func appendVanished(reports []audit.Report, noted map[string]audit.Head) ([]audit.Report, error) {
-	for _, head := range noted {
+	for _, chain := range slices.Sorted(maps.Keys(noted)) {
+		head := noted[chain]
 		report, err := audit.Verify(nil, &head)
 		if err != nil {
 			return nil, err
