Account for a running deployment and for answers without placement

RecordOutcome accounts for requests that are answered before placement, and gives them their log line; the dispatcher uses it when events overflow. Two metrics show the memory in use and the dropped records. A trace without an adopted configuration is refused instead of applied as nil.

--- a/audit/buffer.go
+++ b/audit/buffer.go
@@ -48,6 +48,8 @@
 	// rank.
 	held   int
 	heldOf [otherRank + 1]int
+	// dropped counts the records that were dropped.
+	dropped uint64
 	// storing is the part of used that belongs to the segment being stored.
 	storing int
 }
@@ -152,6 +154,9 @@
 // Len returns the number of bytes of the records that wait for a segment.
 func (b *Buffer) Len() int { return b.held }
 
+// Dropped returns how many records were dropped since the start.
+func (b *Buffer) Dropped() uint64 { return b.dropped }
+
 // Used returns the memory in use, with all reservations.
 func (b *Buffer) Used() int { return b.used }
 
@@ -181,6 +186,7 @@
 			var record Record
 			if err := b.codec.decoding.Unmarshal(held.raw, &record); err == nil {
 				freed += held.size()
+				b.dropped++
 				kept = withGap(kept, gapOf(record))
 				continue
 			}
@@ -197,7 +203,10 @@
 	b.heldOf[dropped] -= freed
 }
 
-func (b *Buffer) addGap(record Record) { b.items = withGap(b.items, gapOf(record)) }
+func (b *Buffer) addGap(record Record) {
+	b.dropped++
+	b.items = withGap(b.items, gapOf(record))
+}
 
 // withGap appends a gap, or merges it with a gap at the end of items.
 func withGap(items []item, added gap) []item {
--- a/entry/archive.go
+++ b/entry/archive.go
@@ -304,6 +304,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := archive.register(h.operators.Registry()); err != nil {
+		return nil, err
+	}
 	h.dispatcher.archive = archive
 	return archive, nil
 }
--- a/entry/archive_test.go
+++ b/entry/archive_test.go
@@ -161,6 +161,7 @@
 		}
 		assert.Equal(t, delivered, admitted+1)
 		assert.Assert(t, report.Dropped > 0)
+		assert.Equal(t, report.Dropped, s.buffer.Dropped())
 	})
 }
 
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"filberthold/model"
 	"filberthold/place"
 	"filberthold/replay"
 	"filberthold/ring"
@@ -54,7 +55,7 @@
 	d.open[request.ID] = decisions
 	d.mu.Unlock()
 	if !d.events.TryPut(place.Arrived{Request: request}) {
-		d.archive.RefuseUnplaced(request, "too many events wait for placement", time.Now())
+		d.archive.RecordOutcome(request, model.NotSent, "too many events wait for placement", time.Now())
 		d.Close(request.ID)
 		return nil, fmt.Errorf("open request: %d events wait for placement", eventCapacity)
 	}
--- a/entry/records.go
+++ b/entry/records.go
@@ -21,25 +21,27 @@
 		return nil
 	}
 	if err := a.buffer.Reserve(request.ID); err != nil {
-		a.refuseUnplaced(request, err.Error(), now)
+		a.recordOutcome(request, model.NotSent, err.Error(), now)
 		return fmt.Errorf("account for request: %w", err)
 	}
 	return nil
 }
 
-// RefuseUnplaced accounts for a request that does not enter placement.
-func (a *Archive) RefuseUnplaced(request place.Request, reason string, now time.Time) {
+// RecordOutcome accounts for a request that was answered without placement,
+// and writes its log line.
+func (a *Archive) RecordOutcome(request place.Request, outcome model.Outcome, reason string, now time.Time) {
 	if a == nil {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.refuseUnplaced(request, reason, now)
+	a.recordOutcome(request, outcome, reason, now)
 }
 
-func (a *Archive) refuseUnplaced(request place.Request, reason string, now time.Time) {
+func (a *Archive) recordOutcome(request place.Request, outcome model.Outcome, reason string, now time.Time) {
+	a.log.Info("refuse", "request", request.ID, "outcome", outcome, "reason", reason)
 	record := about(openRequest{request: request, class: a.classOf(request.Service)}, audit.Refused)
-	record.Outcome, record.Reason = string(model.NotSent), reason
+	record.Outcome, record.Reason = string(outcome), reason
 	a.add(record, now)
 }
 
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -152,7 +152,7 @@
 		return nil, fmt.Errorf("decode event: %w", err)
 	}
 	if next.Document == "" {
-		return event, nil
+		return nil, errors.New("adopted configuration is not in the trace")
 	}
 	deployment, err := config.ParseDeployment("trace", []byte(next.Document), event.Revision)
 	if err != nil {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -131,3 +131,15 @@
 	_, err := replay.Run(bytes.NewReader(recordSession(t, keep)[:200]))
 	assert.ErrorContains(t, err, "unexpected EOF")
 }
+
+// Guards against a damaged trace that makes the replay panic or run for ever.
+func FuzzRun(f *testing.F) {
+	trace, err := os.ReadFile(traceFile)
+	assert.NilError(f, err)
+	f.Add(trace)
+	f.Add(trace[:len(trace)/2])
+	f.Fuzz(func(t *testing.T, trace []byte) {
+		result, err := replay.Run(bytes.NewReader(trace))
+		assert.Check(t, err != nil || result.Events >= len(result.Outcomes))
+	})
+}
