--- a/audit/chain.go
+++ b/audit/chain.go
@@ -8,8 +8,13 @@
 	"filberthold/model"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
 )
 
+// compressionWindow is enough for the records of a segment, which repeat each
+// other at short distances.
+const compressionWindow = 256 << 10
+
 // Prefix is the prefix of the names of all segments.
 const Prefix = "audit/"
 
@@ -41,7 +46,9 @@
 // Chain makes the segments of one incarnation of a host. It is not safe for
 // concurrent use.
 type Chain struct {
-	codec       *codec
+	codec *codec
+	// compressor is kept, because making one allocates several megabytes.
+	compressor  *zstd.Encoder
 	host        model.HostName
 	incarnation string
 	// number and previous belong to the last segment that was made.
@@ -55,7 +62,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Chain{codec: codec, host: host, incarnation: incarnation}, nil
+	compressor, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
+		zstd.WithWindowSize(compressionWindow))
+	if err != nil {
+		return nil, fmt.Errorf("make compressor: %w", err)
+	}
+	return &Chain{codec: codec, compressor: compressor, host: host, incarnation: incarnation}, nil
 }
 
 // Append makes the next segment of the chain. A final segment ends it.
@@ -81,7 +93,7 @@
 		Host: c.host, Incarnation: c.incarnation, Number: c.number + 1,
 		Previous: c.previous[:], Final: final, Records: records,
 	}
-	body, err := c.codec.encodeSegment(segment)
+	body, err := c.codec.encodeSegment(c.compressor, segment)
 	if err != nil {
 		return Stored{}, err
 	}
--- a/audit/codec.go
+++ b/audit/codec.go
@@ -78,16 +78,11 @@
 	return raw, nil
 }
 
-func (c *codec) encodeSegment(segment storedSegment) ([]byte, error) {
+func (c *codec) encodeSegment(compressor *zstd.Encoder, segment storedSegment) ([]byte, error) {
 	plain, err := c.encoding.Marshal(segment)
 	if err != nil {
 		return nil, fmt.Errorf("encode segment: %w", err)
 	}
-	compressor, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	if err != nil {
-		return nil, fmt.Errorf("make compressor: %w", err)
-	}
-	defer compressor.Close()
 	return compressor.EncodeAll(plain, nil), nil
 }
 
