Give hints for invalid documents and for archives that cannot be read

An unreachable platform was answered with a hint about the identifier of the request. explain and verify now tell a missing record from an archive that cannot be read, and invalid documents carry a code and a hint of their own.

--- a/audit/find.go
+++ b/audit/find.go
@@ -20,6 +20,9 @@
 	Object(ctx context.Context, name string) ([]byte, error)
 }
 
+// ErrNoRecord is returned for a request that is not in the archive.
+var ErrNoRecord = errors.New("no record in the archive")
+
 // searchMargin covers the clock error between hosts and the longest segment
 // interval of 10 s.
 const searchMargin = 15 * time.Second
@@ -76,7 +79,7 @@
 			return records, nil
 		}
 	}
-	missing := fmt.Errorf("no record of request %s in %d chains", request, len(chains))
+	missing := fmt.Errorf("request %s: %w: %d chains", request, ErrNoRecord, len(chains))
 	return nil, errors.Join(append([]error{missing}, faults...)...)
 }
 
--- a/cmds/archive_test.go
+++ b/cmds/archive_test.go
@@ -101,6 +101,9 @@
 	code, out = run("explain", idAt(noon.Add(time.Hour)), "--platform", address)
 	assert.Equal(t, code, 1)
 	golden.Assert(t, out, "explain-unknown.txt")
+	code, out = run("explain", id, "--platform", "127.0.0.1:1")
+	assert.Equal(t, code, 1)
+	assert.Assert(t, strings.Contains(out, "hint: give the platformAddress"), out)
 }
 
 // Guards against an archive that verifies although a segment was replaced or
--- a/cmds/check.go
+++ b/cmds/check.go
@@ -61,5 +61,6 @@
 	if err == nil {
 		return nil
 	}
-	return fmt.Errorf("invalid document:\n%w", err)
+	return oops.Code("invalidDocument").Hint("correct the faults above; nothing was started or written").
+		Wrap(fmt.Errorf("invalid document:\n%w", err))
 }
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -28,7 +28,7 @@
 			}
 			settings, err := config.ParseSettings(settingsFile, text)
 			if err != nil {
-				return fmt.Errorf("load settings: %w", err)
+				return wrapInvalid(err)
 			}
 			base, err := common.NewBase(settings, command.ErrOrStderr())
 			if err != nil {
--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -37,9 +37,7 @@
 			request := place.RequestID(arguments[0])
 			records, err := audit.Find(command.Context(), client, prefix, request)
 			if err != nil {
-				return oops.Code("requestNotFound").
-					Hint("the identifier is the Filberthold-Request header of the response; the host stores records within 10 s").
-					Wrapf(err, "find request")
+				return wrapArchive(err)
 			}
 			explanation, err := audit.Explain(records, request)
 			if err != nil {
@@ -57,6 +55,17 @@
 	return command
 }
 
+// wrapArchive adds a hint to an error of a command that reads the archive.
+func wrapArchive(err error) error {
+	if errors.Is(err, audit.ErrNoRecord) {
+		return oops.Code("requestNotFound").
+			Hint("the identifier is the Filberthold-Request header of the response; the host stores records within 10 s").
+			Wrapf(err, "find request")
+	}
+	return oops.Code("archiveUnreadable").Hint("give the platformAddress of a host's settings; see docs/operators/platform-down.md").
+		Wrapf(err, "read archive")
+}
+
 func writeIndented(out io.Writer, value any) error {
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
--- a/cmds/verify.go
+++ b/cmds/verify.go
@@ -36,7 +36,7 @@
 			defer client.Close()
 			reports, err := verifyChains(command.Context(), client, prefix, noted)
 			if err != nil {
-				return fmt.Errorf("verify: %w", err)
+				return wrapArchive(err)
 			}
 			if asJSON {
 				if err := writeIndented(command.OutOrStdout(), reports); err != nil {
