Keep archives and traces readable for any bytes a caller sends

A customer name that is not UTF-8 was stored as it came, and the decoder then refused the whole segment, with the records of other customers. Texts of records are now made valid; traces keep the bytes, because a replay has to see the same. The room that a submit reserves now counts the overhead of each record, and every text of a record is clipped.

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -209,6 +211,42 @@
 	assert.Equal(t, kept, submits)
 }
 
+// Guards against records of an admitted submit that do not fit into the room
+// that was reserved for them, because their texts are long.
+func TestLargestRecordsFitTheReservation(t *testing.T) {
+	buffer, err := audit.NewBuffer(128 << 10)
+	assert.NilError(t, err)
+	long := strings.Repeat("ž", 500)
+	assert.NilError(t, buffer.Reserve(place.RequestID(long)))
+	for i := range 1000 {
+		assert.NilError(t, buffer.Add(recordOf(model.Submit, fmt.Sprintf("other-%d", i), i)))
+	}
+	dropped := buffer.Dropped()
+	assert.Assert(t, dropped > 0)
+	for range 9 {
+		assert.NilError(t, buffer.Add(audit.Record{
+			At: start, Deadline: start, Kind: audit.Sent, Class: model.Submit.String(), Request: place.RequestID(long),
+			Customer: model.CustomerName(long), Service: model.ServiceName(long), Endpoint: model.EndpointName(long),
+			Reason: long, Outcome: long, Hedge: true, Position: math.MaxInt, Attempt: math.MaxUint64, Try: math.MaxInt,
+			Alternatives: slices.Repeat([]model.EndpointName{model.EndpointName(long)}, 50),
+		}))
+	}
+	assert.Equal(t, buffer.Dropped(), dropped)
+	assert.Assert(t, buffer.Used() <= 128<<10)
+}
+
+// Guards against a customer whose name is not UTF-8 and makes the segment
+// unreadable, with the records of all others.
+func TestTextThatIsNotUTF8(t *testing.T) {
+	chain, err := audit.NewChain("plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	stored, err := chain.Append([]audit.Record{{Number: 1, At: start, Kind: audit.Admitted, Customer: "resident\xff"}}, false)
+	assert.NilError(t, err)
+	segment, err := audit.DecodeSegment(stored.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, segment.Records[0].Customer, model.CustomerName("resident\uFFFD"))
+}
+
 // Guards against a decoder that panics or accepts what it cannot encode again.
 func FuzzDecodeSegment(f *testing.F) {
 	for _, stored := range fiveSegments(f) {
--- a/audit/buffer.go
+++ b/audit/buffer.go
@@ -17,7 +17,7 @@
 	MemoryLimit = 16 << 20
 	// submitReservation is room for the records of one submit: admission, one
 	// wait, three attempts and their ends, and the outcome, at their largest.
-	submitReservation = 9 * maxRecordBytes
+	submitReservation = 9 * (maxRecordBytes + itemOverhead)
 	// itemOverhead is the memory of an item besides its encoded record, and of
 	// a gap that may follow it: two items of 40 bytes in a slice that has grown
 	// to twice its use, and the 80 bytes of a gap, rounded up.
--- a/audit/find.go
+++ b/audit/find.go
@@ -57,7 +57,7 @@
 func Find(ctx context.Context, source Source, prefix string, request place.RequestID) ([]Record, error) {
 	id, err := ulid.ParseStrict(string(request))
 	if err != nil {
-		return nil, fmt.Errorf("parse request identifier %q: %w", request, err)
+		return nil, fmt.Errorf("%w: parse request identifier %q: %w", ErrNoRecord, request, err)
 	}
 	chains, err := ChainNames(ctx, source, prefix)
 	if err != nil {
--- a/audit/record.go
+++ b/audit/record.go
@@ -4,7 +4,9 @@
 package audit
 
 import (
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"filberthold/model"
 	"filberthold/place"
@@ -114,16 +116,25 @@
 	r.Service = clip(r.Service, maxNameBytes)
 	r.Request = clip(r.Request, maxNameBytes)
 	r.Endpoint = clip(r.Endpoint, maxNameBytes)
-	if len(r.Alternatives) > maxAlternatives {
-		r.Alternatives = r.Alternatives[:maxAlternatives]
+	r.Outcome = clip(r.Outcome, maxNameBytes)
+	r.Class = clip(r.Class, maxNameBytes)
+	alternatives := r.Alternatives[:min(len(r.Alternatives), maxAlternatives)]
+	r.Alternatives = nil
+	for _, alternative := range alternatives {
+		r.Alternatives = append(r.Alternatives, clip(alternative, maxNameBytes))
 	}
 	return r
 }
 
+// clip shortens a text. Callers choose the bytes of some texts, and a decoder
+// refuses text that is not UTF-8.
 func clip[T ~string](text T, limit int) T {
-	if len(text) <= limit {
-		return text
+	valid := strings.ToValidUTF8(string(text), "\uFFFD")
+	if len(valid) <= limit {
+		return T(valid)
 	}
-	runes := []rune(string(text[:limit]))
-	return T(string(runes[:len(runes)-1]) + "…")
+	for !utf8.RuneStart(valid[limit]) {
+		limit--
+	}
+	return T(valid[:limit] + "…")
 }
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -41,6 +41,7 @@
 type player struct {
 	core     *place.Core
 	encoding cbor.EncMode
+	decoding cbor.DecMode
 	result   Result
 }
 
@@ -55,7 +56,11 @@
 		return Result{}, fmt.Errorf("make decompressor: %w", err)
 	}
 	defer decompressor.Close()
-	decoder := cbor.NewDecoder(decompressor)
+	decoding, err := newDecoding()
+	if err != nil {
+		return Result{}, err
+	}
+	decoder := decoding.NewDecoder(decompressor)
 	var head header
 	if err := decoder.Decode(&head); err != nil {
 		return Result{}, fmt.Errorf("read trace header: %w", err)
@@ -63,7 +68,7 @@
 	if head.Format != Format {
 		return Result{}, fmt.Errorf("trace has format %q, want %q", head.Format, Format)
 	}
-	player := player{core: place.New(head.Host), encoding: encoding}
+	player := player{core: place.New(head.Host), encoding: encoding, decoding: decoding}
 	player.result.Outcomes = make(map[place.RequestID]model.Outcome)
 	for {
 		var next step
@@ -82,7 +87,7 @@
 
 func (p *player) apply(next step) error {
 	p.result.Events++
-	event, err := decodeEvent(next)
+	event, err := p.decodeEvent(next)
 	if err != nil {
 		return err
 	}
@@ -116,39 +121,39 @@
 	return nil
 }
 
-func decodeEvent(next step) (place.Event, error) {
+func (p *player) decodeEvent(next step) (place.Event, error) {
 	switch next.Kind {
 	case kindOf(place.Arrived{}):
-		return decode[place.Arrived](next.Event)
+		return decode[place.Arrived](p.decoding, next.Event)
 	case kindOf(place.Abandoned{}):
-		return decode[place.Abandoned](next.Event)
+		return decode[place.Abandoned](p.decoding, next.Event)
 	case kindOf(place.Finished{}):
-		return decode[place.Finished](next.Event)
+		return decode[place.Finished](p.decoding, next.Event)
 	case kindOf(place.Responded{}):
-		return decode[place.Responded](next.Event)
+		return decode[place.Responded](p.decoding, next.Event)
 	case kindOf(place.Ticked{}):
 		return place.Ticked{}, nil
 	case kindOf(place.Marked{}):
-		return decode[place.Marked](next.Event)
+		return decode[place.Marked](p.decoding, next.Event)
 	case kindOf(place.Unmarked{}):
-		return decode[place.Unmarked](next.Event)
+		return decode[place.Unmarked](p.decoding, next.Event)
 	case kindOf(place.Adopted{}):
-		return decodeAdopted(next)
+		return p.decodeAdopted(next)
 	}
 	return nil, fmt.Errorf("unknown kind of event %q", next.Kind)
 }
 
-func decode[E place.Event](raw cbor.RawMessage) (place.Event, error) {
+func decode[E place.Event](decoding cbor.DecMode, raw cbor.RawMessage) (place.Event, error) {
 	var event E
-	if err := cbor.Unmarshal(raw, &event); err != nil {
+	if err := decoding.Unmarshal(raw, &event); err != nil {
 		return nil, fmt.Errorf("decode event: %w", err)
 	}
 	return event, nil
 }
 
-func decodeAdopted(next step) (place.Event, error) {
+func (p *player) decodeAdopted(next step) (place.Event, error) {
 	var event place.Adopted
-	if err := cbor.Unmarshal(next.Event, &event); err != nil {
+	if err := p.decoding.Unmarshal(next.Event, &event); err != nil {
 		return nil, fmt.Errorf("decode event: %w", err)
 	}
 	if next.Document == "" {
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -53,7 +53,7 @@
 		recorder.Record(event, change(events, decisions), now)
 	}
 	arrive := func(id place.RequestID) {
-		apply(place.Arrived{Request: place.Request{ID: id, Service: "filing-desk", Customer: "resident",
+		apply(place.Arrived{Request: place.Request{ID: id, Service: "filing-desk", Customer: "resident\xff",
 			Home: "cz-west", Deadline: now.Add(5 * time.Second)}})
 	}
 	arrive("before-configuration")
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -48,6 +48,16 @@
 	return encoding, nil
 }
 
+// newDecoding accepts text that is not UTF-8, since callers choose the bytes of
+// some texts and a replay has to see the same.
+func newDecoding() (cbor.DecMode, error) {
+	decoding, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		return nil, fmt.Errorf("make decoder: %w", err)
+	}
+	return decoding, nil
+}
+
 // Recorder writes a trace. A nil recorder records nothing. It is not safe for
 // concurrent use.
 type Recorder struct {
@@ -133,7 +143,8 @@
 		}
 		text, err := cbor.Diagnose(raw)
 		if err != nil {
-			return nil, fmt.Errorf("format decision: %w", err)
+			// Diagnostic notation has no form for text that is not UTF-8.
+			text = fmt.Sprintf("%x", raw)
 		}
 		texts = append(texts, fmt.Sprintf("%T %s", decision, text))
 	}
