Place the faults of large documents quickly

Each fault counted the lines before it. The golden files do not change.

A dispatcher test now also replays the trace that the dispatcher wrote.

--- a/config/checker.go
+++ b/config/checker.go
@@ -15,12 +15,18 @@
 
 // Checker collects the faults of a decoded document.
 type Checker struct {
-	findings []finding
+	findings    []finding
+	allowedName *regexp.Regexp
 	// definedAt holds the first path of each name, by kind and name.
 	definedAt map[string]string
 }
 
-func newChecker() *Checker { return &Checker{definedAt: make(map[string]string)} }
+func newChecker() *Checker {
+	return &Checker{
+		allowedName: regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`),
+		definedAt:   make(map[string]string),
+	}
+}
 
 // Add reports a fault at a path such as endpoints[2].slots.
 func (c *Checker) Add(path, hint, format string, arguments ...any) {
@@ -65,7 +71,7 @@
 		c.Add(path, "each "+kind+" needs a name of its own", "%s has no name", kind)
 		return
 	}
-	if !regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`).MatchString(name) {
+	if !c.allowedName.MatchString(name) {
 		c.Add(path, "use up to 63 letters, digits, dots, hyphens and underscores", "%s name %q is not allowed", kind, name)
 	}
 	c.once(path, kind, name)
--- a/config/decode.go
+++ b/config/decode.go
@@ -19,9 +19,6 @@
 // value is blanked and the rest is decoded again. isWhole is false if the
 // document has a syntax error, so that further checks make no sense.
 func decode(text []byte, into func() any) (problems []Problem, isWhole bool) {
-	if problem, isMalformed := checkSyntax(text); isMalformed {
-		return []Problem{problem}, false
-	}
 	text = bytes.Clone(text)
 	for range maxTypeProblems {
 		err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into())
@@ -33,6 +30,11 @@
 		case errors.As(err, &unknown):
 			return append(problems, unknownKeys(unknown)...), true
 		case errors.As(err, &malformed):
+			// The check of the syntax takes a pass of its own over a document that
+			// may have 130,000 client blocks, so it runs only after a fault.
+			if problem, isMalformed := checkSyntax(text); isMalformed {
+				return orFirst(problems, problem), false
+			}
 			line, column := malformed.Position()
 			problems = append(problems, typeProblem(line, column, malformed))
 			if !blankLine(text, line) {
@@ -41,13 +43,19 @@
 		default:
 			return append(problems, Problem{Line: 1, Column: 1, Message: err.Error()}), false
 		}
-		if _, isMalformed := checkSyntax(text); isMalformed {
-			return problems, false
-		}
 	}
 	return problems, false
 }
 
+// orFirst returns the problems that were found before a line was blanked, or
+// else the syntax error. After that, the syntax error may come from blanking.
+func orFirst(problems []Problem, syntax Problem) []Problem {
+	if len(problems) > 0 {
+		return problems
+	}
+	return []Problem{syntax}
+}
+
 func checkSyntax(text []byte) (Problem, bool) {
 	parser := unstable.Parser{}
 	parser.Reset(text)
--- a/config/positions.go
+++ b/config/positions.go
@@ -1,8 +1,8 @@
 package config
 
 import (
-	"bytes"
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2/unstable"
@@ -11,7 +11,8 @@
 // positions holds where the keys and tables of a document are, by paths such
 // as endpoints[2].slots.
 type positions struct {
-	text    []byte
+	// lines holds the offset at which each line begins.
+	lines   []int
 	offsets map[string]int
 	// counts holds the number of elements of each array of tables.
 	counts map[string]int
@@ -19,7 +20,12 @@
 
 // locate finds the keys of a document without syntax errors.
 func locate(text []byte) *positions {
-	found := &positions{text: text, offsets: make(map[string]int), counts: make(map[string]int)}
+	found := &positions{lines: []int{0}, offsets: make(map[string]int), counts: make(map[string]int)}
+	for i, character := range text {
+		if character == '\n' {
+			found.lines = append(found.lines, i+1)
+		}
+	}
 	parser := unstable.Parser{}
 	parser.Reset(text)
 	table := ""
@@ -88,8 +94,8 @@
 func (p *positions) of(path string) (line, column int) {
 	for {
 		if offset, exists := p.offsets[path]; exists {
-			before := p.text[:offset]
-			return 1 + bytes.Count(before, []byte("\n")), offset - bytes.LastIndexByte(before, '\n')
+			line := sort.SearchInts(p.lines, offset+1)
+			return line, offset - p.lines[line-1] + 1
 		}
 		end := strings.LastIndexByte(path, '.')
 		if end < 0 {
--- a/entry/archive_test.go
+++ b/entry/archive_test.go
@@ -19,6 +19,7 @@
 	"filberthold/model"
 	"filberthold/place"
 	"filberthold/plat"
+	"filberthold/replay"
 
 	"gotest.tools/v3/assert"
 )
@@ -230,12 +231,17 @@
 	})
 }
 
-// Guards against decisions of the dispatcher that are not accounted for.
+// Guards against decisions of the dispatcher that are not accounted for or not
+// in its trace.
 func TestDispatcherRecordsDecisions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startSession(t)
 		dispatcher := NewDispatcher(slog.New(slog.NewTextHandler(io.Discard, nil)), place.New("plzen-a-1"))
 		dispatcher.archive = s.Archive
+		trace := &bytes.Buffer{}
+		recorder, err := replay.NewRecorder(trace, "plzen-a-1")
+		assert.NilError(t, err)
+		dispatcher.trace = recorder
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = dispatcher.loop(ctx) }()
 		decisions, err := dispatcher.Open(ctx, place.Request{ID: "r1", Service: "filing-desk", Customer: "resident"})
@@ -248,5 +254,10 @@
 		assert.Equal(t, len(records), 3)
 		assert.Equal(t, records[1].Kind, audit.Admitted)
 		assert.Equal(t, records[2].Kind, audit.Refused)
+		assert.NilError(t, recorder.Close())
+		result, err := replay.Run(trace)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, result.Outcomes, map[place.RequestID]model.Outcome{"r1": model.NotSent})
+		assert.Equal(t, len(result.Differences), 0)
 	})
 }
