Let callers reserve audit room before they claim a key

Room for a submit's records was reserved when it entered placement, which is after the claim: a refusal there is reported as notSent, but leaves the row claimed and the key unknown for good. Dispatcher.Reserve may now be called before the claim, and again by Open to no effect; RecordOutcome gives the room back when the claim ends the request. The caller package does not call them yet.

--- a/audit/buffer.go
+++ b/audit/buffer.go
@@ -111,13 +111,17 @@
 	return &Buffer{codec: codec, limit: limit, reserved: make(map[place.RequestID]int)}, nil
 }
 
-// Reserve keeps room for the records of a submit, or returns ErrFull.
+// Reserve keeps room for the records of a submit, or returns ErrFull. It does
+// nothing if there is a reservation.
 func (b *Buffer) Reserve(request place.RequestID) error {
+	if _, exists := b.reserved[request]; exists {
+		return nil
+	}
 	if !b.makeRoom(submitReservation, otherRank) {
 		return fmt.Errorf("reserve room for request %s: %w", request, ErrFull)
 	}
 	b.used += submitReservation
-	b.reserved[request] += submitReservation
+	b.reserved[request] = submitReservation
 	return nil
 }
 
--- a/entry/records.go
+++ b/entry/records.go
@@ -27,6 +27,18 @@
 	return nil
 }
 
+// Reserve keeps room for the records of a submit. It is called before the row
+// of the register is claimed, since a refusal after the claim would leave the
+// key unknown; Open calls it again, to no effect.
+func (d *Dispatcher) Reserve(request place.Request) error {
+	return d.archive.Reserve(request, time.Now())
+}
+
+// RecordOutcome accounts for a request that is answered without placement.
+func (d *Dispatcher) RecordOutcome(request place.Request, outcome model.Outcome, reason string) {
+	d.archive.RecordOutcome(request, outcome, reason, time.Now())
+}
+
 // RecordOutcome accounts for a request that was answered without placement,
 // and writes its log line.
 func (a *Archive) RecordOutcome(request place.Request, outcome model.Outcome, reason string, now time.Time) {
