--- a/admin/server.go
+++ b/admin/server.go
@@ -19,8 +19,9 @@
 
 // Server answers operators.
 type Server struct {
-	http    *http.Server
-	metrics *Metrics
+	http     *http.Server
+	registry *prometheus.Registry
+	metrics  *Metrics
 }
 
 // NewServer returns a server; status tells what the host is doing.
@@ -41,11 +42,15 @@
 	})
 	mux.HandleFunc("GET /v1/status", statusHandler(status))
 	return &Server{
-		http:    &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second},
-		metrics: NewMetrics(registry),
+		http:     &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second},
+		registry: registry,
+		metrics:  NewMetrics(registry),
 	}
 }
 
+// Registry returns the registry for further metrics of the process.
+func (s *Server) Registry() *prometheus.Registry { return s.registry }
+
 // Metrics returns the metrics of the process.
 func (s *Server) Metrics() *Metrics { return s.metrics }
 
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,6 +67,40 @@
 	}
 }
 
+// anew makes a segment with the same records in a chain of its own, after a
+// number of empty segments.
+func anew(t *testing.T, stored audit.Stored, incarnation string, before int) audit.Stored {
+	t.Helper()
+	segment, err := audit.DecodeSegment(stored.Body)
+	assert.NilError(t, err)
+	chain, err := audit.NewChain("plzen-a-1", incarnation)
+	assert.NilError(t, err)
+	for range before {
+		_, err := chain.Append(nil, false)
+		assert.NilError(t, err)
+	}
+	made, err := chain.Append(segment.Records, segment.Final)
+	assert.NilError(t, err)
+	return made
+}
+
+// withoutRecord makes the chain anew without the last record of segment 2.
+func withoutRecord(t *testing.T, segments []audit.Stored) []audit.Stored {
+	t.Helper()
+	chain, err := audit.NewChain("plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	for i := range segments {
+		segment, err := audit.DecodeSegment(segments[i].Body)
+		assert.NilError(t, err)
+		if i == 1 {
+			segment.Records = segment.Records[:1]
+		}
+		segments[i], err = chain.Append(segment.Records, segment.Final)
+		assert.NilError(t, err)
+	}
+	return segments
+}
+
 // Guards against evidence that can be altered without a trace: each case
 // changes the archive and names exactly the faults that have to be reported.
 func TestVerifyFindsTampering(t *testing.T) {
@@ -88,6 +124,16 @@
 		{"tail removed, no head noted", func(s []audit.Stored) []audit.Stored { return s[:3] }, nil, nil, false},
 		{"tail removed, head noted", func(s []audit.Stored) []audit.Stored { return s[:3] }, &whole.Head,
 			[]string{name(4) + " missing", name(5) + " missing"}, false},
+		{"a segment made anew without the ones before", func(s []audit.Stored) []audit.Stored {
+			s[2] = anew(t, s[2], "run-1", 2)
+			return s
+		}, nil, []string{name(3) + " changed"}, true},
+		{"the first segment of another chain", func(s []audit.Stored) []audit.Stored {
+			s[0].Body = anew(t, s[0], "run-2", 0).Body
+			return s
+		}, nil, []string{name(1) + " reordered", name(1) + " missing"}, true},
+		{"records left out by the host", func(s []audit.Stored) []audit.Stored { return withoutRecord(t, s) }, nil,
+			[]string{name(3) + " lost records"}, true},
 		{"removed and changed", func(s []audit.Stored) []audit.Stored { forge(t, s, 1); return slices.Delete(s, 3, 4) }, nil,
 			[]string{name(2) + " changed", name(4) + " missing"}, true},
 	}
@@ -165,6 +211,42 @@
 	assert.Equal(t, kept, submits)
 }
 
+// Guards against records of an admitted submit that do not fit into the room
+// that was reserved for them, because their texts are long.
+func TestLargestRecordsFitTheReservation(t *testing.T) {
+	buffer, err := audit.NewBuffer(128 << 10)
+	assert.NilError(t, err)
+	long := strings.Repeat("ž", 500)
+	assert.NilError(t, buffer.Reserve(place.RequestID(long)))
+	for i := range 1000 {
+		assert.NilError(t, buffer.Add(recordOf(model.Submit, fmt.Sprintf("other-%d", i), i)))
+	}
+	dropped := buffer.Dropped()
+	assert.Assert(t, dropped > 0)
+	for range 9 {
+		assert.NilError(t, buffer.Add(audit.Record{
+			At: start, Deadline: start, Kind: audit.Sent, Class: model.Submit.String(), Request: place.RequestID(long),
+			Customer: model.CustomerName(long), Service: model.ServiceName(long), Endpoint: model.EndpointName(long),
+			Reason: long, Outcome: long, Hedge: true, Position: math.MaxInt, Attempt: math.MaxUint64, Try: math.MaxInt,
+			Alternatives: slices.Repeat([]model.EndpointName{model.EndpointName(long)}, 50),
+		}))
+	}
+	assert.Equal(t, buffer.Dropped(), dropped)
+	assert.Assert(t, buffer.Used() <= 128<<10)
+}
+
+// Guards against a customer whose name is not UTF-8 and makes the segment
+// unreadable, with the records of all others.
+func TestTextThatIsNotUTF8(t *testing.T) {
+	chain, err := audit.NewChain("plzen-a-1", "run-1")
+	assert.NilError(t, err)
+	stored, err := chain.Append([]audit.Record{{Number: 1, At: start, Kind: audit.Admitted, Customer: "resident\xff"}}, false)
+	assert.NilError(t, err)
+	segment, err := audit.DecodeSegment(stored.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, segment.Records[0].Customer, model.CustomerName("resident\uFFFD"))
+}
+
 // Guards against a decoder that panics or accepts what it cannot encode again.
 func FuzzDecodeSegment(f *testing.F) {
 	for _, stored := range fiveSegments(f) {
--- a/audit/buffer.go
+++ b/audit/buffer.go
@@ -17,7 +17,7 @@
 	MemoryLimit = 16 << 20
 	// submitReservation is room for the records of one submit: admission, one
 	// wait, three attempts and their ends, and the outcome, at their largest.
-	submitReservation = 9 * maxRecordBytes
+	submitReservation = 9 * (maxRecordBytes + itemOverhead)
 	// itemOverhead is the memory of an item besides its encoded record, and of
 	// a gap that may follow it: two items of 40 bytes in a slice that has grown
 	// to twice its use, and the 80 bytes of a gap, rounded up.
@@ -48,6 +48,8 @@
 	// rank.
 	held   int
 	heldOf [otherRank + 1]int
+	// dropped counts the records that were dropped.
+	dropped uint64
 	// storing is the part of used that belongs to the segment being stored.
 	storing int
 }
@@ -109,13 +111,17 @@
 	return &Buffer{codec: codec, limit: limit, reserved: make(map[place.RequestID]int)}, nil
 }
 
-// Reserve keeps room for the records of a submit, or returns ErrFull.
+// Reserve keeps room for the records of a submit, or returns ErrFull. It does
+// nothing if there is a reservation.
 func (b *Buffer) Reserve(request place.RequestID) error {
+	if _, exists := b.reserved[request]; exists {
+		return nil
+	}
 	if !b.makeRoom(submitReservation, otherRank) {
 		return fmt.Errorf("reserve room for request %s: %w", request, ErrFull)
 	}
 	b.used += submitReservation
-	b.reserved[request] += submitReservation
+	b.reserved[request] = submitReservation
 	return nil
 }
 
@@ -152,6 +158,9 @@
 // Len returns the number of bytes of the records that wait for a segment.
 func (b *Buffer) Len() int { return b.held }
 
+// Dropped returns how many records were dropped since the start.
+func (b *Buffer) Dropped() uint64 { return b.dropped }
+
 // Used returns the memory in use, with all reservations.
 func (b *Buffer) Used() int { return b.used }
 
@@ -181,6 +190,7 @@
 			var record Record
 			if err := b.codec.decoding.Unmarshal(held.raw, &record); err == nil {
 				freed += held.size()
+				b.dropped++
 				kept = withGap(kept, gapOf(record))
 				continue
 			}
@@ -197,7 +207,10 @@
 	b.heldOf[dropped] -= freed
 }
 
-func (b *Buffer) addGap(record Record) { b.items = withGap(b.items, gapOf(record)) }
+func (b *Buffer) addGap(record Record) {
+	b.dropped++
+	b.items = withGap(b.items, gapOf(record))
+}
 
 // withGap appends a gap, or merges it with a gap at the end of items.
 func withGap(items []item, added gap) []item {
@@ -232,6 +245,9 @@
 	IsLast bool
 }
 
+// Len returns the number of records in the batch.
+func (b Batch) Len() int { return len(b.records) }
+
 // Take removes up to size bytes of the oldest records, at least one. Their
 // room stays in use until Stored is called.
 func (b *Buffer) Take(size int) (Batch, error) {
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -91,7 +91,9 @@
 }
 func (h *harness) Locate(netip.Addr) (model.RegionName, uint64) { return "r", 0 }
 func (h *harness) Entries(netip.Addr) []model.Host              { return nil }
-func (h *harness) Close(place.RequestID)                        {}
+func (h *harness) Reserve(place.Request) error                  { return nil }
+
+func (h *harness) Close(place.RequestID) {}
 
 func (h *harness) Open(_ context.Context, request place.Request) (<-chan place.Decision, error) {
 	h.mu.Lock()
--- a/caller/server.go
+++ b/caller/server.go
@@ -25,6 +25,8 @@
 	Open(ctx context.Context, request place.Request) (<-chan place.Decision, error)
 	// Report hands an event to placement.
 	Report(ctx context.Context, event place.Event) error
+	// Reserve makes sure that a submit can be accounted for.
+	Reserve(request place.Request) error
 	// Close ends the delivery of decisions for a request.
 	Close(id place.RequestID)
 }
--- a/caller/submits.go
+++ b/caller/submits.go
@@ -64,6 +64,11 @@
 		e.refuseUnplaced(w, "no register")
 		return
 	}
+	// A refusal after the claim would leave the key without a definite outcome.
+	if err := e.server.dispatcher.Reserve(e.request); err != nil {
+		e.refuseUnplaced(w, err.Error())
+		return
+	}
 	select {
 	case e.server.submits.slots <- struct{}{}:
 	default:
--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -21,7 +21,7 @@
 }
 
 func newExplainCommand() *cobra.Command {
-	var address string
+	var address, host string
 	var asJSON bool
 	command := &cobra.Command{
 		Use:   "explain REQUEST",
@@ -30,12 +30,14 @@
 		RunE: func(command *cobra.Command, arguments []string) error {
 			client := plat.NewClient(address)
 			defer client.Close()
+			prefix := audit.Prefix
+			if host != "" {
+				prefix += host + "/"
+			}
 			request := place.RequestID(arguments[0])
-			records, err := audit.Find(command.Context(), client, request)
+			records, err := audit.Find(command.Context(), client, prefix, request)
 			if err != nil {
-				return oops.Code("requestNotFound").
-					Hint("the identifier is the Filberthold-Request header of the response; the host stores records within 10 s").
-					Wrapf(err, "find request")
+				return wrapArchive(err)
 			}
 			explanation, err := audit.Explain(records, request)
 			if err != nil {
@@ -48,10 +50,22 @@
 		},
 	}
 	platformFlag(command, &address)
+	command.Flags().StringVar(&host, "host", "", "entry host that handled the request; saves reading the archive of the others")
 	command.Flags().BoolVar(&asJSON, "json", false, "write JSON")
 	return command
 }
 
+// wrapArchive adds a hint to an error of a command that reads the archive.
+func wrapArchive(err error) error {
+	if errors.Is(err, audit.ErrNoRecord) {
+		return oops.Code("requestNotFound").
+			Hint("the identifier is the Filberthold-Request header of the response; the host stores records within 10 s").
+			Wrapf(err, "find request")
+	}
+	return oops.Code("archiveUnreadable").Hint("give the platformAddress of a host's settings; see docs/operators/platform-down.md").
+		Wrapf(err, "read archive")
+}
+
 func writeIndented(out io.Writer, value any) error {
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
--- a/config/checker.go
+++ b/config/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"strings"
 	"time"
 )
 
@@ -14,18 +15,36 @@
 
 // Checker collects the faults of a decoded document.
 type Checker struct {
-	findings []finding
+	findings    []finding
+	allowedName *regexp.Regexp
 	// definedAt holds the first path of each name, by kind and name.
 	definedAt map[string]string
 }
 
-func newChecker() *Checker { return &Checker{definedAt: make(map[string]string)} }
+func newChecker() *Checker {
+	return &Checker{
+		allowedName: regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`),
+		definedAt:   make(map[string]string),
+	}
+}
 
 // Add reports a fault at a path such as endpoints[2].slots.
 func (c *Checker) Add(path, hint, format string, arguments ...any) {
 	c.findings = append(c.findings, finding{path: path, message: fmt.Sprintf(format, arguments...), hint: hint})
 }
 
+// Check checks a document that was made from the one that is checked. rename
+// gives the path there for a path of the made document.
+func (c *Checker) Check(made Document, rename func(path string) string) {
+	inner := newChecker()
+	inner.document(made)
+	for _, finding := range inner.findings {
+		path := rename(finding.path)
+		message := strings.Replace(finding.message, lastKey(finding.path), lastKey(path), 1)
+		c.Add(path, finding.hint, "%s", message)
+	}
+}
+
 // problems places the findings in the text. A line that the decoder has
 // already reported is left out: the value there is unknown.
 func (c *Checker) problems(text []byte, known []Problem) []Problem {
@@ -52,7 +71,7 @@
 		c.Add(path, "each "+kind+" needs a name of its own", "%s has no name", kind)
 		return
 	}
-	if !regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`).MatchString(name) {
+	if !c.allowedName.MatchString(name) {
 		c.Add(path, "use up to 63 letters, digits, dots, hyphens and underscores", "%s name %q is not allowed", kind, name)
 	}
 	c.once(path, kind, name)
--- a/entry/archive_test.go
+++ b/entry/archive_test.go
@@ -19,6 +19,7 @@
 	"filberthold/model"
 	"filberthold/place"
 	"filberthold/plat"
+	"filberthold/replay"
 
 	"gotest.tools/v3/assert"
 )
@@ -161,6 +162,7 @@
 		}
 		assert.Equal(t, delivered, admitted+1)
 		assert.Assert(t, report.Dropped > 0)
+		assert.Equal(t, report.Dropped, s.buffer.Dropped())
 	})
 }
 
@@ -225,27 +227,50 @@
 		begin := time.Now()
 		s.stop(t)
 		assert.Assert(t, time.Since(begin) <= flushTimeout+storeTimeout)
-		assert.Assert(t, strings.Contains(s.log.String(), "audit records lost at shutdown"), s.log.String())
+		assert.Assert(t, strings.Contains(s.log.String(), "audit records lost at shutdown") && strings.Contains(s.log.String(), "records=5"), s.log.String())
 	})
 }
 
-// Guards against decisions of the dispatcher that are not accounted for.
+// Guards against decisions of the dispatcher that are not accounted for or not
+// in its trace.
 func TestDispatcherRecordsDecisions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startSession(t)
 		dispatcher := NewDispatcher(slog.New(slog.NewTextHandler(io.Discard, nil)), place.New("plzen-a-1"))
 		dispatcher.archive = s.Archive
+		trace := &bytes.Buffer{}
+		recorder, err := replay.NewRecorder(trace, "plzen-a-1")
+		assert.NilError(t, err)
+		dispatcher.trace = recorder
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = dispatcher.loop(ctx) }()
+		claimed := place.Request{ID: "r0", Service: "filing-desk", Customer: "resident"}
+		assert.NilError(t, dispatcher.Reserve(claimed))
+		once := s.buffer.Used()
+		assert.NilError(t, dispatcher.Reserve(claimed))
+		assert.Equal(t, s.buffer.Used(), once)
+		answer := place.Answered{Request: claimed, Outcome: model.Pending, Reason: "another attempt holds the key"}
+		assert.NilError(t, dispatcher.Report(ctx, answer))
 		decisions, err := dispatcher.Open(ctx, place.Request{ID: "r1", Service: "filing-desk", Customer: "resident"})
 		assert.NilError(t, err)
 		assert.Equal(t, (<-decisions).For(), place.RequestID("r1"))
+		answer = place.Answered{Request: place.Request{ID: "r1", Service: "filing-desk"}, Outcome: model.NotSent}
+		assert.NilError(t, dispatcher.Report(ctx, answer))
+		synctest.Wait()
 		cancel()
 		synctest.Wait()
 		s.stop(t)
 		records, _ := s.store.verify(t)
-		assert.Equal(t, len(records), 3)
-		assert.Equal(t, records[1].Kind, audit.Admitted)
-		assert.Equal(t, records[2].Kind, audit.Refused)
+		assert.Equal(t, len(records), 5)
+		assert.Equal(t, records[1].Outcome, string(model.Pending))
+		assert.Equal(t, records[2].Kind, audit.Admitted)
+		assert.Equal(t, records[3].Kind, audit.Refused)
+		assert.Equal(t, records[4].Kind, audit.Answered)
+		assert.Equal(t, s.buffer.Used(), 0)
+		assert.NilError(t, recorder.Close())
+		result, err := replay.Run(trace)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, result.Outcomes, map[place.RequestID]model.Outcome{"r1": model.NotSent})
+		assert.Equal(t, len(result.Differences), 0)
 	})
 }
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -53,7 +53,7 @@
 		recorder.Record(event, change(events, decisions), now)
 	}
 	arrive := func(id place.RequestID) {
-		apply(place.Arrived{Request: place.Request{ID: id, Service: "filing-desk", Customer: "resident",
+		apply(place.Arrived{Request: place.Request{ID: id, Service: "filing-desk", Customer: "resident\xff",
 			Home: "cz-west", Deadline: now.Add(5 * time.Second)}})
 	}
 	arrive("before-configuration")
@@ -131,3 +131,15 @@
 	_, err := replay.Run(bytes.NewReader(recordSession(t, keep)[:200]))
 	assert.ErrorContains(t, err, "unexpected EOF")
 }
+
+// Guards against a damaged trace that makes the replay panic or run for ever.
+func FuzzRun(f *testing.F) {
+	trace, err := os.ReadFile(traceFile)
+	assert.NilError(f, err)
+	f.Add(trace)
+	f.Add(trace[:len(trace)/2])
+	f.Fuzz(func(t *testing.T, trace []byte) {
+		result, err := replay.Run(bytes.NewReader(trace))
+		assert.Check(t, err != nil || result.Events >= len(result.Outcomes))
+	})
+}
