--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -12,9 +12,9 @@
 	firstBackoff = 10 * time.Millisecond
 	// longestBackoff bounds the reads of a waiting attempt to two a second.
 	longestBackoff = 500 * time.Millisecond
-	// maxUnconfirmed bounds the failed read-backs of a claim before the caller
-	// is told notSent; another host may reach the store.
-	maxUnconfirmed = 4
+	// maxUnconfirmed bounds the lost calls of a claim before the caller is told
+	// notSent; another host may reach the store.
+	maxUnconfirmed = 6
 	// LateWindow is the time after the deadline in which a late response is
 	// awaited and an unconfirmed write is settled.
 	LateWindow = 30 * time.Second
@@ -59,7 +59,8 @@
 	// gaveUp is true once no further sending is allowed. It is never reset.
 	gaveUp   bool
 	answered bool
-	// waits counts the backoffs and unconfirmed the failed read-backs.
+	// waits counts the backoffs, and unconfirmed the calls whose results were
+	// lost since the claim or the last write began.
 	waits       int
 	unconfirmed int
 }
@@ -104,10 +105,13 @@
 		return a.hold()
 	case Found:
 		return a.settleClaim(fact, now)
-	case WriteLost, Woke:
+	case Woke:
 		return a, Read{}
-	case ReadLost:
+	case WriteLost, ReadLost:
 		a.unconfirmed++
+		if _, isWrite := fact.(WriteLost); isWrite && a.unconfirmed == 1 {
+			return a, Read{}
+		}
 		if a.unconfirmed >= maxUnconfirmed || !now.Before(a.row.Deadline) {
 			return a.release("the store did not confirm the claim")
 		}
@@ -249,7 +253,7 @@
 // startWriting moves the row on. The returned action is the write.
 func (a Attempt) startWriting(to phase, response *Response) (Attempt, Action) {
 	a.phase = to
-	a.waits = 0
+	a.waits, a.unconfirmed = 0, 0
 	a.row.State = NotRun
 	if to == keeping {
 		a.row.State = Done
@@ -275,9 +279,15 @@
 			return a, Write{Row: a.row, IfVersion: firstVersion}
 		}
 		return a.unsettled("the register row has changed", now)
-	case WriteLost, Woke:
+	case Woke:
 		return a, Read{}
-	case ReadLost:
+	case WriteLost, ReadLost:
+		// Only the first loss is settled at once. A store that answers reads and
+		// loses every write must not be called without a pause.
+		a.unconfirmed++
+		if _, isWrite := fact.(WriteLost); isWrite && a.unconfirmed == 1 {
+			return a, Read{}
+		}
 		return a.unsettled("the store did not confirm notRun", now)
 	}
 	return a, Read{}
