Serve host-bound keys while the store is down

Change: POST /v1/keys issues a key that names the host and its incarnation. plat.Bound keeps the rows of such keys in memory behind the same state machine, and writes final rows to the store in groups when it answers. A key that is not in memory is never claimed, so forgetting one cannot lead to a second execution; Recall then answers from the stored row, or unknown. Other hosts answer notSent with the name of the host. A planned stop waits up to 10 s for the store.

--- a/caller/cluster_test.go
+++ b/caller/cluster_test.go
@@ -51,6 +51,8 @@
 	stores    []*gate
 	upstream  *gate
 	addresses []string
+	// storeAddresses are the addresses of the gates in stores.
+	storeAddresses []string
 }
 
 func startCluster(t testing.TB, hosts, slots int, serviceTime time.Duration) *cluster {
@@ -83,6 +85,7 @@
 	assert.NilError(t, err)
 	for i := range listeners {
 		address := serve(c.stores[i])
+		c.storeAddresses = append(c.storeAddresses, address)
 		if i == 0 {
 			client := plat.NewClient(address)
 			assert.NilError(t, client.PutObject(t.Context(), "config/1", text))
--- /dev/null
+++ b/caller/keys_test.go
@@ -0,0 +1,72 @@
+package caller_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"filberthold/caller"
+	"filberthold/entry"
+	"filberthold/model"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against host-bound keys that run at a second host or at a second
+// incarnation, against results that are lost with the outage, and against
+// callers' own keys that run without a register. Both shares are logged.
+func TestStoreOutage(t *testing.T) {
+	c := startCluster(t, 2, 64, 0)
+	c.stores[0].set(down)
+	const count = 100
+	until := time.Now().Add(20 * time.Second)
+	bound := make([]string, count)
+	var own, first, repeated atomic.Int64
+	var running sync.WaitGroup
+	ask := func(key string, served *atomic.Int64) {
+		if outcome, _ := c.submit(t.Context(), 0, key, until); outcome == model.Served {
+			served.Add(1)
+		}
+	}
+	for i := range bound {
+		bound[i] = c.issue(t)
+		running.Go(func() { ask(fmt.Sprint("own-", i), &own) })
+		ask(bound[i], &first)
+		ask(bound[i], &repeated)
+		outcome, body := c.submit(t.Context(), 1, bound[i], until)
+		assert.Equal(t, outcome, model.NotSent, "%s", body)
+	}
+	running.Wait()
+	t.Logf("served of %d submits in a store outage: own keys %d, host-bound keys %d", count, own.Load(), first.Load())
+	assert.DeepEqual(t, []int64{own.Load(), first.Load(), repeated.Load()}, []int64{0, count, count})
+	assert.Equal(t, c.ledger.Started(), count)
+
+	// A second incarnation of the host takes the place of host 1.
+	listeners := entry.Listeners{Callers: listen(t), Operators: listen(t)}
+	c.startHost(t, "host-0", c.storeAddresses[1], listeners)
+	c.addresses[1] = listeners.Callers.Addr().String()
+	outcome, body := c.submit(t.Context(), 1, bound[0], until)
+	assert.Equal(t, outcome, model.Unknown, "%s", body)
+	c.stores[0].fault.Store(nil)
+	for _, key := range bound {
+		for outcome = model.Unknown; outcome == model.Unknown && time.Now().Before(until); {
+			outcome, body = c.submit(t.Context(), 1, key, until)
+		}
+		assert.Equal(t, outcome, model.Served, "%s", body)
+	}
+	assert.Equal(t, c.ledger.Started(), count)
+}
+
+// issue returns a key that is bound to host 0.
+func (c *cluster) issue(t *testing.T) string {
+	response, err := http.Post("http://"+c.addresses[0]+"/v1/keys", "", nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var issued caller.IssuedKey
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&issued))
+	return issued.Key
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -58,6 +58,7 @@
 	server := &Server{base: base, dispatcher: dispatcher, directory: directory, upstreams: upstreams}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/entries", server.handleEntries)
+	mux.HandleFunc("POST /v1/keys", server.handleKeys)
 	mux.HandleFunc("/s/{service}/{path...}", server.handleRequest)
 	server.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	return server
--- a/caller/submits.go
+++ b/caller/submits.go
@@ -28,17 +28,26 @@
 // submission does not end with its caller.
 type submits struct {
 	register *plat.Register
+	// bound issues host-bound keys; boundRegister holds their rows.
+	bound         *plat.Bound
+	boundRegister *plat.Register
 	// slots has one element for each submission in progress.
 	slots chan struct{}
 }
 
-func newSubmits(register *plat.Register) *submits {
-	return &submits{register: register, slots: make(chan struct{}, maxSubmits)}
+func newSubmits(register *plat.Register, bound *plat.Bound) *submits {
+	return &submits{
+		register: register, bound: bound, boundRegister: bound.Register(),
+		slots: make(chan struct{}, maxSubmits),
+	}
 }
 
-// UseRegister makes the server claim the keys of submits in a register. Without
-// one, submits are refused. It must be called before Run.
-func (s *Server) UseRegister(register *plat.Register) { s.submits = newSubmits(register) }
+// UseRegister makes the server claim the keys of submits in a register, and
+// issue and claim host-bound keys. Without a register, submits are refused. It
+// must be called before Run.
+func (s *Server) UseRegister(register *plat.Register, bound *plat.Bound) {
+	s.submits = newSubmits(register, bound)
+}
 
 // wait waits until no submission is in progress. No new one may start.
 func (s *submits) wait(ctx context.Context) error {
@@ -49,7 +58,7 @@
 			return fmt.Errorf("wait for submits: %w", ctx.Err())
 		}
 	}
-	return nil
+	return s.flush(ctx)
 }
 
 // serveSubmit starts a submission and answers the caller if it is still there
@@ -64,13 +73,18 @@
 		e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: "no register"})
 		return
 	}
+	register, answer := e.server.submits.registerFor(r.Context(), e, key)
+	if register == nil {
+		e.answerSubmit(w, answer)
+		return
+	}
 	select {
 	case e.server.submits.slots <- struct{}{}:
 	default:
 		e.refuse(w, place.Refuse{Outcome: model.NotSent, Reason: "too many submits in progress"})
 		return
 	}
-	submission := &submission{exchange: e, key: key, answers: make(chan claim.Answer, 1)}
+	submission := &submission{exchange: e, register: register, key: key, answers: make(chan claim.Answer, 1)}
 	go submission.run(context.WithoutCancel(r.Context()))
 	select {
 	case answer := <-submission.answers:
@@ -108,6 +122,7 @@
 // of the claim and of the exchange's maps.
 type submission struct {
 	exchange *exchange
+	register *plat.Register
 	key      string
 	claim    *plat.Claim
 	// answers has room for the only answer.
@@ -127,7 +142,7 @@
 	defer e.cancelAll()
 	defer e.server.dispatcher.Close(e.request.ID)
 	var action claim.Action
-	s.claim, action = e.server.submits.register.Acquire(ctx, e.request.Service, s.key, e.request.Deadline, e.fingerprint())
+	s.claim, action = s.register.Acquire(ctx, e.request.Service, s.key, e.request.Deadline, e.fingerprint())
 	for {
 		if _, isFinished := action.(claim.Finish); isFinished {
 			return
--- a/claim/attempt.go
+++ b/claim/attempt.go
@@ -15,6 +15,10 @@
 	// maxUnconfirmed bounds the lost calls of a claim before the caller is told
 	// notSent; another host may reach the store.
 	maxUnconfirmed = 6
+	// maxAbsent bounds the reads that find no row after an unconfirmed claim was
+	// given up. With their backoffs they cover about two seconds; a create that
+	// takes effect later leaves a row that reads as unknown.
+	maxAbsent = 9
 	// LateWindow is the time after the deadline in which a late response is
 	// awaited and an unconfirmed write is settled.
 	LateWindow = 30 * time.Second
@@ -63,6 +67,8 @@
 	// lost since the claim or the last write began.
 	waits       int
 	unconfirmed int
+	// absent counts the reads that found no row in phase releasing.
+	absent int
 }
 
 // New returns an attempt to claim a row. The token must be unique to it.
@@ -144,6 +150,7 @@
 func (a Attempt) release(reason string) (Attempt, Action) {
 	a.phase = releasing
 	a.answered = true
+	a.waits = 0
 	return a, Answer{Outcome: model.NotSent, Reason: reason}
 }
 
@@ -155,7 +162,8 @@
 		if fact.Version > 0 && fact.Row.Token == a.row.Token && fact.Row.State == Claimed {
 			return a.startWriting(refusing, nil)
 		}
-		if fact.Version > 0 {
+		a.absent++
+		if fact.Version > 0 || a.absent >= maxAbsent {
 			return a.finish()
 		}
 	default:
--- a/claim/explore_test.go
+++ b/claim/explore_test.go
@@ -13,8 +13,8 @@
 	text := fmt.Appendf(nil, "%v %d %s %s %d %d %v|", w.left, w.now, w.row.State, w.row.Token, w.version, w.ran, w.excused)
 	for _, h := range w.hosts {
 		a := h.attempt
-		text = fmt.Appendf(text, "%d %d %t %t %t %d %s %s %T %v %s %d %d|", a.phase, a.open, a.mayHaveRun, a.gaveUp,
-			a.answered, a.unconfirmed, a.row.State, a.seen.State, h.action, h.dead, h.told, h.ran, h.sending)
+		text = fmt.Appendf(text, "%d %d %t %t %t %d %d %s %s %T %v %s %d|", a.phase, a.open, a.mayHaveRun, a.gaveUp,
+			a.answered, a.unconfirmed, a.absent, a.row.State, a.seen.State, h.action, h.dead, h.told, h.ran)
 		if write, isWrite := h.action.(Write); isWrite {
 			text = fmt.Appendf(text, "%s %d|", write.Row.State, write.IfVersion)
 		}
--- a/claim/world_test.go
+++ b/claim/world_test.go
@@ -32,7 +32,6 @@
 	dead    bool
 	told    model.Outcome
 	ran     int
-	sending int
 }
 
 // world is a store, an upstream that checks no deadline, and some hosts that
@@ -126,7 +125,6 @@
 			w.sends = slices.Delete(w.sends, i, i+1)
 			w.ran += ran
 			w.hosts[sent.host].ran += ran
-			w.hosts[sent.host].sending--
 			if host := w.hosts[sent.host]; !host.dead && !sent.deaf {
 				w.learn(sent.host, Ended{Evidence: evidence, Response: &Response{Status: 200}})
 			}
@@ -178,7 +176,6 @@
 	case Send:
 		step(func(w *world) {
 			w.sends = append(w.sends, flight{host: i})
-			w.hosts[i].sending++
 			w.hosts[i].action = Await{Until: host.attempt.Deadline()}
 		})
 	case Withhold:
--- a/entry/host.go
+++ b/entry/host.go
@@ -19,6 +19,7 @@
 	"filberthold/plat"
 	"filberthold/upstrm"
 
+	"github.com/oklog/ulid/v2"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -36,6 +37,7 @@
 	base       *common.Base
 	platform   *plat.Client
 	committer  *plat.Committer
+	bound      *plat.Bound
 	dispatcher *Dispatcher
 	directory  *Directory
 	callers    *caller.Server
@@ -53,11 +55,13 @@
 	platform := plat.NewClient(settings.PlatformAddress)
 	committer := plat.NewCommitter(platform, plat.DefaultWindow)
 	callers := caller.NewServer(base, dispatcher, directory, upstreams)
-	callers.UseRegister(plat.NewRegister(platform, committer, name))
+	bound := plat.NewBound(platform, committer, name, ulid.Make().String())
+	callers.UseRegister(plat.NewRegister(platform, committer, name), bound)
 	return &Host{
 		base:       base,
 		platform:   platform,
 		committer:  committer,
+		bound:      bound,
 		dispatcher: dispatcher,
 		directory:  directory,
 		upstreams:  upstreams,
@@ -95,6 +99,7 @@
 	group, working := errgroup.WithContext(working)
 	group.Go(func() error { return h.dispatcher.loop(working) })
 	group.Go(func() error { return h.committer.Loop(working) })
+	group.Go(func() error { return h.bound.Loop(working) })
 	group.Go(func() error { return h.loopConfiguration(working) })
 	group.Go(func() error { return h.callers.Run(listeners.Callers) })
 	group.Go(func() error { return h.operators.Run(listeners.Operators) })
--- a/plat/register.go
+++ b/plat/register.go
@@ -20,14 +20,33 @@
 // idempotency key and carries out what the state machine of package claim
 // decides.
 type Register struct {
+	client *Client
+	rows   rows
+	host   model.HostName
+}
+
+// rows is where a register keeps its rows: a tableRows or a Bound. The errors
+// are those of Committer.Commit and Client.Get.
+type rows interface {
+	commit(ctx context.Context, write Write) error
+	get(ctx context.Context, key string) (Row, error)
+}
+
+// tableRows keeps rows in the platform's table.
+type tableRows struct {
 	client    *Client
 	committer *Committer
-	host      model.HostName
 }
 
+func (t tableRows) commit(ctx context.Context, write Write) error {
+	return t.committer.Commit(ctx, write)
+}
+
+func (t tableRows) get(ctx context.Context, key string) (Row, error) { return t.client.Get(ctx, key) }
+
 // NewRegister returns the register of a host.
 func NewRegister(client *Client, committer *Committer, host model.HostName) *Register {
-	return &Register{client: client, committer: committer, host: host}
+	return &Register{client: client, rows: tableRows{client: client, committer: committer}, host: host}
 }
 
 // Claim is one attempt of this host at a key. It is not safe for concurrent
@@ -47,12 +66,23 @@
 	token := claim.Token(string(r.host) + "/" + ulid.Make().String())
 	acquired := &Claim{
 		register: r,
-		key:      "claims/" + string(service) + "/" + key,
+		key:      rowKey(service, key),
 		attempt:  claim.New(token, r.host, deadline, fingerprint),
 	}
 	return acquired, acquired.Learn(ctx, claim.Began{})
 }
 
+// Recall answers for a key that can no longer be claimed, from the row that
+// the register holds.
+func (r *Register) Recall(ctx context.Context, service model.ServiceName, key string, fingerprint []byte) claim.Answer {
+	reader := &Claim{register: r, key: rowKey(service, key)}
+	return claim.Recall(reader.read(ctx), fingerprint, time.Now())
+}
+
+func rowKey(service model.ServiceName, key string) string {
+	return "claims/" + string(service) + "/" + key
+}
+
 // Complete takes the whole response of the upstream. The returned action
 // answers the caller, which does not wait for the write to the row; the next
 // fact, claim.Answered, keeps the response.
@@ -101,9 +131,13 @@
 }
 
 func (c *Claim) write(ctx context.Context, action claim.Write) claim.Fact {
-	row, err := c.storeLargeBody(ctx, action.Row)
-	if err != nil {
-		return claim.WriteLost{}
+	row := action.Row
+	if _, isTable := c.register.rows.(tableRows); isTable {
+		moved, err := storeLargeBody(ctx, c.register.client, c.key, row)
+		if err != nil {
+			return claim.WriteLost{}
+		}
+		row = moved
 	}
 	value, err := claim.Encode(row)
 	if err != nil {
@@ -112,7 +146,7 @@
 	// The wait covers one group ahead in the queue and the own one.
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	err = c.register.committer.Commit(ctx, Write{Key: c.key, IfVersion: action.IfVersion, Value: value})
+	err = c.register.rows.commit(ctx, Write{Key: c.key, IfVersion: action.IfVersion, Value: value})
 	var conflict *ConflictError
 	switch {
 	case err == nil:
@@ -128,7 +162,7 @@
 func (c *Claim) read(ctx context.Context) claim.Fact {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	row, err := c.register.client.Get(ctx, c.key)
+	row, err := c.register.rows.get(ctx, c.key)
 	if errors.Is(err, ErrAbsent) {
 		return claim.Found{}
 	}
@@ -163,15 +197,15 @@
 
 // storeLargeBody moves a body that is too large for a row to an object. The
 // object is complete before the row names it.
-func (c *Claim) storeLargeBody(ctx context.Context, row claim.Row) (claim.Row, error) {
+func storeLargeBody(ctx context.Context, client *Client, key string, row claim.Row) (claim.Row, error) {
 	if row.Response == nil || len(row.Response.Body) <= maxRowBody {
 		return row, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	kept := *row.Response
-	kept.Object = c.key + "/" + string(row.Token)
-	if err := c.register.client.PutObject(ctx, kept.Object, kept.Body); err != nil && !errors.Is(err, ErrExists) {
+	kept.Object = key + "/" + string(row.Token)
+	if err := client.PutObject(ctx, kept.Object, kept.Body); err != nil && !errors.Is(err, ErrExists) {
 		return claim.Row{}, fmt.Errorf("keep large response: %w", err)
 	}
 	kept.Body = nil
