Shorten the tests of the register

Change: the store stand-in of the plat tests takes one handler, and the cases of lost answers share it.

--- a/claim/explore_test.go
+++ b/claim/explore_test.go
@@ -15,11 +15,11 @@
 		a := h.attempt
 		text = fmt.Appendf(text, "%d %d %t %t %t %d %d %s %s %T %v %s %d|", a.phase, a.open, a.mayHaveRun, a.gaveUp,
 			a.answered, a.unconfirmed, a.absent, a.row.State, a.seen.State, h.action, h.dead, h.told, h.ran)
-		if write, isWrite := h.action.(Write); isWrite {
-			text = fmt.Appendf(text, "%s %d|", write.Row.State, write.IfVersion)
-		}
-		if answer, isAnswer := h.action.(Answer); isAnswer {
-			text = fmt.Appendf(text, "%s|", answer.Outcome)
+		switch action := h.action.(type) {
+		case Write:
+			text = fmt.Appendf(text, "%s %d|", action.Row.State, action.IfVersion)
+		case Answer:
+			text = fmt.Appendf(text, "%s|", action.Outcome)
 		}
 	}
 	for _, f := range w.writes {
--- a/plat/register_test.go
+++ b/plat/register_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,28 +21,22 @@
 	"gotest.tools/v3/assert"
 )
 
-// store is a platform stand-in behind a gate that a test can intercept.
+// store is a platform stand-in, its client and a committer that does not run.
 type store struct {
-	platform *fakes.Platform
-	// intercept handles a request and reports whether it did; nil passes all.
-	intercept func(w http.ResponseWriter, r *http.Request) bool
+	platform  *fakes.Platform
 	client    *plat.Client
 	committer *plat.Committer
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.intercept == nil || !s.intercept(w, r) {
-		s.platform.ServeHTTP(w, r)
-	}
-}
-
-func startStore(t testing.TB, intercept func(*store) func(http.ResponseWriter, *http.Request) bool) *store {
+// startStore puts a handler, if there is one, before the stand-in.
+func startStore(t testing.TB, before func(platform http.Handler) http.HandlerFunc) *store {
 	s := &store{platform: fakes.NewPlatform()}
-	if intercept != nil {
-		s.intercept = intercept(s)
+	handler := http.Handler(s.platform)
+	if before != nil {
+		handler = before(s.platform)
 	}
-	server := httptest.NewServer(s)
-	s.client = plat.NewClient(strings.TrimPrefix(server.URL, "http://"))
+	server := httptest.NewServer(handler)
+	s.client = plat.NewClient(server.Listener.Addr().String())
 	s.committer = plat.NewCommitter(s.client, plat.DefaultWindow)
 	t.Cleanup(func() { s.client.Close(); server.Close() })
 	return s
@@ -96,26 +91,20 @@
 // to its write was lost before or after the write took effect, and against a
 // large response that is not replayed whole.
 func TestLostAnswersAreSettledByReadingBack(t *testing.T) {
-	for _, test := range []struct {
-		name    string
-		applied bool
-	}{{"lost after the write took effect", true}, {"lost before the write took effect", false}} {
-		t.Run(test.name, func(t *testing.T) {
-			var mu sync.Mutex
-			lost := 0
-			s := startStore(t, func(s *store) func(http.ResponseWriter, *http.Request) bool {
-				return func(w http.ResponseWriter, r *http.Request) bool {
-					mu.Lock()
-					defer mu.Unlock()
-					if r.URL.Path != "/transactions" || lost == 2 {
-						return false
+	for name, isApplied := range map[string]bool{"lost after it took effect": true, "lost before it took effect": false} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			s := startStore(t, func(platform http.Handler) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					isLost := r.URL.Path == "/transactions" && calls.Add(1) <= 2
+					if isLost && isApplied {
+						platform.ServeHTTP(httptest.NewRecorder(), r)
 					}
-					lost++
-					if test.applied {
-						s.platform.ServeHTTP(httptest.NewRecorder(), r)
+					if isLost {
+						http.Error(w, "lost", http.StatusBadGateway)
+						return
 					}
-					http.Error(w, "lost", http.StatusBadGateway)
-					return true
+					platform.ServeHTTP(w, r)
 				}
 			})
 			s.startCommitter(t)
