Test a host that is paused between its check and its send

Cause: the paused host of the HTTP tests woke before a repeat arrived, so no test over HTTP covered a repeat during the pause.

Change: TestPauseBetweenCheckAndSend holds the first sending past its deadline, sends a repeat through another host and then lets the first one go on. The upstream does not see the deadline.

Proof: with takeover of old rows it fails with "outcome is not model.Unknown: served". Five runs with -race pass.

--- a/caller/submits_test.go
+++ b/caller/submits_test.go
@@ -166,3 +166,33 @@
 	assert.Equal(t, outcome, model.Served, "%s", body)
 	assert.Equal(t, c.ledger.Executions("key"), 1)
 }
+
+// Guards against a takeover: the first host is paused between its check of the
+// deadline and its send, a repeat arrives at another host past the deadline,
+// and then the first host goes on. The upstream checks no deadline.
+func TestPauseBetweenCheckAndSend(t *testing.T) {
+	c := startCluster(t, 2, 8, 0)
+	resume, arrived := make(chan struct{}), make(chan struct{})
+	var calls atomic.Int64
+	c.upstream.set(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			close(arrived)
+			<-resume
+		}
+		r.Header.Del("Filberthold-Deadline")
+		c.upstream.handler.ServeHTTP(w, r)
+	})
+	deadline := time.Now().Add(800 * time.Millisecond)
+	outcome, body := c.submit(t.Context(), 0, "key", deadline)
+	assert.Equal(t, outcome, model.Unknown, "%s", body)
+	<-arrived
+	until := time.Now().Add(20 * time.Second)
+	outcome, body = c.submit(t.Context(), 1, "key", until)
+	assert.Check(t, outcome == model.Unknown, "%s: %s", outcome, body)
+	close(resume)
+	for outcome != model.Served && time.Now().Before(until) {
+		outcome, body = c.submit(t.Context(), 1, "key", until)
+	}
+	assert.Equal(t, outcome, model.Served, "%s", body)
+	assert.Equal(t, c.ledger.Executions("key"), 1)
+}
