--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -57,7 +57,7 @@
 		cancel()
 		platform.Close()
 	})
-	server.UseRegister(plat.NewRegister(platform, committer, "h1"))
+	server.UseRegister(plat.NewRegister(platform, committer, "h1"), plat.NewBound(platform, committer, "h1", "1"))
 }
 
 func newHarness(t *testing.T, class model.Class, upstreams ...http.Handler) *harness {
--- a/cmds/cluster_test.go
+++ b/cmds/cluster_test.go
@@ -31,6 +31,7 @@
 			requests = append(requests, send(t, host.CallerAddress(), service))
 		}
 	}
+	assert.NilError(t, cluster.StopHosts())
 	assert.NilError(t, cluster.Close())
 
 	platform := httptest.NewServer(cluster.Platform())
--- a/entry/host.go
+++ b/entry/host.go
@@ -31,6 +31,7 @@
 	incarnation   string
 	platform      *plat.Client
 	committer     *plat.Committer
+	bound         *plat.Bound
 	dispatcher    *Dispatcher
 	directory     *Directory
 	callers       *caller.Server
@@ -60,13 +61,15 @@
 	platform := plat.NewNamedClient(settings.PlatformAddress, settings.Host)
 	committer := plat.NewCommitter(platform, plat.DefaultWindow)
 	callers := caller.NewServer(base, dispatcher, directory, upstreams)
-	callers.UseRegister(plat.NewRegister(platform, committer, name))
+	bound := plat.NewBound(platform, committer, name, incarnation)
+	callers.UseRegister(plat.NewRegister(platform, committer, name), bound)
 	membership := newMembership(base.Log(), platform, mesh, directory, dispatcher.Report)
 	host := &Host{
 		base:        base,
 		incarnation: incarnation,
 		platform:    platform,
 		committer:   committer,
+		bound:       bound,
 		dispatcher:  dispatcher,
 		directory:   directory,
 		upstreams:   upstreams,
@@ -140,6 +143,7 @@
 	})
 	group.Go(archive.loop)
 	group.Go(func() error { return h.committer.Loop(working) })
+	group.Go(func() error { return h.bound.Loop(working) })
 	group.Go(func() error { return h.configuration.loopPoll(working) })
 	group.Go(func() error { return h.configuration.loopOffers(working) })
 	group.Go(func() error { return h.membership.loopMembers(working) })
--- a/local/cluster.go
+++ b/local/cluster.go
@@ -188,6 +188,18 @@
 	return running.err
 }
 
+// StopHosts stops all entry hosts gracefully and waits for them.
+func (c *Cluster) StopHosts() error {
+	for _, running := range c.hosts {
+		running.stop()
+	}
+	var errs []error
+	for name := range c.hosts {
+		errs = append(errs, c.StopHost(name))
+	}
+	return errors.Join(errs...)
+}
+
 // WaitReady waits until all entry hosts have adopted the configuration.
 func (c *Cluster) WaitReady(ctx context.Context) error {
 	for name, running := range c.hosts {
