Place requests by share, score and shift

Cause: the core took endpoints in turn, so it overcommitted slots, ignored slow endpoints and had no queue.

Arrivals wait in the queue of their service when no slot that the host may use is free, with a reason that names why. Attempts that end as Lost, and cancelled ones, hold their slot until the deadline plus 1 s; an attempt whose end is never reported is given up then too. Retries and hedges have budgets; submits are retried only after NotStarted and never hedged. Leaving endpoints get nothing. The home region is used first; plans and failover spend credit. The baselines take endpoints in turn or at random with half of the time for the first attempt of an idempotent request. Releases and loans are events and decisions, so that another package can carry them. The dispatcher wakes the core at NextWake.

A retried request takes the first place of its customer and does not count against the limit of the queue: it was refused while newer ones waited. Retries have a reserve of 10, because a service with few requests earns none in time. Ruled out: hedging without regard to held slots. The loser holds its slot until its end is known, so a host with few slots would hedge itself out of capacity; hedging stops while a quarter of the slots is held.

--- a/admit/queue.go
+++ b/admit/queue.go
@@ -51,14 +51,27 @@
 	}
 	q.lines[item.Customer] = append(q.lines[item.Customer], item)
 	q.size++
-	return q.position(item.Customer), true
+	return q.position(item.Customer, len(q.lines[item.Customer])), true
 }
 
-// position returns the position of the last request of a customer. Before it,
-// each other customer is served once in each round, as far as its line goes;
-// customers behind it have no turn in its own round.
-func (q *Queue[ID]) position(customer model.CustomerName) int {
-	rounds := len(q.lines[customer])
+// Requeue adds a request that has been served and has to be served again. It
+// takes the first place of its customer, as it is older than the others, and
+// the limit does not apply: a request that was admitted is not refused because
+// later ones have filled the queue.
+// It returns the position, as Push does.
+func (q *Queue[ID]) Requeue(item Item[ID]) int {
+	if len(q.lines[item.Customer]) == 0 {
+		q.turns = append(q.turns, item.Customer)
+	}
+	q.lines[item.Customer] = slices.Insert(q.lines[item.Customer], 0, item)
+	q.size++
+	return q.position(item.Customer, 1)
+}
+
+// position returns the position of a request that is served in the given round
+// of its customer. Each other customer is served once in each round, as far as
+// its line goes; customers behind it have no turn in the last one.
+func (q *Queue[ID]) position(customer model.CustomerName, rounds int) int {
 	position, before := rounds, true
 	for _, other := range q.turns {
 		if other == customer {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -67,17 +67,28 @@
 	delete(d.open, id)
 }
 
-// loop applies events to the core until ctx ends.
+// loop applies events to the core until ctx ends, and wakes the core when it
+// has asked for it.
 func (d *Dispatcher) loop(ctx context.Context) error {
+	wake := time.NewTimer(0)
+	defer wake.Stop()
 	for {
-		event, err := d.events.Get(ctx)
-		if err != nil {
-			return fmt.Errorf("wait for event: %w", err)
+		var event place.Event
+		select {
+		case event = <-d.events.Items():
+		case <-wake.C:
+			event = place.Ticked{}
+		case <-ctx.Done():
+			return fmt.Errorf("wait for event: %w", ctx.Err())
 		}
 		for _, decision := range d.core.Apply(event, time.Now()) {
 			d.logDecision(decision)
 			d.hand(decision)
 		}
+		wake.Stop()
+		if next := d.core.NextWake(); !next.IsZero() {
+			wake.Reset(time.Until(next))
+		}
 	}
 }
 
--- a/place/core.go
+++ b/place/core.go
@@ -1,23 +1,49 @@
 package place
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"filberthold/admit"
+	"filberthold/config"
 	"filberthold/model"
+	"filberthold/score"
+	"filberthold/share"
+	"filberthold/shift"
 )
 
 // Core decides for one entry host. It is not safe for concurrent use.
 type Core struct {
 	host       model.HostName
+	mode       config.PlacementMode
+	random     *rand.Rand
 	deployment *model.Deployment
+	ledger     *share.Ledger
+	board      *score.Board
+	accounts   *shift.Accounts
+	services   map[model.ServiceName]*serviceState
+	// serviceNames holds the keys of services in order. A service stays when a
+	// revision drops it, because requests may still be queued for it.
+	serviceNames []model.ServiceName
 	// requests holds the requests that have neither been delivered nor
 	// refused.
 	requests map[RequestID]*pending
-	// attempts holds the attempts that have not finished.
+	// attempts holds the attempts whose end has not been reported and may
+	// still be.
 	attempts    map[AttemptID]*attempt
-	leaving     map[model.EndpointName]string
+	leaving     *leavingSet
 	nextAttempt AttemptID
-	nextIndex   map[model.ServiceName]int
+	asks        *askBook
+}
+
+// serviceState is what the core keeps for each service.
+type serviceState struct {
+	queue   *admit.Queue[RequestID]
+	hedges  *score.Budget
+	retries *score.Budget
+	// nextIndex is the position of the round robin baseline.
+	nextIndex int
 }
 
 type pending struct {
@@ -25,142 +51,148 @@
 	class    model.Class
 	attempts int
 	inFlight int
+	// isUncertain is true if an attempt has ended other than by not starting.
+	isUncertain bool
+	// tried holds the endpoints that got the request.
+	tried []model.EndpointName
+	// region is where the request is served, or "" for any region.
+	region model.RegionName
+	// route tells why it is served there.
+	route string
+	// isMoved is true if credit has been spent for the request.
+	isMoved bool
+	// hedgeAt is when a hedge is due, or zero.
+	hedgeAt time.Time
 }
 
 type attempt struct {
 	id       AttemptID
 	request  RequestID
 	endpoint model.EndpointName
+	ticket   share.Ticket
+	deadline time.Time
+	// isCancelled is true if a Cancel has been decided.
+	isCancelled bool
 }
 
-// maxAttempts bounds the attempts of one request, retries and hedges together.
-const maxAttempts = 3
+const (
+	// maxAttempts bounds the attempts of one request, retries and hedges
+	// together.
+	maxAttempts = 3
+	// maxExportAttempts is higher, because an export resumes where the attempt
+	// before it ended.
+	maxExportAttempts = 8
+	// retryReserve lets a service with few requests retry at all.
+	retryReserve = 10
+	// reportMargin is how long after its deadline the end of an attempt may be
+	// reported. After it the upstream has ended the request by its own clock,
+	// and a report that never comes must not keep the slot for ever.
+	reportMargin = time.Second
+)
+
+// Option changes how a core decides.
+type Option func(*Core)
+
+// WithMode selects the placement policy; the default is config.Steered.
+func WithMode(mode config.PlacementMode) Option { return func(c *Core) { c.mode = mode } }
+
+// WithSeed seeds the random choices.
+func WithSeed(seed uint64) Option {
+	return func(c *Core) { c.random = rand.New(rand.NewPCG(seed, 0)) }
+}
 
 // New returns a core for a host without a configuration.
-func New(host model.HostName) *Core {
-	return &Core{
-		host:      host,
-		requests:  make(map[RequestID]*pending),
-		attempts:  make(map[AttemptID]*attempt),
-		leaving:   make(map[model.EndpointName]string),
-		nextIndex: make(map[model.ServiceName]int),
+func New(host model.HostName, options ...Option) *Core {
+	core := &Core{
+		host:     host,
+		mode:     config.Steered,
+		random:   rand.New(rand.NewPCG(0, 0)),
+		ledger:   share.NewLedger(host),
+		board:    score.NewBoard(),
+		accounts: shift.NewAccounts(),
+		services: make(map[model.ServiceName]*serviceState),
+		requests: make(map[RequestID]*pending),
+		attempts: make(map[AttemptID]*attempt),
+		leaving:  newLeavingSet(),
+		asks:     newAskBook(),
+	}
+	for _, option := range options {
+		option(core)
 	}
+	return core
 }
 
 // Apply takes an event at a time and returns the decisions in order. Times
 // must not decrease.
 func (c *Core) Apply(event Event, now time.Time) []Decision {
+	var decisions []Decision
+	c.ledger.Expire(now)
 	switch event := event.(type) {
 	case Arrived:
 		return c.arrive(event.Request, now)
 	case Abandoned:
-		return c.abandon(event.Request)
+		decisions = c.abandon(event.Request)
 	case Finished:
-		return c.finish(event, now)
+		decisions = c.finish(event, now)
 	case Adopted:
-		c.adopt(event.Deployment)
+		c.adopt(event)
 	case Marked:
-		c.leaving[event.Endpoint] = event.Incarnation
+		c.leaving.mark(event.Endpoint, event.Incarnation)
 	case Unmarked:
-		delete(c.leaving, event.Endpoint)
-	case Responded, Ticked:
+		c.unmark(event)
+	case ReleaseHeard:
+		c.ledger.Released(event.Release)
+	case LoanAsked:
+		decisions = c.lend(event, now)
+	case LoanGranted:
+		decisions = c.borrow(event, now)
+	case LoanReturned:
+		c.ledger.Reclaim(event.Loan)
+	case Ticked:
+		decisions = c.tick(now)
+	case Responded:
+		return nil
 	}
-	return nil
+	decisions = append(decisions, c.pumpAll(now)...)
+	return append(decisions, c.announce()...)
 }
 
-// NextWake returns the time at which the core wants a Ticked event, or the
-// zero time if it needs none.
-func (c *Core) NextWake() time.Time { return time.Time{} }
-
-func (c *Core) adopt(deployment *model.Deployment) {
-	if c.deployment != nil && deployment.Revision() <= c.deployment.Revision() {
+func (c *Core) adopt(event Adopted) {
+	if c.deployment != nil && event.Deployment.Revision() <= c.deployment.Revision() {
 		return
 	}
-	c.deployment = deployment
-}
-
-func (c *Core) arrive(request Request, now time.Time) []Decision {
-	if c.deployment == nil {
-		return []Decision{Refuse{Request: request.ID, Outcome: model.NotSent, Reason: "no configuration"}}
-	}
-	service, exists := c.deployment.Service(request.Service)
-	if !exists {
-		return []Decision{Refuse{Request: request.ID, Outcome: model.NotSent, Reason: "unknown service"}}
-	}
-	waiting := &pending{request: request, class: service.Class()}
-	c.requests[request.ID] = waiting
-	return c.send(waiting, now)
-}
-
-func (c *Core) send(waiting *pending, now time.Time) []Decision {
-	endpoint, found := c.choose(waiting.request.Service)
-	if !found || !now.Before(waiting.request.Deadline) || waiting.attempts >= maxAttempts {
-		delete(c.requests, waiting.request.ID)
-		return []Decision{Refuse{Request: waiting.request.ID, Outcome: model.NotRun, Reason: "no endpoint took the request"}}
+	isFirst := c.deployment == nil
+	c.deployment = event.Deployment
+	for _, skipped := range event.Skipped {
+		c.ledger.Learn(share.Assign(skipped))
 	}
-	c.nextAttempt++
-	waiting.attempts++
-	waiting.inFlight++
-	c.attempts[c.nextAttempt] = &attempt{id: c.nextAttempt, request: waiting.request.ID, endpoint: endpoint.Name()}
-	return []Decision{Send{
-		Request:  waiting.request.ID,
-		Attempt:  c.nextAttempt,
-		Endpoint: endpoint.Name(),
-		Address:  endpoint.Address(),
-		Number:   waiting.attempts,
-		Deadline: waiting.request.Deadline,
-		Reason:   "next in turn",
-	}}
-}
-
-func (c *Core) choose(service model.ServiceName) (model.Endpoint, bool) {
-	endpoints := c.deployment.EndpointsOf(service)
-	for range endpoints {
-		index := c.nextIndex[service] % len(endpoints)
-		c.nextIndex[service]++
-		if _, isLeaving := c.leaving[endpoints[index].Name()]; !isLeaving {
-			return endpoints[index], true
-		}
+	c.ledger.Adopt(share.Assign(event.Deployment))
+	c.accounts.Adopt(event.Deployment)
+	for _, service := range event.Deployment.Services() {
+		c.adoptService(service, isFirst)
 	}
-	return model.Endpoint{}, false
 }
 
-func (c *Core) abandon(id RequestID) []Decision {
-	waiting, exists := c.requests[id]
-	if !exists || waiting.class == model.Submit {
-		return nil
-	}
-	delete(c.requests, id)
-	var decisions []Decision
-	for _, sent := range c.attempts {
-		if sent.request == id {
-			decisions = append(decisions, Cancel{Request: id, Attempt: sent.id, Reason: "caller gave up"})
+// adoptService makes a service and its endpoints known. Endpoints of the first
+// revision have their full weight: the host is new, not they.
+func (c *Core) adoptService(service model.Service, isFirst bool) {
+	state := c.services[service.Name()]
+	if state == nil {
+		state = &serviceState{
+			queue:   admit.NewQueue[RequestID](service.QueueLimit()),
+			hedges:  score.NewBudget(score.HedgePercent, 0),
+			retries: score.NewBudget(score.RetryPercent, retryReserve),
 		}
+		c.services[service.Name()] = state
+		c.serviceNames = append(c.serviceNames, service.Name())
+		slices.Sort(c.serviceNames)
 	}
-	return decisions
-}
-
-func (c *Core) finish(event Finished, now time.Time) []Decision {
-	sent, exists := c.attempts[event.Attempt]
-	if !exists {
-		return nil
-	}
-	delete(c.attempts, event.Attempt)
-	if event.Leaving {
-		c.leaving[sent.endpoint] = ""
-	}
-	waiting, exists := c.requests[sent.request]
-	if !exists {
-		return nil
-	}
-	waiting.inFlight--
-	if event.Result == Succeeded {
-		delete(c.requests, sent.request)
-		return []Decision{Deliver{Request: sent.request, Attempt: event.Attempt}}
+	state.queue.SetLimit(service.QueueLimit())
+	slowStart := service.SlowStart()
+	if isFirst {
+		slowStart = 0
 	}
-	if event.Result == NotStarted || waiting.class.Idempotent() {
-		return c.send(waiting, now)
+	for _, endpoint := range c.deployment.EndpointsOf(service.Name()) {
+		c.board.Add(endpoint.Name(), service.Name(), slowStart)
 	}
-	delete(c.requests, sent.request)
-	return []Decision{Refuse{Request: sent.request, Outcome: model.Unknown, Reason: event.Detail}}
 }
--- a/place/decisions.go
+++ b/place/decisions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"filberthold/model"
+	"filberthold/share"
 )
 
 // Decision is a result of placement. It is one of the decision types of this
@@ -59,11 +60,53 @@
 	Reason  string    `cbor:"reason"`
 }
 
-func (Send) isDecision()    {}
-func (Wait) isDecision()    {}
-func (Refuse) isDecision()  {}
-func (Deliver) isDecision() {}
-func (Cancel) isDecision()  {}
+// AskLoan tells to ask one or more of the owners for a slot of an endpoint.
+// It is about no single request, and neither are the decisions below.
+type AskLoan struct {
+	Number   uint64             `cbor:"number"`
+	Endpoint model.EndpointName `cbor:"endpoint"`
+	Owners   []model.HostName   `cbor:"owners"`
+	Duration time.Duration      `cbor:"duration"`
+}
+
+// GrantLoan tells to send a loan to its borrower.
+type GrantLoan struct {
+	// Number is that of the LoanAsked.
+	Number uint64     `cbor:"number"`
+	Loan   share.Loan `cbor:"loan"`
+}
+
+// ReturnLoan tells the owner of a loan that it is no longer needed.
+type ReturnLoan struct {
+	Loan share.LoanID `cbor:"loan"`
+}
+
+// Announce tells to publish releases to peers and in the host's table row.
+type Announce struct {
+	Releases []share.Release `cbor:"releases"`
+}
+
+func (Send) isDecision()       {}
+func (Wait) isDecision()       {}
+func (Refuse) isDecision()     {}
+func (Deliver) isDecision()    {}
+func (Cancel) isDecision()     {}
+func (AskLoan) isDecision()    {}
+func (GrantLoan) isDecision()  {}
+func (ReturnLoan) isDecision() {}
+func (Announce) isDecision()   {}
+
+// For returns "".
+func (AskLoan) For() RequestID { return "" }
+
+// For returns "".
+func (GrantLoan) For() RequestID { return "" }
+
+// For returns "".
+func (ReturnLoan) For() RequestID { return "" }
+
+// For returns "".
+func (Announce) For() RequestID { return "" }
 
 // For returns the request that is sent.
 func (d Send) For() RequestID { return d.Request }
--- a/place/events.go
+++ b/place/events.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filberthold/model"
+	"filberthold/share"
 )
 
 // RequestID identifies a request; it is a ULID in text form.
@@ -82,6 +83,11 @@
 type Adopted struct {
 	Deployment *model.Deployment `cbor:"-"`
 	Revision   uint64            `cbor:"revision"`
+	// Skipped holds the revisions between the one that the host had and this
+	// one, in order; for the first revision of a process, those since a
+	// revision whose owners had all slots. Without them a gained slot is not
+	// used, because a skipped revision may have an owner that still uses it.
+	Skipped []*model.Deployment `cbor:"-"`
 }
 
 // Marked reports that an endpoint is leaving, from the host list, a peer or
@@ -98,11 +104,42 @@
 	Incarnation string             `cbor:"incarnation"`
 }
 
-func (Arrived) isEvent()   {}
-func (Abandoned) isEvent() {}
-func (Finished) isEvent()  {}
-func (Responded) isEvent() {}
-func (Ticked) isEvent()    {}
-func (Adopted) isEvent()   {}
-func (Marked) isEvent()    {}
-func (Unmarked) isEvent()  {}
+// ReleaseHeard reports the release of a slot by a former owner, from a peer or
+// from its row in the table.
+type ReleaseHeard struct {
+	Release share.Release `cbor:"release"`
+}
+
+// LoanAsked reports that a peer asks for a slot of an endpoint.
+type LoanAsked struct {
+	// Number is that of the peer's AskLoan; it is returned with the grant.
+	Number   uint64             `cbor:"number"`
+	Endpoint model.EndpointName `cbor:"endpoint"`
+	Borrower model.HostName     `cbor:"borrower"`
+	Duration time.Duration      `cbor:"duration"`
+}
+
+// LoanGranted reports the loan that a peer granted.
+type LoanGranted struct {
+	// Number is that of the AskLoan.
+	Number uint64     `cbor:"number"`
+	Loan   share.Loan `cbor:"loan"`
+}
+
+// LoanReturned reports that the borrower gave a loan back.
+type LoanReturned struct {
+	Loan share.LoanID `cbor:"loan"`
+}
+
+func (Arrived) isEvent()      {}
+func (Abandoned) isEvent()    {}
+func (Finished) isEvent()     {}
+func (Responded) isEvent()    {}
+func (Ticked) isEvent()       {}
+func (Adopted) isEvent()      {}
+func (Marked) isEvent()       {}
+func (Unmarked) isEvent()     {}
+func (ReleaseHeard) isEvent() {}
+func (LoanAsked) isEvent()    {}
+func (LoanGranted) isEvent()  {}
+func (LoanReturned) isEvent() {}
--- /dev/null
+++ b/place/session_test.go
@@ -0,0 +1,155 @@
+package place_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"filberthold/config"
+	"filberthold/model"
+	"filberthold/place"
+	"filberthold/share"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+const shiftCap = 10
+
+// deploy returns a deployment of two regions with a read and a submit service.
+// All hosts are in a third region, so each gets a part of all slots.
+func deploy(t testing.TB, revision uint64, start time.Time, hosts ...model.HostName) *model.Deployment {
+	parts := model.DeploymentParts{
+		Revision: revision,
+		Zones:    []model.Zone{model.NewZone("north-a", "north"), model.NewZone("south-a", "south"), model.NewZone("west-a", "west")},
+		Services: []model.Service{
+			model.NewService(model.ServiceParts{Name: "view", Class: model.Read, QueueLimit: 3, ShiftCapPercent: shiftCap}),
+			model.NewService(model.ServiceParts{Name: "desk", Class: model.Submit, QueueLimit: 3, ShiftCapPercent: shiftCap}),
+		},
+		Plans: []model.Plan{model.NewPlan(model.PlanParts{
+			Name: "to-south", Kind: model.Move, Service: "view", From: "north", To: "south",
+			Start: start, RatePercentPerMinute: 600, CapPercent: 8,
+		})},
+	}
+	for _, host := range hosts {
+		parts.Hosts = append(parts.Hosts, model.NewHost(model.HostParts{Name: host, Zone: "west-a"}))
+	}
+	for i, zone := range []model.ZoneName{"north-a", "north-a", "south-a", "south-a"} {
+		for _, service := range parts.Services {
+			parts.Endpoints = append(parts.Endpoints, model.NewEndpoint(model.EndpointParts{
+				Name:    model.EndpointName(fmt.Sprintf("%s-%d", service.Name(), i+1)),
+				Service: service.Name(), Zone: zone, Address: fmt.Sprintf("127.0.0.1:%d", 8001+i), Slots: 1, Connections: 10,
+			}))
+		}
+	}
+	deployment, err := model.NewDeployment(parts)
+	assert.NilError(t, err)
+	return deployment
+}
+
+// Guards against any unintended change of a decision, its order or its reason,
+// over a whole session in each placement mode.
+func TestWholeSession(t *testing.T) {
+	start := time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+	request := func(id place.RequestID, service model.ServiceName, customer model.CustomerName, hash uint64) place.Event {
+		return place.Arrived{Request: place.Request{
+			ID: id, Service: service, Customer: customer, BlockHash: hash, Home: "north", Deadline: start.Add(2 * time.Second),
+		}}
+	}
+	type finished struct {
+		request place.RequestID
+		number  int
+		result  place.Result
+		leaving bool
+	}
+	const far = 1 << 63
+	slot := share.Slot{Endpoint: "desk-1", Index: 0}
+	script := []struct {
+		at time.Duration
+		// event is a place.Event, or finished for an attempt of a request.
+		event any
+	}{
+		{0, request("early", "view", "a", far)},
+		{0, place.Adopted{Deployment: deploy(t, 1, start.Add(-time.Minute), "here"), Revision: 1}},
+		{1, request("r1", "view", "a", far)},
+		{11, place.Ticked{}},
+		{12, finished{"r1", 2, place.Succeeded, false}},
+		{13, request("r2", "view", "a", far)},
+		{14, request("r3-moved", "view", "b", 0)},
+		{15, request("r4", "view", "b", far)},
+		{16, request("r5", "view", "a", far)},
+		{17, request("r6", "view", "a", far)},
+		{18, request("r7-full", "view", "b", far)},
+		{19, finished{"r1", 1, place.Failed, false}},
+		{20, finished{"r2", 1, place.Lost, false}},
+		{21, finished{"r3-moved", 1, place.Failed, false}},
+		{22, place.Abandoned{Request: "r4"}},
+		{23, finished{"r3-moved", 2, place.Succeeded, false}},
+		{30, request("s1", "desk", "a", far)},
+		{31, request("s2", "desk", "a", far)},
+		{32, place.LoanAsked{Number: 7, Endpoint: "desk-3", Borrower: "there", Duration: time.Second}},
+		{33, finished{"s1", 1, place.NotStarted, true}},
+		{34, finished{"s2", 1, place.Lost, false}},
+		{35, place.LoanReturned{Loan: share.LoanID{Owner: "here", Number: 1}}},
+		{40, place.Marked{Endpoint: "view-1", Incarnation: "i1", Source: "host list"}},
+		{41, finished{"r4", 1, place.Succeeded, false}},
+		{42, place.Unmarked{Endpoint: "view-1", Incarnation: "i2"}},
+		{50, place.Adopted{Deployment: deploy(t, 2, start, "here", "there"), Revision: 2}},
+		{51, finished{"r5", 1, place.Succeeded, false}},
+		{60, place.Adopted{Deployment: deploy(t, 3, start, "here"), Revision: 3}},
+		{61, request("s3", "desk", "b", far)},
+		{62, place.ReleaseHeard{Release: share.Release{Host: "there", Slot: slot, Revision: 3}}},
+		{1000, place.Ticked{}}, {2000, place.Ticked{}}, {3500, place.Ticked{}},
+	}
+	for _, mode := range []config.PlacementMode{config.Steered, config.RoundRobin, config.Random} {
+		t.Run(string(mode), func(t *testing.T) {
+			core := place.New("here", place.WithMode(mode), place.WithSeed(1))
+			var lines strings.Builder
+			sent := make(map[place.RequestID][]place.AttemptID)
+			apply := func(event place.Event, now time.Time) {
+				fmt.Fprintf(&lines, "%s %s\n", now.Format("05.000"), line(event))
+				for _, decision := range core.Apply(event, now) {
+					fmt.Fprintf(&lines, "    %s\n", line(decision))
+					if send, ok := decision.(place.Send); ok {
+						sent[send.Request] = append(sent[send.Request], send.Attempt)
+					}
+				}
+				if next := core.NextWake(); !next.IsZero() {
+					fmt.Fprintf(&lines, "    wake %s\n", next.Format("05.000"))
+				}
+			}
+			for i, step := range script {
+				now := start.Add(step.at * time.Millisecond)
+				if end, ok := step.event.(finished); ok {
+					if end.number <= len(sent[end.request]) {
+						apply(place.Finished{
+							Attempt: sent[end.request][end.number-1], Result: end.result, Leaving: end.leaving, Detail: "as scripted",
+						}, now)
+					}
+					continue
+				}
+				apply(step.event.(place.Event), now)
+				// Hedges need a number of response times, which warm requests give.
+				for n := 0; i == 1 && n < 40; n++ {
+					id := place.RequestID(fmt.Sprint("warm", n))
+					apply(request(id, "view", "a", far), now.Add(-10*time.Millisecond))
+					apply(place.Finished{Attempt: sent[id][0], Result: place.Succeeded}, now)
+				}
+			}
+			golden.Assert(t, lines.String(), "session-"+string(mode)+".golden")
+		})
+	}
+}
+
+func line(value any) string {
+	if adopted, ok := value.(place.Adopted); ok {
+		return fmt.Sprintf("Adopted revision %d", adopted.Revision)
+	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%T ", value), "place.") + string(text)
+}
--- a/score/board.go
+++ b/score/board.go
@@ -20,6 +20,10 @@
 	// failureWeight makes an endpoint look as if that many more requests were
 	// in flight for each recent failure.
 	failureWeight = 4
+	// failingStreak is the number of failures in a row after which an endpoint
+	// is avoided, for failingPause after the last one.
+	failingStreak = 3
+	failingPause  = 3 * time.Second
 	// firstWeight is the part of its full weight with which an endpoint starts.
 	firstWeight = 0.1
 )
@@ -41,6 +45,8 @@
 	// failures is the decayed number of failures at failedAt.
 	failures float64
 	failedAt time.Time
+	// streak counts the failures since the last answer.
+	streak int
 	// rampFrom is the time of the first attempt.
 	rampFrom  time.Time
 	lastUsed  time.Time
@@ -96,6 +102,7 @@
 	elapsed := now.Sub(start)
 	switch result {
 	case Answered:
+		seen.streak = 0
 		b.services[seen.service].Add(elapsed)
 		seen.raise(elapsed, b.median(seen.service), now, true)
 	case Cancelled:
@@ -103,6 +110,7 @@
 	case Failed:
 		seen.failures = seen.recentFailures(now) + 1
 		seen.failedAt = now
+		seen.streak++
 	}
 }
 
@@ -170,6 +178,13 @@
 	return median
 }
 
+// IsFailing reports whether an endpoint has failed several times in a row and
+// not long ago. After a pause it is tried again.
+func (b *Board) IsFailing(endpoint model.EndpointName, now time.Time) bool {
+	seen := b.endpoints[endpoint]
+	return seen != nil && seen.streak >= failingStreak && now.Sub(seen.failedAt) < failingPause
+}
+
 // HedgeAfter returns the p95 of the observed response times of a service, and
 // false while there are too few of them.
 func (b *Board) HedgeAfter(service model.ServiceName) (time.Duration, bool) {
--- a/score/budget.go
+++ b/score/budget.go
@@ -20,15 +20,19 @@
 )
 
 // Budget allows extra attempts for a part of the requests. At all times
-// spent <= percent x requests / 100.
+// spent <= reserve + percent x requests / 100.
 type Budget struct {
 	percent int
 	// credit is in 0..maxCredit.
 	credit int
 }
 
-// NewBudget returns a budget of extra attempts for percent of the requests.
-func NewBudget(percent int) *Budget { return &Budget{percent: percent} }
+// NewBudget returns a budget of extra attempts for percent of the requests. A
+// reserve of at most 10 lets a service with few requests use its budget before
+// it has earned an attempt.
+func NewBudget(percent, reserve int) *Budget {
+	return &Budget{percent: percent, credit: min(reserve*price, maxCredit)}
+}
 
 // Earn counts a request.
 func (b *Budget) Earn() { b.credit = min(b.credit+b.percent, maxCredit) }
--- a/score/policies_test.go
+++ b/score/policies_test.go
@@ -167,7 +167,7 @@
 		done: make([]time.Duration, requestCount), attempts: make(map[int][]flight),
 	}
 	if isHedged {
-		s.hedges = score.NewBudget(score.HedgePercent)
+		s.hedges = score.NewBudget(score.HedgePercent, 0)
 	}
 	for i := range endpointCount {
 		s.names = append(s.names, model.EndpointName(fmt.Sprint("view-", i)))
--- a/share/change.go
+++ b/share/change.go
@@ -48,6 +48,15 @@
 			l.forget(host.Name())
 		}
 	}
+	l.former = nil
+	for _, place := range l.places {
+		if _, owned := place.lastOwned[l.host]; owned && place.owner != l.host {
+			l.former = append(l.former, place)
+		}
+	}
+	slices.SortFunc(l.former, func(a, b *place) int {
+		return cmp.Or(cmp.Compare(a.slot.Endpoint, b.slot.Endpoint), cmp.Compare(a.slot.Index, b.slot.Index))
+	})
 }
 
 // forget drops the former ownership of a host that an operator has confirmed
@@ -69,18 +78,42 @@
 // owned, does not own now, and on which it has neither a request nor a loan.
 func (l *Ledger) Releases() []Release {
 	var releases []Release
-	for slot, place := range l.places {
-		_, owned := place.lastOwned[l.host]
-		if owned && place.owner != l.host && place.ticket == 0 && place.loan == nil {
-			releases = append(releases, Release{Host: l.host, Slot: slot, Revision: l.revision})
+	for _, place := range l.former {
+		if place.ticket == 0 && place.loan == nil {
+			releases = append(releases, Release{Host: l.host, Slot: place.slot, Revision: l.revision})
 		}
 	}
-	slices.SortFunc(releases, func(a, b Release) int {
-		return cmp.Or(cmp.Compare(a.Slot.Endpoint, b.Slot.Endpoint), cmp.Compare(a.Slot.Index, b.Slot.Index))
-	})
 	return releases
 }
 
+// NewReleases returns the releases that an earlier call has not returned.
+func (l *Ledger) NewReleases() []Release {
+	var fresh []Release
+	for _, release := range l.Releases() {
+		if place := l.places[release.Slot]; place.announced < release.Revision {
+			place.announced = release.Revision
+			fresh = append(fresh, release)
+		}
+	}
+	return fresh
+}
+
+// OwesRelease reports whether a slot that this host has lost is still in use.
+func (l *Ledger) OwesRelease() bool {
+	return slices.ContainsFunc(l.former, func(place *place) bool { return place.ticket != 0 || place.loan != nil })
+}
+
+// OtherOwners returns the hosts that own the other slots of an endpoint.
+func (l *Ledger) OtherOwners(endpoint model.EndpointName) []model.HostName {
+	var owners []model.HostName
+	for _, place := range l.byEndpoint[endpoint] {
+		if place.owner != "" && place.owner != l.host && !slices.Contains(owners, place.owner) {
+			owners = append(owners, place.owner)
+		}
+	}
+	return owners
+}
+
 // usable reports whether this host may put new requests on a slot. A release
 // clears a former owner only if it is newer than the owner's latest ownership.
 func (l *Ledger) usable(place *place) bool {
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -41,9 +41,11 @@
 	// byEndpoint holds the places of an endpoint by slot index.
 	byEndpoint map[model.EndpointName][]*place
 	// lent and borrowed hold the loans that have not ended, oldest first.
-	lent       []*place
-	borrowed   []*place
-	tickets    map[Ticket]*place
+	lent     []*place
+	borrowed []*place
+	tickets  map[Ticket]*place
+	// former holds the places that this host has owned and does not own now.
+	former     []*place
 	lastTicket Ticket
 	lastLoan   uint64
 }
@@ -59,6 +61,8 @@
 	lastOwned map[model.HostName]uint64
 	// released holds the latest revision of a host's release.
 	released map[model.HostName]uint64
+	// announced is the revision of the release that was returned last.
+	announced uint64
 	// ticket is the request on the slot, or 0.
 	ticket Ticket
 	// sentDeadline is the deadline that the upstream got with the request.
@@ -145,6 +149,18 @@
 	return usable
 }
 
+// Held returns how many slots of an endpoint are held for requests whose end
+// is unknown.
+func (l *Ledger) Held(endpoint model.EndpointName) int {
+	held := 0
+	for _, place := range l.tickets {
+		if place.slot.Endpoint == endpoint && !place.heldUntil.IsZero() {
+			held++
+		}
+	}
+	return held
+}
+
 // Return frees the slot of a request whose end is known.
 func (l *Ledger) Return(ticket Ticket) {
 	if place, exists := l.tickets[ticket]; exists {
