Adopt a revision in placement before the directory

Cause: the entry host reported itself ready when the directory had the revision, and only then queued the event for placement. A request in between was refused with "no configuration"; one run of go test -race ./local showed it.

The event is queued first. Ruled out: waiting in the test, because callers see the same refusal.

--- a/entry/host.go
+++ b/entry/host.go
@@ -152,10 +152,12 @@
 	if err != nil {
 		return fmt.Errorf("parse revision %d: %w", revision, err)
 	}
-	h.directory.Adopt(deployment)
-	h.base.Log().Info("adopted configuration", "revision", revision)
+	// Placement comes first: events keep their order, so no request that finds
+	// the directory ready reaches placement before the revision does.
 	if err := h.dispatcher.Report(ctx, place.Adopted{Deployment: deployment, Revision: revision}); err != nil {
 		return fmt.Errorf("adopt revision %d: %w", revision, err)
 	}
+	h.directory.Adopt(deployment)
+	h.base.Log().Info("adopted configuration", "revision", revision)
 	return nil
 }
