Carry shifts over borrowed slots

Cause: slots stay inside a region, so a host had no slot in the region to which a plan moves a request, and the plan moved nothing.

A request that a plan moves is served at home while the host has no free slot at the target, and the host asks an owner there for a loan; later requests use the loan. A borrowed slot is kept for 1 s after its last use. A request whose region stops serving goes back home. A refusal at the cap asks for a loan at home as well.

Ruled out: a fixed part of all slots for other regions, which would stand idle while there is no shift; and giving a loan back at once, which costs each moved request a round trip between regions.

--- a/place/arrive.go
+++ b/place/arrive.go
@@ -29,11 +29,13 @@
 	state := c.services[request.Service]
 	state.hedges.Earn()
 	state.retries.Earn()
-	if !c.routeArrival(waiting, now) {
+	decisions, isRouted := c.routeArrival(waiting, now)
+	if !isRouted {
 		delete(c.requests, request.ID)
-		return []Decision{Refuse{Request: request.ID, Outcome: model.NotSent, Reason: waiting.route}}
+		decisions = append(decisions, Refuse{Request: request.ID, Outcome: model.NotSent, Reason: waiting.route})
+		return append(decisions, c.askLoan(request, []model.RegionName{request.Home}, now)...)
 	}
-	decisions := c.pump(request.Service, now)
+	decisions = append(decisions, c.pump(request.Service, now)...)
 	if state.queue.Len() == 0 && len(c.candidates(waiting, now)) > 0 {
 		return append(decisions, c.send(waiting, now)...)
 	}
@@ -57,7 +59,7 @@
 		return decisions
 	}
 	decisions = append(decisions, Wait{Request: waiting.request.ID, Position: position, Reason: c.whyWait(waiting, now)})
-	return append(decisions, c.askLoan(waiting, now)...)
+	return append(decisions, c.askLoan(waiting.request, c.loanRegions(waiting), now)...)
 }
 
 // whyWait names what a request waits for.
--- a/place/core.go
+++ b/place/core.go
@@ -59,7 +59,8 @@
 	region model.RegionName
 	// route tells why it is served there.
 	route string
-	// isMoved is true if credit has been spent for the request.
+	// isMoved is true if credit has been spent for the request. It stays true
+	// if the request goes back to its home region.
 	isMoved bool
 	// hedgeAt is when a hedge is due, or zero.
 	hedgeAt time.Time
@@ -154,7 +155,7 @@
 		return nil
 	}
 	decisions = append(decisions, c.pumpAll(now)...)
-	return append(decisions, c.announce()...)
+	return append(decisions, c.announce(now)...)
 }
 
 func (c *Core) adopt(event Adopted) {
--- a/place/finish.go
+++ b/place/finish.go
@@ -126,6 +126,9 @@
 		wake(sent.reportBy())
 		wake(c.baselineTimeout(sent))
 	}
+	if idle := c.ledger.LastUse(); !idle.IsZero() {
+		wake(idle.Add(loanLinger))
+	}
 	isQueued := false
 	for _, state := range c.services {
 		wake(state.queue.NextDeadline())
--- a/place/loans.go
+++ b/place/loans.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"filberthold/model"
@@ -16,6 +17,9 @@
 	// loanSlack covers the clock margin of a borrowed slot and the time that
 	// the request for the loan takes.
 	loanSlack = 2 * time.Second
+	// loanLinger keeps a borrowed slot for the next request. Giving it back at
+	// once would cost each moved request a round trip between regions.
+	loanLinger = time.Second
 )
 
 // askBook holds the times at which loans were asked for. They stay in memory
@@ -39,27 +43,44 @@
 	return b.last
 }
 
-// askLoan asks for a slot at an endpoint that a request could use. Only a
-// request that ends before the loan does can use it.
-func (c *Core) askLoan(waiting *pending, now time.Time) []Decision {
-	remaining := waiting.request.Deadline.Sub(now) + loanSlack
-	if remaining > loanDuration {
+// askLoan asks for a slot of an endpoint in one of the regions, for a request
+// that this host cannot serve there with its own slots. Only a request that
+// ends before the loan does can use it.
+func (c *Core) askLoan(request Request, regions []model.RegionName, now time.Time) []Decision {
+	if request.Deadline.Sub(now)+loanSlack > loanDuration {
 		return nil
 	}
-	for _, endpoint := range c.inRegion(waiting) {
+	for _, endpoint := range c.deployment.EndpointsOf(request.Service) {
 		name := endpoint.Name()
-		if c.leaving.has(name) || c.board.IsFailing(name, now) || now.Before(c.asks.nextAt[name]) {
+		isWanted := slices.Contains(regions, c.deployment.RegionOf(endpoint.Zone()))
+		if !isWanted || c.leaving.has(name) || c.board.IsFailing(name, now) || now.Before(c.asks.nextAt[name]) {
 			continue
 		}
-		owners := c.ledger.OtherOwners(name)
-		if len(owners) == 0 {
-			continue
+		if owners := c.ledger.OtherOwners(name); len(owners) > 0 {
+			return []Decision{AskLoan{Number: c.asks.add(name, now), Endpoint: name, Owners: owners, Duration: loanDuration}}
 		}
-		return []Decision{AskLoan{Number: c.asks.add(name, now), Endpoint: name, Owners: owners, Duration: loanDuration}}
 	}
 	return nil
 }
 
+// loanRegions returns the regions in which a borrowed slot would help a
+// waiting request.
+func (c *Core) loanRegions(waiting *pending) []model.RegionName {
+	isServed := c.hasUnmarked(waiting.request.Service, waiting.region)
+	if waiting.region != "" && (waiting.isMoved || isServed) {
+		return []model.RegionName{waiting.region}
+	}
+	return c.deployment.Regions()
+}
+
+// hasUnmarked reports whether an endpoint of a region is not leaving, whoever
+// owns its slots.
+func (c *Core) hasUnmarked(service model.ServiceName, region model.RegionName) bool {
+	return slices.ContainsFunc(c.deployment.EndpointsOf(service), func(endpoint model.Endpoint) bool {
+		return c.deployment.RegionOf(endpoint.Zone()) == region && !c.leaving.has(endpoint.Name())
+	})
+}
+
 // lend grants a loan of a slot that no queued request of this host can use.
 func (c *Core) lend(event LoanAsked, now time.Time) []Decision {
 	if c.deployment == nil || c.leaving.has(event.Endpoint) {
@@ -76,7 +97,7 @@
 	return []Decision{GrantLoan{Number: event.Number, Loan: loan}}
 }
 
-// borrow takes a loan into use. Apply gives it back if nothing waits for it.
+// borrow takes a loan into use.
 func (c *Core) borrow(event LoanGranted, now time.Time) []Decision {
 	sentAt, exists := c.asks.sentAt[event.Number]
 	if !exists || !c.ledger.Borrow(event.Loan, sentAt, now) {
@@ -85,10 +106,10 @@
 	return c.pumpAll(now)
 }
 
-// returnLoans gives back the borrowed slots that are not in use.
-func (c *Core) returnLoans() []Decision {
+// returnLoans gives back the borrowed slots that have not been used for a time.
+func (c *Core) returnLoans(now time.Time) []Decision {
 	var decisions []Decision
-	for _, loan := range c.ledger.Borrowed() {
+	for _, loan := range c.ledger.IdleLoans(now.Add(-loanLinger)) {
 		if c.ledger.GiveBack(loan.ID) {
 			decisions = append(decisions, ReturnLoan{Loan: loan.ID})
 		}
@@ -97,9 +118,9 @@
 }
 
 // announce tells the releases that have become possible since the last call,
-// and gives back borrowed slots whose request has ended.
-func (c *Core) announce() []Decision {
-	decisions := c.returnLoans()
+// and gives back borrowed slots that are idle.
+func (c *Core) announce(now time.Time) []Decision {
+	decisions := c.returnLoans(now)
 	if fresh := c.ledger.NewReleases(); len(fresh) > 0 {
 		decisions = append(decisions, Announce{Releases: fresh})
 	}
--- a/place/route.go
+++ b/place/route.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"filberthold/model"
@@ -9,60 +10,78 @@
 
 // routeArrival decides in which region an arriving request is served, and
 // counts it for the caps. It reports false if its home region cannot serve it
-// and the cap allows no failover; route then holds the reason.
-func (c *Core) routeArrival(waiting *pending, now time.Time) bool {
+// and the cap allows no failover; route then holds the reason. If a plan moves
+// the request but this host has no free slot at the target, the request is
+// served at home, and the decisions ask for a loan for those that follow.
+func (c *Core) routeArrival(waiting *pending, now time.Time) ([]Decision, bool) {
 	request := waiting.request
 	plans := c.deployment.Plans()
 	c.accounts.Arrive(plans, request.Service, request.Home)
 	waiting.region, waiting.route = request.Home, "home region"
 	if !c.hasEndpoints(request.Service, request.Home) {
 		waiting.region, waiting.route = "", "any region"
-		return true
+		return nil, true
+	}
+	plan, found := shift.Find(plans, request.Service, request.Home, request.BlockHash, now)
+	if !found {
+		return nil, c.routeFailover(waiting, now)
 	}
-	if plan, found := shift.Find(plans, request.Service, request.Home, request.BlockHash, now); found {
-		if target, exists := c.target(request.Service, plan, now); exists && c.accounts.AllowPlan(plan) {
+	targets := c.targets(plan)
+	for _, target := range targets {
+		if c.hasFree(request, target, now) && c.accounts.AllowPlan(plan) {
 			waiting.region, waiting.isMoved = target, true
 			waiting.route = string(plan.Kind()) + " " + string(plan.Name())
-			return true
+			return nil, true
 		}
 	}
-	return c.routeFailover(waiting, now)
+	return c.askLoan(request, targets, now), c.routeFailover(waiting, now)
 }
 
-// routeFailover moves a request whose home region has no endpoint that takes
-// work to a region that has one, within the cap of the service. It reports
-// false if the cap forbids it.
+// routeFailover moves a request whose region does not serve it to one that
+// does: back to its home region, or to another one within the cap of the
+// service. It reports false if the home region cannot be reached and the cap
+// forbids the move.
 func (c *Core) routeFailover(waiting *pending, now time.Time) bool {
-	request := waiting.request
-	if waiting.isMoved || waiting.region == "" || c.isServing(request.Service, request.Home, now) {
+	service, home := waiting.request.Service, waiting.request.Home
+	if waiting.region == "" || c.isServing(service, waiting.region, now) {
+		return true
+	}
+	if waiting.region != home && c.isServing(service, home, now) {
+		waiting.region, waiting.route = home, "home region"
 		return true
 	}
 	for _, region := range c.deployment.Regions() {
-		if region == request.Home || !c.isServing(request.Service, region, now) {
+		if region == home || !c.isServing(service, region, now) {
 			continue
 		}
-		if !c.accounts.AllowFailover(request.Service) {
+		if !waiting.isMoved && !c.accounts.AllowFailover(service) {
 			waiting.route = "home region is not served and the shift cap is reached"
-			return c.isReachable(request.Service, request.Home)
+			return c.isReachable(service, home)
 		}
-		waiting.region, waiting.isMoved, waiting.route = region, true, "failover from "+string(request.Home)
+		waiting.region, waiting.isMoved, waiting.route = region, true, "failover from "+string(home)
 		return true
 	}
 	return true
 }
 
-// target returns the region to which a plan moves a request. A drain without a
-// target takes the first region that serves.
-func (c *Core) target(service model.ServiceName, plan model.Plan, now time.Time) (model.RegionName, bool) {
+// targets returns the regions to which a plan may move a request.
+func (c *Core) targets(plan model.Plan) []model.RegionName {
 	if plan.To() != "" {
-		return plan.To(), c.isServing(service, plan.To(), now)
+		return []model.RegionName{plan.To()}
 	}
-	for _, region := range c.deployment.Regions() {
-		if region != plan.From() && c.isServing(service, region, now) {
-			return region, true
+	return slices.DeleteFunc(c.deployment.Regions(), func(region model.RegionName) bool { return region == plan.From() })
+}
+
+// hasFree reports whether a request can be sent to a region now.
+func (c *Core) hasFree(request Request, region model.RegionName, now time.Time) bool {
+	for _, endpoint := range c.deployment.EndpointsOf(request.Service) {
+		name := endpoint.Name()
+		if c.deployment.RegionOf(endpoint.Zone()) == region && !c.leaving.has(name) &&
+			!c.board.IsFailing(name, now) && c.ledger.Free(name, request.Deadline, now) > 0 {
+			return true
 		}
 	}
-	return "", false
+	return false
 }
 
 // isServing reports whether this host may use an endpoint in a region that is
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -73,6 +73,8 @@
 	loan *Loan
 	// loanDeadline ends the loan, by the rules for lender or borrower.
 	loanDeadline time.Time
+	// busyAt is the latest known time at which a borrowed slot was in use.
+	busyAt time.Time
 	// returned is true for a borrowed slot that was given back. The entry stays
 	// until the deadline so that a repeated grant does not bring it back.
 	returned bool
@@ -138,7 +140,8 @@
 	return free
 }
 
-// Usable returns how many slots of an endpoint this host may use, free or not.
+// Usable returns how many slots of an endpoint this host may use, free or not,
+// with those that it has borrowed.
 func (l *Ledger) Usable(endpoint model.EndpointName) int {
 	usable := 0
 	for _, place := range l.byEndpoint[endpoint] {
@@ -146,6 +149,11 @@
 			usable++
 		}
 	}
+	for _, place := range l.borrowed {
+		if place.slot.Endpoint == endpoint && !place.returned {
+			usable++
+		}
+	}
 	return usable
 }
 
--- a/share/loan.go
+++ b/share/loan.go
@@ -49,7 +49,7 @@
 	if l.borrowedPlace(loan.ID) != nil || loan.Borrower != l.host || !now.Before(deadline) {
 		return false
 	}
-	l.borrowed = append(l.borrowed, &place{slot: loan.Slot, loan: &loan, loanDeadline: deadline})
+	l.borrowed = append(l.borrowed, &place{slot: loan.Slot, loan: &loan, loanDeadline: deadline, busyAt: now})
 	return true
 }
 
@@ -95,7 +95,36 @@
 	return loans
 }
 
+// IdleLoans returns the loans that this host has got and has not used since a
+// time.
+func (l *Ledger) IdleLoans(since time.Time) []Loan {
+	var loans []Loan
+	for _, place := range l.borrowed {
+		if !place.returned && place.ticket == 0 && !place.busyAt.After(since) {
+			loans = append(loans, *place.loan)
+		}
+	}
+	return loans
+}
+
+// LastUse returns the earliest time at which a borrowed slot that is idle now
+// was in use, or the zero time.
+func (l *Ledger) LastUse() time.Time {
+	var last time.Time
+	for _, place := range l.borrowed {
+		if !place.returned && place.ticket == 0 {
+			last = earlier(last, place.busyAt)
+		}
+	}
+	return last
+}
+
 func (l *Ledger) expireLoans(now time.Time) {
+	for _, place := range l.borrowed {
+		if place.ticket != 0 {
+			place.busyAt = now
+		}
+	}
 	l.lent = slices.DeleteFunc(l.lent, func(place *place) bool {
 		if now.Before(place.loanDeadline) {
 			return false
