Keep adoption and full queues cheap

A revision that changes neither hosts nor endpoints reuses the owners, and a queue is scanned only if some slot of the service is free.

A test now runs two cores with loans and releases delayed and out of order between them; 20000 random sessions hold (-run TwoHosts -rapid.checks=20000).

Conclusion: a change of hosts or endpoints at 680 hosts still delays placement by the time of one assignment; it may be computed elsewhere later.

--- a/place/arrive.go
+++ b/place/arrive.go
@@ -111,13 +111,23 @@
 	for _, item := range state.queue.Expire(now) {
 		decisions = append(decisions, c.refuse(c.requests[item.ID], "deadline passed in the queue")...)
 	}
-	for {
+	for c.hasAnyFree(service, now) {
 		item, found := state.queue.Pop(func(id RequestID) bool { return c.canServe(c.requests[id], now) })
 		if !found {
 			return decisions
 		}
 		decisions = append(decisions, c.send(c.requests[item.ID], now)...)
 	}
+	return decisions
+}
+
+// hasAnyFree reports whether a request of a service could be sent at all. It
+// saves the scan of a long queue on each event while all slots are taken. The
+// earliest deadline is the one that fits most borrowed slots.
+func (c *Core) hasAnyFree(service model.ServiceName, now time.Time) bool {
+	return slices.ContainsFunc(c.deployment.EndpointsOf(service), func(endpoint model.Endpoint) bool {
+		return !c.leaving.has(endpoint.Name()) && c.ledger.Free(endpoint.Name(), now, now) > 0
+	})
 }
 
 // canServe reports whether a queued request can be sent. Its home region may
--- a/place/core.go
+++ b/place/core.go
@@ -19,6 +19,7 @@
 	mode       config.PlacementMode
 	random     *rand.Rand
 	deployment *model.Deployment
+	assignment *share.Assignment
 	ledger     *share.Ledger
 	board      *score.Board
 	accounts   *shift.Accounts
@@ -165,15 +166,25 @@
 	isFirst := c.deployment == nil
 	c.deployment = event.Deployment
 	for _, skipped := range event.Skipped {
-		c.ledger.Learn(share.Assign(skipped))
+		c.assign(skipped)
+		c.ledger.Learn(c.assignment)
 	}
-	c.ledger.Adopt(share.Assign(event.Deployment))
+	c.assign(event.Deployment)
+	c.ledger.Adopt(c.assignment)
 	c.accounts.Adopt(event.Deployment)
 	for _, service := range event.Deployment.Services() {
 		c.adoptService(service, isFirst)
 	}
 }
 
+func (c *Core) assign(deployment *model.Deployment) {
+	if c.assignment == nil {
+		c.assignment = share.Assign(deployment)
+		return
+	}
+	c.assignment = c.assignment.Next(deployment)
+}
+
 // adoptService makes a service and its endpoints known. Endpoints of the first
 // revision have their full weight: the host is new, not they.
 func (c *Core) adoptService(service model.Service, isFirst bool) {
--- /dev/null
+++ b/place/peers_test.go
@@ -0,0 +1,116 @@
+package place_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"filberthold/model"
+	"filberthold/place"
+
+	"pgregory.net/rapid"
+)
+
+// network carries loans and releases between two cores, late, repeatedly or
+// never, and counts what the endpoints execute.
+type network struct {
+	t       *rapid.T
+	now     time.Time
+	names   []model.HostName
+	cores   []*place.Core
+	mail    []letter
+	running []running
+	loans   int
+}
+
+type letter struct {
+	to    model.HostName
+	event place.Event
+}
+
+type running struct {
+	host int
+	send place.Send
+}
+
+func (n *network) apply(host int, event place.Event) {
+	for _, decision := range n.cores[host].Apply(event, n.now) {
+		switch decision := decision.(type) {
+		case place.Send:
+			isBusy := slices.ContainsFunc(n.running, func(r running) bool { return r.send.Endpoint == decision.Endpoint })
+			if isBusy {
+				n.t.Fatalf("two requests on the slot of %s", decision.Endpoint)
+			}
+			n.running = append(n.running, running{host, decision})
+		case place.AskLoan:
+			ask := place.LoanAsked{Number: decision.Number, Endpoint: decision.Endpoint, Borrower: n.names[host], Duration: decision.Duration}
+			n.mail = append(n.mail, letter{decision.Owners[0], ask})
+		case place.GrantLoan:
+			n.loans++
+			n.mail = append(n.mail, letter{decision.Loan.Borrower, place.LoanGranted(decision)})
+		case place.ReturnLoan:
+			n.mail = append(n.mail, letter{decision.Loan.Owner, place.LoanReturned(decision)})
+		case place.Announce:
+			for _, release := range decision.Releases {
+				n.mail = append(n.mail, letter{n.names[1-host], place.ReleaseHeard{Release: release}})
+			}
+		}
+	}
+}
+
+// Guards against two hosts that together overcommit an endpoint while
+// revisions, loans and releases are on their way between them.
+func TestTwoHostsNeverOvercommit(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	revisions := []*model.Deployment{
+		deploy(t, 1, start, "here", "there"), deploy(t, 2, start, "here"),
+		deploy(t, 3, start, "here", "there"), deploy(t, 4, start, "there"),
+	}
+	loans := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n := &network{t: t, now: start, names: []model.HostName{"here", "there"}}
+		for host, name := range n.names {
+			n.cores = append(n.cores, place.New(name))
+			n.apply(host, place.Adopted{Deployment: revisions[0]})
+		}
+		one, any, count := rapid.IntRange(0, 1), rapid.IntRange(0, 1000), 0
+		arrive := func(t *rapid.T) {
+			count++
+			n.apply(one.Draw(t, "host"), place.Arrived{Request: place.Request{
+				ID: place.RequestID(fmt.Sprint(count)), Service: "view", Customer: "a", Home: "north",
+				BlockHash: uint64(any.Draw(t, "block")) << 54, Deadline: n.now.Add(2 * time.Second),
+			}})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": arrive, "arrive too": arrive,
+			"report": func(t *rapid.T) {
+				if len(n.running) > 0 {
+					at := any.Draw(t, "attempt") % len(n.running)
+					ended := n.running[at]
+					n.running = slices.Delete(n.running, at, at+1)
+					n.apply(ended.host, place.Finished{Attempt: ended.send.Attempt, Result: place.Succeeded})
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(n.mail) > 0 {
+					letter := n.mail[len(n.mail)-1-min(len(n.mail)-1, any.Draw(t, "letter")/200)]
+					n.apply(slices.Index(n.names, letter.to), letter.event)
+				}
+			},
+			"adopt": func(t *rapid.T) {
+				revision := rapid.IntRange(1, len(revisions)-1).Draw(t, "revision")
+				n.apply(one.Draw(t, "host"), place.Adopted{Deployment: revisions[revision], Skipped: revisions[:revision]})
+			},
+			"pass": func(t *rapid.T) {
+				n.now = n.now.Add(time.Duration(any.Draw(t, "ms")) * time.Millisecond)
+				n.running = slices.DeleteFunc(n.running, func(r running) bool { return n.now.Sub(r.send.Deadline) >= time.Second })
+				for host := range n.cores {
+					n.apply(host, place.Ticked{})
+				}
+			},
+		})
+		loans += n.loans
+	})
+	t.Logf("%d loans granted", loans)
+}
--- a/share/assign.go
+++ b/share/assign.go
@@ -48,6 +48,20 @@
 	return assignment
 }
 
+// Next returns the assignment of another revision. If neither hosts nor
+// endpoints differ, as for a new plan, it reuses the owners: at 680 hosts a
+// full computation takes long enough to delay placement.
+func (a *Assignment) Next(deployment *model.Deployment) *Assignment {
+	isSame := slices.Equal(a.deployment.Hosts(), deployment.Hosts()) &&
+		slices.Equal(a.deployment.Endpoints(), deployment.Endpoints()) &&
+		slices.Equal(a.deployment.Zones(), deployment.Zones()) &&
+		slices.Equal(a.deployment.Services(), deployment.Services())
+	if !isSame {
+		return Assign(deployment)
+	}
+	return &Assignment{revision: deployment.Revision(), deployment: deployment, owner: a.owner, live: a.live}
+}
+
 func (a *Assignment) assignService(service model.ServiceName) {
 	if len(a.live) == 0 {
 		return
