Select the placement mode from the settings

The host passes the setting to the core; an empty one is the steered policy. Random choices are seeded by the name of the host, so that hosts differ and a replay decides the same.

--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -12,11 +12,6 @@
 	"pgregory.net/rapid"
 )
 
-type waiting struct {
-	customer model.CustomerName
-	number   int
-}
-
 // Guards against a customer that is served out of order or twice while
 // another one waits, a wrong position, a queue over its limit, and a request
 // that is lost, doubled, or served after its deadline.
@@ -25,7 +20,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 5
 		queue := admit.NewQueue[int](limit)
-		open := make(map[int]*waiting)
+		open := make(map[int]model.CustomerName)
 		// passed counts, for each customer that waits, how often each other
 		// customer was served since its own last turn.
 		passed := make(map[model.CustomerName]map[model.CustomerName]int)
@@ -44,7 +39,7 @@
 					t.Fatalf("push accepted: %v with %d waiting", ok, len(open))
 				}
 				if ok {
-					open[next] = &waiting{customer: customer, number: next}
+					open[next] = customer
 					next++
 				}
 			},
@@ -58,18 +53,18 @@
 				}
 				served := open[item.ID]
 				delete(open, item.ID)
-				delete(passed, served.customer)
-				for _, other := range open {
-					if other.customer == served.customer && other.number < served.number {
-						t.Fatalf("request %d of %s overtook %d", served.number, served.customer, other.number)
+				delete(passed, served)
+				for id, customer := range open {
+					if customer == served && id < item.ID {
+						t.Fatalf("request %d of %s overtook %d", item.ID, served, id)
 					}
-					if other.customer != served.customer && passed[other.customer] == nil {
-						passed[other.customer] = make(map[model.CustomerName]int)
+					if customer != served && passed[customer] == nil {
+						passed[customer] = make(map[model.CustomerName]int)
 					}
 				}
 				for customer, counts := range passed {
-					if counts[served.customer]++; counts[served.customer] > 1 {
-						t.Fatalf("%s was served twice while %s waited", served.customer, customer)
+					if counts[served]++; counts[served] > 1 {
+						t.Fatalf("%s was served twice while %s waited", served, customer)
 					}
 				}
 			},
@@ -82,8 +77,8 @@
 					t.Fatalf("request with deadline %v is queued at %v", next, now)
 				}
 				stillWaits := make(map[model.CustomerName]bool)
-				for _, other := range open {
-					stillWaits[other.customer] = true
+				for _, customer := range open {
+					stillWaits[customer] = true
 				}
 				maps.DeleteFunc(passed, func(customer model.CustomerName, _ map[model.CustomerName]int) bool {
 					return !stillWaits[customer]
--- a/entry/host.go
+++ b/entry/host.go
@@ -46,7 +46,7 @@
 func NewHost(base *common.Base) *Host {
 	settings := base.Settings()
 	name := model.HostName(settings.Host)
-	dispatcher := NewDispatcher(base.Log(), place.New(name))
+	dispatcher := NewDispatcher(base.Log(), place.New(name, place.WithMode(settings.Placement)))
 	directory := NewDirectory(name)
 	upstreams := upstrm.NewClient(model.ZoneName(settings.AvailabilityZone))
 	return &Host{
--- a/place/core.go
+++ b/place/core.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"cmp"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -95,10 +97,13 @@
 // Option changes how a core decides.
 type Option func(*Core)
 
-// WithMode selects the placement policy; the default is config.Steered.
-func WithMode(mode config.PlacementMode) Option { return func(c *Core) { c.mode = mode } }
+// WithMode selects the placement policy. An empty mode is config.Steered.
+func WithMode(mode config.PlacementMode) Option {
+	return func(c *Core) { c.mode = cmp.Or(mode, config.Steered) }
+}
 
-// WithSeed seeds the random choices.
+// WithSeed seeds the random choices. By default the name of the host does, so
+// that hosts differ and a replay of a session gives the same decisions.
 func WithSeed(seed uint64) Option {
 	return func(c *Core) { c.random = rand.New(rand.NewPCG(seed, 0)) }
 }
@@ -108,7 +113,7 @@
 	core := &Core{
 		host:     host,
 		mode:     config.Steered,
-		random:   rand.New(rand.NewPCG(0, 0)),
+		random:   rand.New(rand.NewPCG(seedOf(host), 0)),
 		ledger:   share.NewLedger(host),
 		board:    score.NewBoard(),
 		accounts: shift.NewAccounts(),
@@ -124,6 +129,12 @@
 	return core
 }
 
+func seedOf(host model.HostName) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(host))
+	return hash.Sum64()
+}
+
 // Apply takes an event at a time and returns the decisions in order. Times
 // must not decrease.
 func (c *Core) Apply(event Event, now time.Time) []Decision {
--- a/place/rules_test.go
+++ b/place/rules_test.go
@@ -18,59 +18,53 @@
 
 // checker applies events to a core and fails if a decision breaks a rule.
 type checker struct {
-	t        *rapid.T
-	core     *place.Core
-	now      time.Time
-	services map[place.RequestID]model.ServiceName
+	t    *rapid.T
+	core *place.Core
+	now  time.Time
 	// flying holds the attempts whose end has not been reported, running those
 	// that the upstream executes.
-	flying   map[place.AttemptID]place.Send
-	running  map[place.AttemptID]place.Send
-	ended    map[place.RequestID]place.Decision
-	clean    map[place.RequestID]int
-	sends    map[place.RequestID]int
-	moved    map[place.RequestID]bool
-	leaving  map[model.EndpointName]bool
-	arrivals map[model.ServiceName]int
-	hedges   int
-	retries  map[model.ServiceName]int
+	flying, running map[place.AttemptID]place.Send
+	requests        map[place.RequestID]*tracked
+	leaving         map[model.EndpointName]bool
+	// The counters are by service.
+	arrivals, hedges, retries, moved map[model.ServiceName]int
+}
+
+// tracked is what is known of a request; clean counts the attempts that did
+// not start.
+type tracked struct {
+	service                      model.ServiceName
+	sends, clean                 int
+	isMoved, isAbandoned, hasEnd bool
 }
 
 func newChecker(t *rapid.T, core *place.Core, now time.Time) *checker {
+	count := func() map[model.ServiceName]int { return make(map[model.ServiceName]int) }
 	return &checker{
 		t: t, core: core, now: now,
-		services: make(map[place.RequestID]model.ServiceName),
-		flying:   make(map[place.AttemptID]place.Send),
-		running:  make(map[place.AttemptID]place.Send),
-		ended:    make(map[place.RequestID]place.Decision),
-		clean:    make(map[place.RequestID]int),
-		sends:    make(map[place.RequestID]int),
-		moved:    make(map[place.RequestID]bool),
-		leaving:  make(map[model.EndpointName]bool),
-		arrivals: make(map[model.ServiceName]int),
-		retries:  make(map[model.ServiceName]int),
+		flying: make(map[place.AttemptID]place.Send), running: make(map[place.AttemptID]place.Send),
+		requests: make(map[place.RequestID]*tracked), leaving: make(map[model.EndpointName]bool),
+		arrivals: count(), hedges: count(), retries: count(), moved: count(),
 	}
 }
 
 func (c *checker) apply(event place.Event) {
 	for _, decision := range c.core.Apply(event, c.now) {
-		if end, exists := c.ended[decision.For()]; exists {
-			if _, isCancel := decision.(place.Cancel); !isCancel {
-				c.t.Fatalf("%#v after the end %#v", decision, end)
-			}
+		request := c.requests[decision.For()]
+		if _, isCancel := decision.(place.Cancel); request.hasEnd && !isCancel {
+			c.t.Fatalf("%#v after the end of the request", decision)
 		}
 		switch decision := decision.(type) {
 		case place.Send:
-			c.checkSend(decision)
+			c.checkSend(decision, request)
 		case place.Deliver:
-			c.ended[decision.Request] = decision
+			request.hasEnd = true
 		case place.Refuse:
-			c.ended[decision.Request] = decision
-			isProved := c.sends[decision.Request] == c.clean[decision.Request]
-			if isProved != (decision.Outcome != model.Unknown) {
-				c.t.Fatalf("outcome %s with %d of %d attempts not started", decision.Outcome, c.clean[decision.Request], c.sends[decision.Request])
+			request.hasEnd = true
+			if isProved := request.sends == request.clean; isProved != (decision.Outcome != model.Unknown) {
+				c.t.Fatalf("outcome %s with %d of %d attempts not started", decision.Outcome, request.clean, request.sends)
 			}
-			if decision.Outcome == model.NotRun && c.services[decision.Request] != "desk" {
+			if decision.Outcome == model.NotRun && request.service != "desk" {
 				c.t.Fatalf("notRun for a request without a row")
 			}
 		}
@@ -82,8 +76,8 @@
 	}
 }
 
-func (c *checker) checkSend(send place.Send) {
-	service := c.services[send.Request]
+func (c *checker) checkSend(send place.Send, request *tracked) {
+	service := request.service
 	if c.leaving[send.Endpoint] {
 		c.t.Fatalf("%s is leaving and got attempt %d", send.Endpoint, send.Attempt)
 	}
@@ -95,30 +89,24 @@
 			c.t.Fatalf("two requests on the slot of %s", send.Endpoint)
 		}
 	}
-	if service == "desk" && c.sends[send.Request] != c.clean[send.Request] {
+	if service == "desk" && (send.Hedge || request.sends != request.clean) {
 		c.t.Fatalf("submit %s was sent again after an attempt that may have run", send.Request)
 	}
 	if send.Hedge {
-		c.hedges++
-	} else if c.sends[send.Request] > 0 {
+		c.hedges[service]++
+	} else if request.sends > 0 {
 		c.retries[service]++
 	}
-	if 100*c.hedges > 5*c.arrivals["view"] || 100*(c.retries[service]-10) > 10*c.arrivals[service] {
-		c.t.Fatalf("%d hedges and %d retries for %d requests", c.hedges, c.retries[service], c.arrivals[service])
+	if 100*c.hedges[service] > 5*c.arrivals[service] || 100*(c.retries[service]-10) > 10*c.arrivals[service] {
+		c.t.Fatalf("%d hedges and %d retries for %d requests", c.hedges[service], c.retries[service], c.arrivals[service])
 	}
-	if send.Endpoint >= model.EndpointName(service+"-3") {
-		c.moved[send.Request] = true
-		count := 0
-		for request := range c.moved {
-			if c.services[request] == service {
-				count++
-			}
-		}
-		if 100*count > shiftCap*c.arrivals[service] {
-			c.t.Fatalf("%d of %d requests of %s moved", count, c.arrivals[service], service)
+	if send.Endpoint >= model.EndpointName(service+"-3") && !request.isMoved {
+		request.isMoved = true
+		if c.moved[service]++; 100*c.moved[service] > shiftCap*c.arrivals[service] {
+			c.t.Fatalf("%d of %d requests of %s moved", c.moved[service], c.arrivals[service], service)
 		}
 	}
-	c.sends[send.Request]++
+	request.sends++
 	c.flying[send.Attempt], c.running[send.Attempt] = send, send
 }
 
@@ -130,7 +118,7 @@
 		delete(c.running, send.Attempt)
 	}
 	if result == place.NotStarted {
-		c.clean[send.Request]++
+		c.requests[send.Request].clean++
 	}
 	if isLeaving {
 		c.leaving[send.Endpoint] = true
@@ -158,8 +146,8 @@
 }
 
 func (c *checker) arrive(service model.ServiceName, customer model.CustomerName, hash uint64, timeout time.Duration) {
-	id := place.RequestID(fmt.Sprintf("%05d", len(c.services)))
-	c.services[id] = service
+	id := place.RequestID(fmt.Sprintf("%05d", len(c.requests)))
+	c.requests[id] = &tracked{service: service}
 	c.arrivals[service]++
 	c.apply(place.Arrived{Request: place.Request{
 		ID: id, Service: service, Customer: customer, BlockHash: hash, Home: "north", Deadline: c.now.Add(timeout),
@@ -171,9 +159,8 @@
 // beyond their budgets, shifts beyond the cap, a request that ends twice or
 // never, and a core that asks to be woken in the past.
 func TestRulesOfPlacement(t *testing.T) {
-	outer := t
 	start := time.Unix(1_000_000, 0)
-	deployment := deploy(outer, 1, start, "here")
+	deployment := deploy(t, 1, start, "here")
 	rapid.Check(t, func(t *rapid.T) {
 		c := newChecker(t, place.New("here"), start)
 		c.apply(place.Adopted{Deployment: deployment})
@@ -184,7 +171,6 @@
 				c.report(send, place.Succeeded, false)
 			}
 		}
-		abandoned := make(map[place.RequestID]bool)
 		oldest := func() (place.Send, bool) {
 			sends := c.sorted()
 			if len(sends) == 0 {
@@ -220,7 +206,9 @@
 			},
 			"abandon": func(t *rapid.T) {
 				id := place.RequestID(fmt.Sprintf("%05d", rapid.IntRange(60, 120).Draw(t, "request")))
-				abandoned[id] = c.services[id] == "view"
+				if request, exists := c.requests[id]; exists {
+					request.isAbandoned = request.service == "view"
+				}
 				c.apply(place.Abandoned{Request: id})
 			},
 			"mark": func(t *rapid.T) {
@@ -236,8 +224,8 @@
 			"pass": func(t *rapid.T) { c.pass(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
 		})
 		c.pass(time.Minute)
-		for id := range c.services {
-			if _, exists := c.ended[id]; !exists && !abandoned[id] {
+		for id, request := range c.requests {
+			if !request.hasEnd && !request.isAbandoned {
 				t.Fatalf("request %s has no end", id)
 			}
 		}
--- a/score/policies_test.go
+++ b/score/policies_test.go
@@ -1,7 +1,6 @@
 package score_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -31,7 +30,7 @@
 	policy  score.Policy
 	hedges  *score.Budget
 	now     time.Time
-	events  events
+	events  []event
 	names   []model.EndpointName
 	busy    []int
 	slow    []bool
@@ -53,20 +52,10 @@
 	act func()
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 func (s *simulation) after(d time.Duration, act func()) {
-	heap.Push(&s.events, event{at: s.now.Add(d), act: act})
+	at := s.now.Add(d)
+	place, _ := slices.BinarySearchFunc(s.events, at, func(e event, at time.Time) int { return e.at.Compare(at) })
+	s.events = slices.Insert(s.events, place, event{at: at, act: act})
 }
 
 // send puts a request on a free endpoint, which must not be one that it is
@@ -176,7 +165,8 @@
 	s.after(0, s.slowDown)
 	s.after(0, s.arrive)
 	for len(s.events) > 0 {
-		next := heap.Pop(&s.events).(event)
+		next := s.events[0]
+		s.events = s.events[1:]
 		s.now = next.at
 		next.act()
 	}
--- a/share/assign_test.go
+++ b/share/assign_test.go
@@ -13,7 +13,7 @@
 
 // deploy returns a deployment with one service, with hosts and endpoints
 // spread evenly over regions, without the hosts for which isGone holds.
-func deploy(t testing.TB, revision uint64, regions, endpoints, slots, hosts int, isGone func(int) bool) *model.Deployment {
+func deploy(revision uint64, regions, endpoints, slots, hosts int, isGone func(int) bool) *model.Deployment {
 	parts := model.DeploymentParts{
 		Revision: revision,
 		Services: []model.Service{model.NewService(model.ServiceParts{Name: "view", Class: model.Read})},
@@ -36,7 +36,9 @@
 		}
 	}
 	deployment, err := model.NewDeployment(parts)
-	assert.NilError(t, err)
+	if err != nil {
+		panic(err)
+	}
 	return deployment
 }
 
@@ -50,10 +52,10 @@
 	}
 	for _, test := range cases {
 		t.Run(fmt.Sprintf("%d of %d hosts", test.dead, test.hosts), func(t *testing.T) {
-			deployment := deploy(t, 1, test.regions, test.endpoints, 3, test.hosts, func(int) bool { return false })
+			deployment := deploy(1, test.regions, test.endpoints, 3, test.hosts, func(int) bool { return false })
 			isDead := func(i int) bool { return i%(test.hosts/test.dead) == 0 && i/(test.hosts/test.dead) < test.dead }
 			before := share.Assign(deployment)
-			after := share.Assign(deploy(t, 2, test.regions, test.endpoints, 3, test.hosts, isDead))
+			after := share.Assign(deploy(2, test.regions, test.endpoints, 3, test.hosts, isDead))
 
 			total, distant, stranded, moved, connections := 0, 0, 0, 0, 0
 			counts := make(map[model.HostName]int)
@@ -91,10 +93,10 @@
 			}
 			assert.Equal(t, bits, int64(1_000_003))
 			assert.Equal(t, distant, 0)
-			same := before.Next(deploy(t, 3, test.regions, test.endpoints, 3, test.hosts, func(int) bool { return false }))
+			same := before.Next(deploy(3, test.regions, test.endpoints, 3, test.hosts, func(int) bool { return false }))
 			assert.Equal(t, same.Revision(), uint64(3))
 			assert.DeepEqual(t, same.SlotsOf("host-002"), before.SlotsOf("host-002"))
-			changed := before.Next(deploy(t, 4, test.regions, test.endpoints, 3, test.hosts, isDead))
+			changed := before.Next(deploy(4, test.regions, test.endpoints, 3, test.hosts, isDead))
 			assert.DeepEqual(t, changed.SlotsOf("host-002"), after.SlotsOf("host-002"))
 			t.Logf("slots %d, stranded %.1f%%, moved by the revision that removes the dead hosts %.1f%%",
 				total, 100*float64(stranded)/float64(total), 100*float64(moved)/float64(total))
--- a/share/ledger_test.go
+++ b/share/ledger_test.go
@@ -56,10 +56,10 @@
 
 // assign makes revisions of one endpoint in which present says which hosts
 // take part.
-func assign(t testing.TB, slots, hosts, revisions int, present func(revision, host int) bool) []*share.Assignment {
+func assign(slots, hosts, revisions int, present func(revision, host int) bool) []*share.Assignment {
 	var assignments []*share.Assignment
 	for r := range revisions {
-		deployment := deploy(t, uint64(r+1), 1, 1, slots, hosts, func(i int) bool { return !present(r, i) })
+		deployment := deploy(uint64(r+1), 1, 1, slots, hosts, func(i int) bool { return !present(r, i) })
 		assignments = append(assignments, share.Assign(deployment))
 	}
 	return assignments
@@ -199,11 +199,10 @@
 // requests, lend, and hear releases late, repeatedly or never.
 func TestSlotsAreNeverOvercommitted(t *testing.T) {
 	const hosts, revisions = 3, 5
-	outer := t
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 2).Draw(t, "slots")
 		masks := rapid.SliceOfN(rapid.IntRange(1, 1<<hosts-1), revisions, revisions).Draw(t, "hosts of each revision")
-		w := newWorld(slots, hosts, assign(outer, slots, hosts, revisions, func(r, i int) bool { return masks[r]>>i&1 == 1 }))
+		w := newWorld(slots, hosts, assign(slots, hosts, revisions, func(r, i int) bool { return masks[r]>>i&1 == 1 }))
 		clockError := rapid.SampledFrom([]time.Duration{-500 * time.Millisecond, 0, 500 * time.Millisecond})
 		w.endError = clockError.Draw(t, "endpoint clock")
 		for _, h := range w.hosts {
@@ -264,7 +263,7 @@
 		func(w *world) bool { return w.start(second) },
 		func(w *world) bool { return w.pass(4 * time.Second) },
 	}
-	revisions := assign(t, 1, 2, 2, func(r, i int) bool { return r == i })
+	revisions := assign(1, 2, 2, func(r, i int) bool { return r == i })
 	states, busy := 0, 0
 	var explore func(path []int)
 	explore = func(path []int) {
