Compute rendezvous weights once for each slot and host

Cause: the comparison in the sort of candidates computed both weights anew.

The rankings of a region are dropped when it is matched. Not tried: a search for the best remaining candidate in place of the sort.

--- a/share/match.go
+++ b/share/match.go
@@ -13,8 +13,15 @@
 type seat struct {
 	slot Slot
 	hash uint64
-	// next is the number of candidates that the slot has already asked.
-	next int
+	// ranked holds the candidates that the slot has not asked yet, or nil before
+	// the first.
+	ranked []ranking
+}
+
+// ranking is a candidate with its weight for a slot.
+type ranking struct {
+	candidate *candidate
+	weight    uint64
 }
 
 // candidate is a host that takes up to room slots.
@@ -34,17 +41,13 @@
 func (a *Assignment) match(seats []*seat, candidates []*candidate) {
 	candidates = slices.DeleteFunc(candidates, func(c *candidate) bool { return c.room == 0 })
 	pending := slices.Clone(seats)
-	ranked := make(map[*seat][]*candidate, len(seats))
-	for _, seat := range seats {
-		seat.next = 0
-	}
 	for len(pending) > 0 {
 		seat := pending[len(pending)-1]
 		pending = pending[:len(pending)-1]
-		if ranked[seat] == nil {
-			ranked[seat] = rank(seat, candidates)
+		if seat.ranked == nil {
+			seat.ranked = rank(seat, candidates)
 		}
-		if loser := settle(seat, ranked[seat]); loser != nil {
+		if loser := settle(seat); loser != nil {
 			pending = append(pending, loser)
 		}
 	}
@@ -53,14 +56,19 @@
 			a.owner[seat.slot] = candidate.host
 		}
 	}
+	// A slot that is left asks other candidates later, and the rankings of one
+	// region need not stay in memory while the next is matched.
+	for _, seat := range seats {
+		seat.ranked = nil
+	}
 }
 
 // settle offers a slot to its candidates in order, and returns the slot that
 // loses its place, if one does.
-func settle(seat *seat, ranked []*candidate) *seat {
-	for seat.next < len(ranked) {
-		asked := ranked[seat.next]
-		seat.next++
+func settle(seat *seat) *seat {
+	for len(seat.ranked) > 0 {
+		asked := seat.ranked[0].candidate
+		seat.ranked = seat.ranked[1:]
 		if len(asked.held) < asked.room {
 			asked.held = append(asked.held, seat)
 			return nil
@@ -79,10 +87,18 @@
 	return nil
 }
 
-func rank(seat *seat, candidates []*candidate) []*candidate {
-	ranked := slices.Clone(candidates)
-	slices.SortFunc(ranked, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(weight(seat, b), weight(seat, a)), cmp.Compare(a.host, b.host))
+// rank returns the candidates of a slot, those of most weight first. Weights
+// are computed once: at 680 hosts they dominate the time of an assignment.
+func rank(seat *seat, candidates []*candidate) []ranking {
+	ranked := make([]ranking, 0, len(candidates))
+	for _, candidate := range candidates {
+		ranked = append(ranked, ranking{candidate: candidate, weight: weight(seat, candidate)})
+	}
+	slices.SortFunc(ranked, func(a, b ranking) int {
+		if a.weight != b.weight {
+			return cmp.Compare(b.weight, a.weight)
+		}
+		return cmp.Compare(a.candidate.host, b.candidate.host)
 	})
 	return ranked
 }
