Account for restarts, response headers and load reports

A first revision may carry the time until which the earlier process can still have work; until then the host uses, lends and releases no slot of its own. Numbers of loans and of requests for them follow the clock, so that messages for an earlier process match nothing. A response header counts in place of the whole response and ends hedging. Load reports decide between endpoints of equal cost. The dispatcher logs the decisions on loans and releases.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -119,5 +119,14 @@
 		d.log.Info("deliver", "request", decision.Request, "attempt", decision.Attempt)
 	case place.Cancel:
 		d.log.Info("cancel", "request", decision.Request, "attempt", decision.Attempt, "reason", decision.Reason)
+	case place.AskLoan:
+		d.log.Info("ask for loan", "number", decision.Number, "endpoint", decision.Endpoint, "owners", decision.Owners)
+	case place.GrantLoan:
+		d.log.Info("grant loan", "number", decision.Number, "loan", decision.Loan.ID, "endpoint", decision.Loan.Slot.Endpoint,
+			"borrower", decision.Loan.Borrower)
+	case place.ReturnLoan:
+		d.log.Info("return loan", "loan", decision.Loan)
+	case place.Announce:
+		d.log.Info("release slots", "releases", decision.Releases)
 	}
 }
--- a/place/core.go
+++ b/place/core.go
@@ -148,7 +148,7 @@
 	case Finished:
 		decisions = c.finish(event, now)
 	case Adopted:
-		c.adopt(event)
+		c.adopt(event, now)
 	case Marked:
 		c.leaving.mark(event.Endpoint, event.Incarnation)
 	case Unmarked:
@@ -163,14 +163,18 @@
 		c.ledger.Reclaim(event.Loan)
 	case Ticked:
 		decisions = c.tick(now)
+	case LoadReported:
+		c.board.Report(event.Endpoint, event.BusySlots)
+		return nil
 	case Responded:
+		c.respond(event.Attempt, now)
 		return nil
 	}
 	decisions = append(decisions, c.pumpAll(now)...)
 	return append(decisions, c.announce(now)...)
 }
 
-func (c *Core) adopt(event Adopted) {
+func (c *Core) adopt(event Adopted, now time.Time) {
 	if c.deployment != nil && event.Deployment.Revision() <= c.deployment.Revision() {
 		return
 	}
@@ -182,6 +186,9 @@
 	}
 	c.assign(event.Deployment)
 	c.ledger.Adopt(c.assignment)
+	if isFirst && now.Before(event.BusyUntil) {
+		c.ledger.Quiet(event.BusyUntil)
+	}
 	c.accounts.Adopt(event.Deployment)
 	for _, service := range event.Deployment.Services() {
 		c.adoptService(service, isFirst)
--- a/place/events.go
+++ b/place/events.go
@@ -88,6 +88,11 @@
 	// revision whose owners had all slots. Without them a gained slot is not
 	// used, because a skipped revision may have an owner that still uses it.
 	Skipped []*model.Deployment `cbor:"-"`
+	// BusyUntil is set with the first revision of a process if an earlier
+	// process under the same name may have left requests behind, to the latest
+	// time at which they or a loan can end. Until then the host uses no slot of
+	// its own.
+	BusyUntil time.Time `cbor:"busyUntil"`
 }
 
 // Marked reports that an endpoint is leaving, from the host list, a peer or
@@ -104,6 +109,12 @@
 	Incarnation string             `cbor:"incarnation"`
 }
 
+// LoadReported reports the load report of an endpoint.
+type LoadReported struct {
+	Endpoint  model.EndpointName `cbor:"endpoint"`
+	BusySlots int                `cbor:"busySlots"`
+}
+
 // ReleaseHeard reports the release of a slot by a former owner, from a peer or
 // from its row in the table.
 type ReleaseHeard struct {
@@ -139,6 +150,7 @@
 func (Adopted) isEvent()      {}
 func (Marked) isEvent()       {}
 func (Unmarked) isEvent()     {}
+func (LoadReported) isEvent() {}
 func (ReleaseHeard) isEvent() {}
 func (LoanAsked) isEvent()    {}
 func (LoanGranted) isEvent()  {}
--- a/place/finish.go
+++ b/place/finish.go
@@ -57,6 +57,19 @@
 	c.board.Observe(sent.endpoint, uint64(sent.id), seen, now)
 }
 
+// respond takes note of a response header. A response that has begun is not
+// hedged: what is left of it depends on its length.
+func (c *Core) respond(id AttemptID, now time.Time) {
+	sent, exists := c.attempts[id]
+	if !exists {
+		return
+	}
+	c.board.Responded(sent.endpoint, uint64(id), now)
+	if waiting, exists := c.requests[sent.request]; exists {
+		waiting.hedgeAt = time.Time{}
+	}
+}
+
 // tick hedges the reads for which it is time, and gives up attempts whose end
 // has not been reported although the upstream must have ended them.
 func (c *Core) tick(now time.Time) []Decision {
--- a/place/loans.go
+++ b/place/loans.go
@@ -37,7 +37,9 @@
 
 func (b *askBook) add(endpoint model.EndpointName, now time.Time) uint64 {
 	maps.DeleteFunc(b.sentAt, func(_ uint64, sentAt time.Time) bool { return now.Sub(sentAt) > loanDuration })
-	b.last++
+	// The time keeps the number from meeting one of an earlier process, to which
+	// a late grant may belong.
+	b.last = max(b.last+1, uint64(now.UnixNano()))
 	b.sentAt[b.last] = now
 	b.nextAt[endpoint] = now.Add(askInterval)
 	return b.last
--- a/score/board.go
+++ b/score/board.go
@@ -36,8 +36,10 @@
 
 type observed struct {
 	service model.ServiceName
-	// inFlight holds the start of each attempt in flight.
-	inFlight map[uint64]time.Time
+	// inFlight holds each attempt in flight.
+	inFlight map[uint64]flight
+	// reported is the number of busy slots in the latest load report.
+	reported int
 	// peak is the peak-sensitive mean of the response time at peakAt: a longer
 	// response replaces it, and it decays towards the median of the service.
 	peak   time.Duration
@@ -53,6 +55,14 @@
 	slowStart time.Duration
 }
 
+// flight is an attempt in flight.
+type flight struct {
+	start time.Time
+	// hasResponded is true if the response header has arrived. The rest of the
+	// response depends on its length and says little about the endpoint.
+	hasResponded bool
+}
+
 // NewBoard returns a board without observations.
 func NewBoard() *Board {
 	return &Board{endpoints: make(map[model.EndpointName]*observed), services: make(map[model.ServiceName]*Window)}
@@ -65,7 +75,7 @@
 	if b.endpoints[endpoint] != nil {
 		return
 	}
-	b.endpoints[endpoint] = &observed{service: service, inFlight: make(map[uint64]time.Time), slowStart: slowStart}
+	b.endpoints[endpoint] = &observed{service: service, inFlight: make(map[uint64]flight), slowStart: slowStart}
 	if b.services[service] == nil {
 		b.services[service] = &Window{}
 	}
@@ -80,7 +90,7 @@
 	if seen == nil {
 		return
 	}
-	seen.inFlight[attempt] = now
+	seen.inFlight[attempt] = flight{start: now}
 	seen.lastUsed = now
 	if seen.rampFrom.IsZero() {
 		seen.rampFrom = now
@@ -94,19 +104,21 @@
 	if seen == nil {
 		return
 	}
-	start, exists := seen.inFlight[attempt]
+	sent, exists := seen.inFlight[attempt]
 	if !exists {
 		return
 	}
 	delete(seen.inFlight, attempt)
-	elapsed := now.Sub(start)
 	switch result {
 	case Answered:
 		seen.streak = 0
-		b.services[seen.service].Add(elapsed)
-		seen.raise(elapsed, b.median(seen.service), now, true)
+		if !sent.hasResponded {
+			b.answered(seen, now.Sub(sent.start), now)
+		}
 	case Cancelled:
-		seen.raise(elapsed, b.median(seen.service), now, false)
+		if !sent.hasResponded {
+			seen.raise(now.Sub(sent.start), b.median(seen.service), now, false)
+		}
 	case Failed:
 		seen.failures = seen.recentFailures(now) + 1
 		seen.failedAt = now
@@ -114,6 +126,35 @@
 	}
 }
 
+// Responded reports the response header of an attempt whose body follows. Its
+// time counts in place of the time of the whole response.
+func (b *Board) Responded(endpoint model.EndpointName, attempt uint64, now time.Time) {
+	seen := b.endpoints[endpoint]
+	if seen == nil {
+		return
+	}
+	sent, exists := seen.inFlight[attempt]
+	if !exists || sent.hasResponded {
+		return
+	}
+	sent.hasResponded = true
+	seen.inFlight[attempt] = sent
+	b.answered(seen, now.Sub(sent.start), now)
+}
+
+func (b *Board) answered(seen *observed, elapsed time.Duration, now time.Time) {
+	b.services[seen.service].Add(elapsed)
+	seen.raise(elapsed, b.median(seen.service), now, true)
+}
+
+// Report records the busy slots of a load report. Reports lag and mislead, so
+// they only decide between endpoints of equal cost.
+func (b *Board) Report(endpoint model.EndpointName, busySlots int) {
+	if seen := b.endpoints[endpoint]; seen != nil {
+		seen.reported = busySlots
+	}
+}
+
 // Result tells what an attempt says about its endpoint.
 type Result int
 
@@ -166,8 +207,10 @@
 // straggler reports nothing until it answers.
 func (b *Board) cost(seen *observed, now time.Time) float64 {
 	expected := seen.responseTime(b.median(seen.service), now)
-	for _, start := range seen.inFlight {
-		expected = max(expected, now.Sub(start))
+	for _, sent := range seen.inFlight {
+		if !sent.hasResponded {
+			expected = max(expected, now.Sub(sent.start))
+		}
 	}
 	load := float64(len(seen.inFlight)) + 1 + failureWeight*seen.recentFailures(now)
 	return max(1, float64(expected)) * load / seen.weight(now)
--- a/score/choose.go
+++ b/score/choose.go
@@ -11,8 +11,9 @@
 type Policy string
 
 const (
-	// FullScan takes the endpoint of least cost, and of equal ones the one that
-	// was used longest ago. It is the default: a host holds few slots.
+	// FullScan takes the endpoint of least cost, and of equal ones the one with
+	// fewer busy slots in its load report, then the one that was used longest
+	// ago. It is the default: a host holds few slots.
 	FullScan Policy = "fullScan"
 	// TwoChoices takes the endpoint of less cost from two random ones.
 	TwoChoices Policy = "twoChoices"
@@ -46,6 +47,9 @@
 	if costA != costB {
 		return costA < costB
 	}
+	if first.reported != second.reported {
+		return first.reported < second.reported
+	}
 	return first.lastUsed.Before(second.lastUsed)
 }
 
--- a/share/change.go
+++ b/share/change.go
@@ -77,6 +77,9 @@
 // Releases returns what this host has to tell others: the slots that it
 // owned, does not own now, and on which it has neither a request nor a loan.
 func (l *Ledger) Releases() []Release {
+	if !l.quietUntil.IsZero() {
+		return nil
+	}
 	var releases []Release
 	for _, place := range l.former {
 		if place.ticket == 0 && place.loan == nil {
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -48,6 +48,8 @@
 	former     []*place
 	lastTicket Ticket
 	lastLoan   uint64
+	// quietUntil is set while no slot of this host may be used; see Quiet.
+	quietUntil time.Time
 }
 
 // place is the state of one slot, or of one borrowed slot.
@@ -99,7 +101,7 @@
 	}
 	l.Expire(now)
 	for _, place := range l.byEndpoint[endpoint] {
-		if l.usable(place) && place.ticket == 0 && place.loan == nil {
+		if l.isFree(place) {
 			return l.take(place, deadline), true
 		}
 	}
@@ -128,7 +130,7 @@
 	l.Expire(now)
 	free := 0
 	for _, place := range l.byEndpoint[endpoint] {
-		if l.usable(place) && place.ticket == 0 && place.loan == nil {
+		if l.isFree(place) {
 			free++
 		}
 	}
@@ -157,6 +159,16 @@
 	return usable
 }
 
+// Quiet keeps all slots of this host out of use until a time, for a process
+// that starts under the name of an earlier one: requests and loans of the
+// earlier process may still run, and only their latest end is known.
+func (l *Ledger) Quiet(until time.Time) { l.quietUntil = until }
+
+// isFree reports whether a request or a loan can take a slot of this host.
+func (l *Ledger) isFree(place *place) bool {
+	return l.quietUntil.IsZero() && l.usable(place) && place.ticket == 0 && place.loan == nil
+}
+
 // Held returns how many slots of an endpoint are held for requests whose end
 // is unknown.
 func (l *Ledger) Held(endpoint model.EndpointName) int {
@@ -195,12 +207,15 @@
 			l.Return(ticket)
 		}
 	}
+	if !now.Before(l.quietUntil) {
+		l.quietUntil = time.Time{}
+	}
 	l.expireLoans(now)
 }
 
 // NextExpiry returns the earliest end of a hold or a loan, or the zero time.
 func (l *Ledger) NextExpiry() time.Time {
-	var next time.Time
+	next := l.quietUntil
 	for _, place := range l.tickets {
 		next = earlier(next, place.heldUntil)
 	}
--- a/share/loan.go
+++ b/share/loan.go
@@ -28,10 +28,12 @@
 func (l *Ledger) Lend(endpoint model.EndpointName, borrower model.HostName, duration time.Duration, receivedAt time.Time) (Loan, bool) {
 	l.Expire(receivedAt)
 	for _, place := range l.byEndpoint[endpoint] {
-		if !l.usable(place) || place.ticket != 0 || place.loan != nil {
+		if !l.isFree(place) {
 			continue
 		}
-		l.lastLoan++
+		// The time keeps the number from meeting one of an earlier process, whose
+		// loans may still be given back.
+		l.lastLoan = max(l.lastLoan+1, uint64(receivedAt.UnixNano()))
 		place.loan = &Loan{
 			ID: LoanID{Owner: l.host, Number: l.lastLoan}, Slot: place.slot, Borrower: borrower, Duration: duration,
 		}
