--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -38,7 +38,7 @@
 			if traceFile == "" {
 				return host.Run(command.Context())
 			}
-			return runTraced(command.Context(), host, model.HostName(settings.Host), traceFile)
+			return runTraced(command.Context(), host, settings, traceFile)
 		},
 	}
 	command.Flags().StringVar(&settingsFile, "settings", "entry.toml", "settings file of this host (TOML)")
@@ -47,12 +47,12 @@
 }
 
 // runTraced runs a host and writes a trace of its decisions.
-func runTraced(ctx context.Context, host *entry.Host, name model.HostName, traceFile string) error {
+func runTraced(ctx context.Context, host *entry.Host, settings config.Settings, traceFile string) error {
 	file, err := os.Create(traceFile)
 	if err != nil {
 		return fmt.Errorf("create trace: %w", err)
 	}
-	recorder, err := replay.NewRecorder(file, name)
+	recorder, err := replay.NewRecorder(file, model.HostName(settings.Host), settings.Placement)
 	if err != nil {
 		return errors.Join(fmt.Errorf("start trace: %w", err), file.Close())
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -56,7 +56,7 @@
 	name := model.HostName(settings.Host)
 	incarnation := ulid.Make().String()
 	mesh := newMesh(base, incarnation)
-	dispatcher := NewDispatcher(base.Log(), place.New(name))
+	dispatcher := NewDispatcher(base.Log(), place.New(name, place.WithMode(settings.Placement)))
 	directory := NewDirectory(name, mesh.State())
 	platform := plat.NewNamedClient(settings.PlatformAddress, settings.Host)
 	committer := plat.NewCommitter(platform, plat.DefaultWindow)
@@ -174,11 +174,13 @@
 
 // adopt puts a deployment into force in all parts of the host.
 func (h *Host) adopt(ctx context.Context, deployment *model.Deployment, head revise.Head, body []byte) error {
-	h.directory.Adopt(deployment)
-	h.mesh.Publish(head, body, deployment)
+	// Placement comes first: events keep their order, so no request that finds
+	// the directory ready reaches placement before the revision does.
 	event := place.Adopted{Deployment: deployment, Revision: head.Number()}
 	if err := h.dispatcher.Report(ctx, event); err != nil {
 		return fmt.Errorf("report revision: %w", err)
 	}
+	h.directory.Adopt(deployment)
+	h.mesh.Publish(head, body, deployment)
 	return nil
 }
--- a/entry/records.go
+++ b/entry/records.go
@@ -168,7 +168,7 @@
 		a.addAttempt(&record, decision.Attempt)
 		return record
 	}
-	return about(open, audit.Kind(fmt.Sprintf("%T", decision)))
+	return about(open, audit.Kind(place.KindOf(decision)))
 }
 
 // addAttempt names an attempt in a record.
--- a/place/kind.go
+++ b/place/kind.go
@@ -13,6 +13,14 @@
 		return "deliver"
 	case Cancel:
 		return "cancel"
+	case AskLoan:
+		return "askLoan"
+	case GrantLoan:
+		return "grantLoan"
+	case ReturnLoan:
+		return "returnLoan"
+	case Announce:
+		return "announce"
 	}
 	return "other"
 }
--- /dev/null
+++ b/place/rules_test.go
@@ -0,0 +1,243 @@
+package place_test
+
+import (
+	"cmp"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"filberthold/model"
+	"filberthold/place"
+
+	"pgregory.net/rapid"
+)
+
+// checker applies events to a core and fails if a decision breaks a rule.
+type checker struct {
+	t    *rapid.T
+	core *place.Core
+	now  time.Time
+	// flying holds the attempts whose end has not been reported, running those
+	// that the upstream executes.
+	flying, running map[place.AttemptID]place.Send
+	requests        map[place.RequestID]*tracked
+	leaving         map[model.EndpointName]bool
+	// The counters are by service.
+	arrivals, hedges, retries, moved map[model.ServiceName]int
+}
+
+// tracked is what is known of a request; clean counts the attempts that did
+// not start.
+type tracked struct {
+	service                      model.ServiceName
+	sends, clean                 int
+	isMoved, isAbandoned, hasEnd bool
+}
+
+func newChecker(t *rapid.T, core *place.Core, now time.Time) *checker {
+	count := func() map[model.ServiceName]int { return make(map[model.ServiceName]int) }
+	return &checker{
+		t: t, core: core, now: now,
+		flying: make(map[place.AttemptID]place.Send), running: make(map[place.AttemptID]place.Send),
+		requests: make(map[place.RequestID]*tracked), leaving: make(map[model.EndpointName]bool),
+		arrivals: count(), hedges: count(), retries: count(), moved: count(),
+	}
+}
+
+func (c *checker) apply(event place.Event) {
+	for _, decision := range c.core.Apply(event, c.now) {
+		request := c.requests[decision.For()]
+		if _, isCancel := decision.(place.Cancel); request.hasEnd && !isCancel {
+			c.t.Fatalf("%#v after the end of the request", decision)
+		}
+		switch decision := decision.(type) {
+		case place.Send:
+			c.checkSend(decision, request)
+		case place.Deliver:
+			request.hasEnd = true
+		case place.Refuse:
+			request.hasEnd = true
+			if isProved := request.sends == request.clean; isProved != (decision.Outcome != model.Unknown) {
+				c.t.Fatalf("outcome %s with %d of %d attempts not started", decision.Outcome, request.clean, request.sends)
+			}
+			if decision.Outcome == model.NotRun && request.service != "desk" {
+				c.t.Fatalf("notRun for a request without a row")
+			}
+		}
+	}
+	if _, isTick := event.(place.Ticked); isTick {
+		if next := c.core.NextWake(); !next.IsZero() && !next.After(c.now) {
+			c.t.Fatalf("next wake %v at %v", next, c.now)
+		}
+	}
+}
+
+func (c *checker) checkSend(send place.Send, request *tracked) {
+	service := request.service
+	if c.leaving[send.Endpoint] {
+		c.t.Fatalf("%s is leaving and got attempt %d", send.Endpoint, send.Attempt)
+	}
+	if !c.now.Before(send.Deadline) {
+		c.t.Fatalf("attempt %d was sent at its deadline", send.Attempt)
+	}
+	for _, other := range c.running {
+		if other.Endpoint == send.Endpoint {
+			c.t.Fatalf("two requests on the slot of %s", send.Endpoint)
+		}
+	}
+	if service == "desk" && (send.Hedge || request.sends != request.clean) {
+		c.t.Fatalf("submit %s was sent again after an attempt that may have run", send.Request)
+	}
+	if send.Hedge {
+		c.hedges[service]++
+	} else if request.sends > 0 {
+		c.retries[service]++
+	}
+	if 100*c.hedges[service] > 5*c.arrivals[service] || 100*(c.retries[service]-10) > 10*c.arrivals[service] {
+		c.t.Fatalf("%d hedges and %d retries for %d requests", c.hedges[service], c.retries[service], c.arrivals[service])
+	}
+	if send.Endpoint >= model.EndpointName(service+"-3") && !request.isMoved {
+		request.isMoved = true
+		if c.moved[service]++; 100*c.moved[service] > shiftCap*c.arrivals[service] {
+			c.t.Fatalf("%d of %d requests of %s moved", c.moved[service], c.arrivals[service], service)
+		}
+	}
+	request.sends++
+	c.flying[send.Attempt], c.running[send.Attempt] = send, send
+}
+
+// report ends an attempt. After Lost the upstream goes on until the deadline
+// by its own clock, which may be 1 s behind that of the host.
+func (c *checker) report(send place.Send, result place.Result, isLeaving bool) {
+	delete(c.flying, send.Attempt)
+	if result != place.Lost {
+		delete(c.running, send.Attempt)
+	}
+	if result == place.NotStarted {
+		c.requests[send.Request].clean++
+	}
+	if isLeaving {
+		c.leaving[send.Endpoint] = true
+	}
+	c.apply(place.Finished{Attempt: send.Attempt, Result: result, Leaving: isLeaving})
+}
+
+// sorted returns the attempts whose end has not been reported, in order.
+func (c *checker) sorted() []place.Send {
+	return slices.SortedFunc(maps.Values(c.flying), func(a, b place.Send) int { return cmp.Compare(a.Attempt, b.Attempt) })
+}
+
+func (c *checker) pass(d time.Duration) {
+	for until := c.now.Add(d); c.now.Before(until); {
+		next := c.core.NextWake()
+		if next.IsZero() || next.After(until) {
+			next = until
+		}
+		c.now = next
+		isOver := func(_ place.AttemptID, send place.Send) bool { return c.now.Sub(send.Deadline) >= time.Second }
+		maps.DeleteFunc(c.running, isOver)
+		maps.DeleteFunc(c.flying, isOver)
+		c.apply(place.Ticked{})
+	}
+}
+
+func (c *checker) arrive(service model.ServiceName, customer model.CustomerName, hash uint64, timeout time.Duration) {
+	id := place.RequestID(fmt.Sprintf("%05d", len(c.requests)))
+	c.requests[id] = &tracked{service: service}
+	c.arrivals[service]++
+	c.apply(place.Arrived{Request: place.Request{
+		ID: id, Service: service, Customer: customer, BlockHash: hash, Home: "north", Deadline: c.now.Add(timeout),
+	}})
+}
+
+// Guards against: new work for an endpoint that leaves, two requests on a
+// slot, a submit that runs twice, notRun without proof, hedges and retries
+// beyond their budgets, shifts beyond the cap, a request that ends twice or
+// never, and a core that asks to be woken in the past.
+func TestRulesOfPlacement(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	deployment := deploy(t, 1, start, "here")
+	rapid.Check(t, func(t *rapid.T) {
+		c := newChecker(t, place.New("here"), start)
+		c.apply(place.Adopted{Deployment: deployment})
+		for range 60 {
+			c.arrive("view", "a", 1<<63, time.Second)
+			c.pass(10 * time.Millisecond)
+			for _, send := range c.sorted() {
+				c.report(send, place.Succeeded, false)
+			}
+		}
+		oldest := func() (place.Send, bool) {
+			sends := c.sorted()
+			if len(sends) == 0 {
+				return place.Send{}, false
+			}
+			return sends[rapid.IntRange(0, len(sends)-1).Draw(t, "attempt")], true
+		}
+		marks := 0
+		serial := func() int { marks++; return marks }
+		endpoint := rapid.SampledFrom(deployment.Endpoints())
+		arrive := func(t *rapid.T) {
+			hash := rapid.SampledFrom([]uint64{0, 1 << 63}).Draw(t, "block")
+			customer := rapid.SampledFrom([]model.CustomerName{"a", "b"}).Draw(t, "customer")
+			timeout := time.Duration(rapid.IntRange(0, 20).Draw(t, "timeout")) * 100 * time.Millisecond
+			c.arrive(rapid.SampledFrom([]model.ServiceName{"view", "desk"}).Draw(t, "service"), customer, hash, timeout)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": arrive, "arrive too": arrive, "arrive as well": arrive,
+			"report": func(t *rapid.T) {
+				if send, exists := oldest(); exists {
+					result := rapid.SampledFrom([]place.Result{place.Succeeded, place.NotStarted, place.Failed, place.Lost}).Draw(t, "result")
+					c.report(send, result, result == place.NotStarted && rapid.Bool().Draw(t, "leaving"))
+				}
+			},
+			"storm": func(*rapid.T) {
+				for range 10 {
+					c.arrive("desk", "a", 1<<63, time.Second)
+					for _, send := range c.sorted() {
+						c.report(send, place.NotStarted, false)
+					}
+				}
+			},
+			"abandon": func(t *rapid.T) {
+				id := place.RequestID(fmt.Sprintf("%05d", rapid.IntRange(60, 120).Draw(t, "request")))
+				if request, exists := c.requests[id]; exists {
+					request.isAbandoned = request.service == "view"
+				}
+				c.apply(place.Abandoned{Request: id})
+			},
+			"mark": func(t *rapid.T) {
+				name := endpoint.Draw(t, "endpoint").Name()
+				c.leaving[name] = true
+				c.apply(place.Marked{Endpoint: name, Incarnation: fmt.Sprint("mark", serial())})
+			},
+			"unmark": func(t *rapid.T) {
+				name := endpoint.Draw(t, "endpoint").Name()
+				delete(c.leaving, name)
+				c.apply(place.Unmarked{Endpoint: name, Incarnation: fmt.Sprint("new", serial())})
+			},
+			"pass": func(t *rapid.T) { c.pass(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
+		})
+		c.pass(time.Minute)
+		for id, request := range c.requests {
+			if !request.hasEnd && !request.isAbandoned {
+				t.Fatalf("request %s has no end", id)
+			}
+		}
+		if !c.core.NextWake().IsZero() {
+			t.Fatalf("core wants to be woken without work at %v", c.core.NextWake())
+		}
+	})
+}
+
+// TestMain raises the number of random sessions; a flag still overrides it.
+func TestMain(m *testing.M) {
+	if err := errors.Join(flag.Set("rapid.checks", "400"), flag.Set("rapid.steps", "120")); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -68,7 +68,7 @@
 	if head.Format != Format {
 		return Result{}, fmt.Errorf("trace has format %q, want %q", head.Format, Format)
 	}
-	player := player{core: place.New(head.Host), encoding: encoding, decoding: decoding}
+	player := player{core: place.New(head.Host, place.WithMode(head.Mode)), encoding: encoding, decoding: decoding}
 	player.result.Outcomes = make(map[place.RequestID]model.Outcome)
 	for {
 		var next step
@@ -139,6 +139,16 @@
 		return decode[place.Answered](p.decoding, next.Event)
 	case kindOf(place.Unmarked{}):
 		return decode[place.Unmarked](p.decoding, next.Event)
+	case kindOf(place.LoadReported{}):
+		return decode[place.LoadReported](p.decoding, next.Event)
+	case kindOf(place.ReleaseHeard{}):
+		return decode[place.ReleaseHeard](p.decoding, next.Event)
+	case kindOf(place.LoanAsked{}):
+		return decode[place.LoanAsked](p.decoding, next.Event)
+	case kindOf(place.LoanGranted{}):
+		return decode[place.LoanGranted](p.decoding, next.Event)
+	case kindOf(place.LoanReturned{}):
+		return decode[place.LoanReturned](p.decoding, next.Event)
 	case kindOf(place.Adopted{}):
 		return p.decodeAdopted(next)
 	}
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -26,6 +26,8 @@
 type header struct {
 	Format string         `cbor:"format"`
 	Host   model.HostName `cbor:"host"`
+	// Mode is the placement policy; empty stands for the default.
+	Mode config.PlacementMode `cbor:"mode,omitempty"`
 }
 
 // step is one event and the lines of the decisions that it led to.
@@ -69,8 +71,8 @@
 	err error
 }
 
-// NewRecorder starts a trace of a host.
-func NewRecorder(out io.Writer, host model.HostName) (*Recorder, error) {
+// NewRecorder starts a trace of a host that places with a policy.
+func NewRecorder(out io.Writer, host model.HostName, mode config.PlacementMode) (*Recorder, error) {
 	encoding, err := newEncoding()
 	if err != nil {
 		return nil, err
@@ -80,7 +82,7 @@
 		return nil, fmt.Errorf("make compressor: %w", err)
 	}
 	recorder := &Recorder{encoding: encoding, compressor: compressor, encoder: encoding.NewEncoder(compressor)}
-	if err := recorder.encoder.Encode(header{Format: Format, Host: host}); err != nil {
+	if err := recorder.encoder.Encode(header{Format: Format, Host: host, Mode: mode}); err != nil {
 		return nil, fmt.Errorf("write trace header: %w", err)
 	}
 	return recorder, nil
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -41,11 +41,15 @@
 	// byEndpoint holds the places of an endpoint by slot index.
 	byEndpoint map[model.EndpointName][]*place
 	// lent and borrowed hold the loans that have not ended, oldest first.
-	lent       []*place
-	borrowed   []*place
-	tickets    map[Ticket]*place
+	lent     []*place
+	borrowed []*place
+	tickets  map[Ticket]*place
+	// former holds the places that this host has owned and does not own now.
+	former     []*place
 	lastTicket Ticket
 	lastLoan   uint64
+	// quietUntil is set while no slot of this host may be used; see Quiet.
+	quietUntil time.Time
 }
 
 // place is the state of one slot, or of one borrowed slot.
@@ -59,6 +63,8 @@
 	lastOwned map[model.HostName]uint64
 	// released holds the latest revision of a host's release.
 	released map[model.HostName]uint64
+	// announced is the revision of the release that was returned last.
+	announced uint64
 	// ticket is the request on the slot, or 0.
 	ticket Ticket
 	// sentDeadline is the deadline that the upstream got with the request.
@@ -69,6 +75,8 @@
 	loan *Loan
 	// loanDeadline ends the loan, by the rules for lender or borrower.
 	loanDeadline time.Time
+	// busyAt is the latest known time at which a borrowed slot was in use.
+	busyAt time.Time
 	// returned is true for a borrowed slot that was given back. The entry stays
 	// until the deadline so that a repeated grant does not bring it back.
 	returned bool
@@ -93,7 +101,7 @@
 	}
 	l.Expire(now)
 	for _, place := range l.byEndpoint[endpoint] {
-		if l.usable(place) && place.ticket == 0 && place.loan == nil {
+		if l.isFree(place) {
 			return l.take(place, deadline), true
 		}
 	}
@@ -122,7 +130,7 @@
 	l.Expire(now)
 	free := 0
 	for _, place := range l.byEndpoint[endpoint] {
-		if l.usable(place) && place.ticket == 0 && place.loan == nil {
+		if l.isFree(place) {
 			free++
 		}
 	}
@@ -134,7 +142,8 @@
 	return free
 }
 
-// Usable returns how many slots of an endpoint this host may use, free or not.
+// Usable returns how many slots of an endpoint this host may use, free or not,
+// with those that it has borrowed.
 func (l *Ledger) Usable(endpoint model.EndpointName) int {
 	usable := 0
 	for _, place := range l.byEndpoint[endpoint] {
@@ -142,9 +151,36 @@
 			usable++
 		}
 	}
+	for _, place := range l.borrowed {
+		if place.slot.Endpoint == endpoint && !place.returned {
+			usable++
+		}
+	}
 	return usable
 }
 
+// Quiet keeps all slots of this host out of use until a time, for a process
+// that starts under the name of an earlier one: requests and loans of the
+// earlier process may still run, and only their latest end is known.
+func (l *Ledger) Quiet(until time.Time) { l.quietUntil = until }
+
+// isFree reports whether a request or a loan can take a slot of this host.
+func (l *Ledger) isFree(place *place) bool {
+	return l.quietUntil.IsZero() && l.usable(place) && place.ticket == 0 && place.loan == nil
+}
+
+// Held returns how many slots of an endpoint are held for requests whose end
+// is unknown.
+func (l *Ledger) Held(endpoint model.EndpointName) int {
+	held := 0
+	for _, place := range l.tickets {
+		if place.slot.Endpoint == endpoint && !place.heldUntil.IsZero() {
+			held++
+		}
+	}
+	return held
+}
+
 // Return frees the slot of a request whose end is known.
 func (l *Ledger) Return(ticket Ticket) {
 	if place, exists := l.tickets[ticket]; exists {
@@ -171,12 +207,15 @@
 			l.Return(ticket)
 		}
 	}
+	if !now.Before(l.quietUntil) {
+		l.quietUntil = time.Time{}
+	}
 	l.expireLoans(now)
 }
 
 // NextExpiry returns the earliest end of a hold or a loan, or the zero time.
 func (l *Ledger) NextExpiry() time.Time {
-	var next time.Time
+	next := l.quietUntil
 	for _, place := range l.tickets {
 		next = earlier(next, place.heldUntil)
 	}
--- a/share/loan.go
+++ b/share/loan.go
@@ -28,10 +28,12 @@
 func (l *Ledger) Lend(endpoint model.EndpointName, borrower model.HostName, duration time.Duration, receivedAt time.Time) (Loan, bool) {
 	l.Expire(receivedAt)
 	for _, place := range l.byEndpoint[endpoint] {
-		if !l.usable(place) || place.ticket != 0 || place.loan != nil {
+		if !l.isFree(place) {
 			continue
 		}
-		l.lastLoan++
+		// The time keeps the number from meeting one of an earlier process, whose
+		// loans may still be given back.
+		l.lastLoan = max(l.lastLoan+1, uint64(receivedAt.UnixNano()))
 		place.loan = &Loan{
 			ID: LoanID{Owner: l.host, Number: l.lastLoan}, Slot: place.slot, Borrower: borrower, Duration: duration,
 		}
@@ -49,7 +51,7 @@
 	if l.borrowedPlace(loan.ID) != nil || loan.Borrower != l.host || !now.Before(deadline) {
 		return false
 	}
-	l.borrowed = append(l.borrowed, &place{slot: loan.Slot, loan: &loan, loanDeadline: deadline})
+	l.borrowed = append(l.borrowed, &place{slot: loan.Slot, loan: &loan, loanDeadline: deadline, busyAt: now})
 	return true
 }
 
@@ -95,7 +97,36 @@
 	return loans
 }
 
+// IdleLoans returns the loans that this host has got and has not used since a
+// time.
+func (l *Ledger) IdleLoans(since time.Time) []Loan {
+	var loans []Loan
+	for _, place := range l.borrowed {
+		if !place.returned && place.ticket == 0 && !place.busyAt.After(since) {
+			loans = append(loans, *place.loan)
+		}
+	}
+	return loans
+}
+
+// LastUse returns the earliest time at which a borrowed slot that is idle now
+// was in use, or the zero time.
+func (l *Ledger) LastUse() time.Time {
+	var last time.Time
+	for _, place := range l.borrowed {
+		if !place.returned && place.ticket == 0 {
+			last = earlier(last, place.busyAt)
+		}
+	}
+	return last
+}
+
 func (l *Ledger) expireLoans(now time.Time) {
+	for _, place := range l.borrowed {
+		if place.ticket != 0 {
+			place.busyAt = now
+		}
+	}
 	l.lent = slices.DeleteFunc(l.lent, func(place *place) bool {
 		if now.Before(place.loanDeadline) {
 			return false
