Let the losers of hedged reads run to their end

Cause: with stragglers, read p99 of the steered policy was 675 ms although half of the slots were free. A cancelled loser ends as "lost", since HTTP/1.1 gives no proof that the upstream has stopped, and "lost" holds its slot until the deadline plus 1 s (3 s for reads). A few hedges took most of a host's four slots out of use.

Ruled out: freeing the slot at the cancellation; the upstream may still work on it, and the slot would be overcommitted.

Change: an attempt of a read that is no longer needed runs to its end and then frees its slot. A read whose caller has gone is still cancelled.

The end of a loser is worth more than the work it saves.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -39,6 +39,8 @@
 	cancels map[place.AttemptID]context.CancelFunc
 	// whole holds complete replies until placement chooses one.
 	whole map[place.AttemptID]*wholeReply
+	// isAbandoned is true once the caller has gone.
+	isAbandoned bool
 	// export is nil unless the service exports.
 	export *export
 }
@@ -172,6 +174,7 @@
 		case reply := <-e.replies:
 			e.take(reply)
 		case <-r.Context().Done():
+			e.isAbandoned = true
 			e.server.report(place.Abandoned{Request: e.request.ID})
 			e.abortStarted()
 			return
@@ -179,12 +182,22 @@
 	}
 }
 
+// letsLosersFinish reports whether attempts that are no longer needed run to
+// their end. HTTP/1.1 gives no proof that a cancelled upstream has stopped, so
+// the slot of a cancelled attempt stays taken until its deadline. A hedged read
+// ends sooner by itself.
+func (e *exchange) letsLosersFinish() bool {
+	return e.service.Class() == model.Read && !e.isAbandoned
+}
+
 // end gives up all attempts and tells placement of those that it asked for
 // too late. Attempts in flight report their end themselves.
 func (e *exchange) end(decisions <-chan place.Decision) {
 	close(e.ended)
-	for _, cancel := range e.cancels {
-		cancel()
+	if !e.letsLosersFinish() {
+		for _, cancel := range e.cancels {
+			cancel()
+		}
 	}
 	e.export.wait()
 	e.server.dispatcher.Close(e.request.ID)
@@ -206,6 +219,9 @@
 	case place.Send:
 		e.send(decision)
 	case place.Cancel:
+		if e.letsLosersFinish() {
+			break
+		}
 		e.forget(decision.Attempt)
 	case place.Refuse:
 		e.abortStarted()
