Publish configurations from the command line

Operators could generate and check a configuration, but only tests called revise.Accept. A conflict lists all keys that differ, also as JSON, and exits with code 1. 'revision' shows the revision that the platform holds.

--- /dev/null
+++ b/cmds/publish.go
@@ -0,0 +1,188 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"filberthold/config"
+	"filberthold/plat"
+	"filberthold/revise"
+
+	"github.com/samber/oops"
+	"github.com/spf13/cobra"
+)
+
+// publishTimeout bounds an acceptance: up to 64 numbers are tried and 4 commits
+// made, each of which may wait for a slow store.
+const publishTimeout = time.Minute
+
+// errConflict is returned when another change of the same revision was faster.
+var errConflict = errors.New("another change was accepted first")
+
+// published is the JSON form of an accepted or current revision.
+type published struct {
+	Revision uint64 `json:"revision"`
+	Digest   string `json:"digest,omitempty"`
+}
+
+// refused is the JSON form of a conflict.
+type refused struct {
+	Base        uint64              `json:"base"`
+	Accepted    published           `json:"accepted"`
+	Differences []refusedDifference `json:"differences"`
+}
+
+type refusedDifference struct {
+	Key      string `json:"key"`
+	Accepted string `json:"accepted"`
+	Refused  string `json:"refused"`
+}
+
+func newPublishCommand() *cobra.Command {
+	var address string
+	var base uint64
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "publish FILE",
+		Short: "Publish a deployment configuration as the successor of a revision",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			body, err := readDeployment(arguments[0], base)
+			if err != nil {
+				return err
+			}
+			head, err := accept(command.Context(), address, base, body)
+			var conflict *revise.ConflictError
+			switch {
+			case errors.As(err, &conflict):
+				return reportConflict(command, base, conflict, asJSON)
+			case err != nil:
+				return wrapPublish(err, base)
+			case asJSON:
+				return writeIndented(command.OutOrStdout(), publishedOf(head))
+			}
+			command.Printf("revision %s is accepted, based on %d\n", head, base)
+			return nil
+		},
+	}
+	platformFlag(command, &address)
+	command.Flags().Uint64Var(&base, "base", 0, "revision on which the change is based; 0 for the first configuration")
+	command.Flags().BoolVar(&asJSON, "json", false, "write JSON")
+	// A default would let an operator overwrite a change without having seen it.
+	_ = command.MarkFlagRequired("base")
+	return command
+}
+
+func readDeployment(file string, base uint64) ([]byte, error) {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return nil, oops.Code("unreadable").Hint("give the path of a deployment configuration").Wrapf(err, "read configuration")
+	}
+	if _, err := config.ParseDeployment(file, body, base+1); err != nil {
+		return nil, wrapInvalid(err)
+	}
+	return body, nil
+}
+
+func accept(ctx context.Context, address string, base uint64, body []byte) (revise.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	client := plat.NewClient(address)
+	defer client.Close()
+	head, err := revise.Accept(ctx, client, base, body)
+	if err != nil {
+		return revise.Head{}, fmt.Errorf("publish: %w", err)
+	}
+	return head, nil
+}
+
+// reportConflict prints all keys that differ; the error text of a conflict
+// leaves out those beyond the first ten.
+func reportConflict(command *cobra.Command, base uint64, conflict *revise.ConflictError, asJSON bool) error {
+	report := refused{Base: base, Accepted: publishedOf(conflict.Winner()), Differences: []refusedDifference{}}
+	for _, difference := range conflict.Differences() {
+		report.Differences = append(report.Differences, refusedDifference{
+			Key: difference.Key(), Accepted: difference.Theirs(), Refused: difference.Ours(),
+		})
+	}
+	if asJSON {
+		if err := writeIndented(command.OutOrStdout(), report); err != nil {
+			return err
+		}
+	} else {
+		command.Printf("revision %s was accepted on revision %d; differing keys: %d\n", conflict.Winner(), base, len(report.Differences))
+		for _, difference := range report.Differences {
+			command.Printf("  %s: accepted %q, refused %q\n", difference.Key, difference.Accepted, difference.Refused)
+		}
+	}
+	return oops.Code("conflict").Hint("apply the change to the current configuration, and name its revision as --base").
+		Wrapf(errConflict, "publish on revision %d", base)
+}
+
+func wrapPublish(err error, base uint64) error {
+	switch {
+	case errors.Is(err, revise.ErrUnsettled):
+		return oops.Code("unsettled").Hint(fmt.Sprintf("publish the same file with --base %d again", base)).Wrap(err)
+	case errors.Is(err, plat.ErrAbsent):
+		return oops.Code("unknownBase").Hint("filberthold revision shows the current revision").Wrap(err)
+	}
+	return oops.Code("platform").Hint("give the platformAddress of the settings; publishing again is safe").Wrap(err)
+}
+
+func newRevisionCommand() *cobra.Command {
+	var address string
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "revision",
+		Short: "Show the revision of the configuration that the platform holds",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			head, err := currentHead(command.Context(), address)
+			switch {
+			case err != nil:
+				return oops.Code("platform").Hint("give the platformAddress of the settings").Wrap(err)
+			case asJSON:
+				return writeIndented(command.OutOrStdout(), publishedOf(head))
+			case head.Number() == 0:
+				command.Println("0 (no configuration has been published)")
+				return nil
+			}
+			command.Println(head)
+			return nil
+		},
+	}
+	platformFlag(command, &address)
+	command.Flags().BoolVar(&asJSON, "json", false, "write JSON")
+	return command
+}
+
+// currentHead returns the head of the configuration, which is zero before the
+// first revision.
+func currentHead(ctx context.Context, address string) (revise.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	client := plat.NewClient(address)
+	defer client.Close()
+	row, err := client.Get(ctx, revise.HeadKey)
+	if errors.Is(err, plat.ErrAbsent) {
+		return revise.Head{}, nil
+	}
+	if err != nil {
+		return revise.Head{}, fmt.Errorf("read revision: %w", err)
+	}
+	head, err := revise.ParseHead(row.Value)
+	if err != nil {
+		return revise.Head{}, fmt.Errorf("parse revision: %w", err)
+	}
+	return head, nil
+}
+
+func publishedOf(head revise.Head) published {
+	if head.Number() == 0 {
+		return published{}
+	}
+	return published{Revision: head.Number(), Digest: head.Digest().String()}
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -74,6 +74,7 @@
 	}
 	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand(),
 		newExplainCommand(), newVerifyCommand(), newReplayCommand(), newCheckCommand(),
-		newGenerateCommand(), newPlanCommand(), newLookupCommand(), newStatusCommand(), newVersionCommand())
+		newGenerateCommand(), newPlanCommand(), newLookupCommand(), newStatusCommand(),
+		newPublishCommand(), newRevisionCommand(), newVersionCommand())
 	return root
 }
