Refuse new work at a host that is cut off from store and peers

entry.Host.TakesWork turned false 4 s after the last confirmation of the revision, but only the status page used it: callers were served on. The caller server now asks a function before it hands a request on. A refusal is 503 with outcome notSent and a reason, one log line and one audit record: place.Answered, which the archive keeps as 'answered' for a submit and as 'refused' for other classes. POST /v1/keys is refused for the same reason, and while the host is leaving, since a key runs at its host only. A host without a configuration answers 503 in place of 404.

TakesWork itself was ruled out as the condition: it is also false while the host is leaving, and a leaving host serves until no lookup names it.

Without the protecting lines, in a scratch copy: stop_test.go:165: assertion failed: 200 (got.Status int) != 503 stop_test.go:125: assertion failed: 200 != 503: a leaving host issues a key archive_test.go:268: assertion failed: records[5].Kind == audit.Refused && records[5].IsFinal(): a read is refused before placement

The stop test's host has no store; a peer of its own now confirms the revision, without which the rule would refuse its callers.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -61,6 +61,11 @@
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	service, exists := s.directory.Service(model.ServiceName(r.PathValue("service")))
+	if !exists && !s.takesWork() {
+		// A host without a configuration cannot tell which services exist.
+		writeProblem(w, http.StatusServiceUnavailable, problem{Reason: cutOffReason})
+		return
+	}
 	if !exists {
 		writeProblem(w, http.StatusNotFound, problem{Reason: "unknown service"})
 		return
@@ -74,11 +79,14 @@
 		started := time.Now()
 		defer func() { s.observe(service, model.Outcome(w.Header().Get(OutcomeHeader)), time.Since(started)) }()
 	}
-	if service.Class() == model.Submit {
+	switch {
+	case !s.takesWork():
+		exchange.refuseUnplaced(w, cutOffReason)
+	case service.Class() == model.Submit:
 		exchange.serveSubmit(w, r)
-		return
+	default:
+		exchange.serve(w, r)
 	}
-	exchange.serve(w, r)
 }
 
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request, service model.Service) (*exchange, error) {
--- a/caller/keys.go
+++ b/caller/keys.go
@@ -30,6 +30,11 @@
 		writeProblem(w, http.StatusServiceUnavailable, problem{Reason: "no register"})
 		return
 	}
+	if reason := s.whyNoKey(); reason != "" {
+		s.base.Log().Info("refuse key", "outcome", model.NotSent, "reason", reason)
+		writeProblem(w, http.StatusServiceUnavailable, problem{Reason: reason})
+		return
+	}
 	key, validUntil, err := s.submits.bound.Issue(time.Now())
 	if err != nil {
 		writeProblem(w, http.StatusServiceUnavailable, problem{Reason: err.Error()})
@@ -39,6 +44,18 @@
 	_ = json.NewEncoder(w).Encode(IssuedKey{Key: key, Host: s.submits.bound.Host(), ValidUntil: validUntil.UTC()})
 }
 
+// whyNoKey returns why no key is issued now, or "". A key runs at this host
+// only, so it is of no use if the host is about to stop.
+func (s *Server) whyNoKey() string {
+	switch {
+	case s.IsLeaving():
+		return "the host is leaving"
+	case !s.takesWork():
+		return cutOffReason
+	}
+	return ""
+}
+
 // registerFor returns the register in which a key may be claimed at this host,
 // or nil and the answer if there is none.
 func (s *submits) registerFor(ctx context.Context, e *exchange, key string) (*plat.Register, claim.Answer) {
--- a/caller/server.go
+++ b/caller/server.go
@@ -50,6 +50,8 @@
 	http       *http.Server
 	// observe counts requests that have ended. It may be nil.
 	observe func(service model.Service, outcome model.Outcome, elapsed time.Duration)
+	// takesWork reports whether new requests are accepted.
+	takesWork func() bool
 	// attempts counts the attempts in flight; they can outlive their request.
 	attempts sync.WaitGroup
 	// submits is nil until UseRegister is called.
@@ -66,11 +68,16 @@
 	// host any more. A leaving mark takes a few rounds of digests, which peers
 	// exchange every second.
 	leavingSpread = 3 * time.Second
+	// cutOffReason is the reason of a refusal while the host takes no work.
+	cutOffReason = "the host takes no new work: neither the store nor a peer confirms its configuration"
 )
 
 // NewServer returns a server that is not yet listening.
 func NewServer(base *common.Base, dispatcher Dispatcher, directory Directory, upstreams *upstrm.Client) *Server {
-	server := &Server{base: base, dispatcher: dispatcher, directory: directory, upstreams: upstreams}
+	server := &Server{
+		base: base, dispatcher: dispatcher, directory: directory, upstreams: upstreams,
+		takesWork: func() bool { return true },
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/entries", server.handleEntries)
 	mux.HandleFunc("POST /v1/keys", server.handleKeys)
@@ -112,6 +119,12 @@
 	s.observe = observe
 }
 
+// AcceptOnlyWhile makes the server refuse new requests and keys while takesWork
+// reports false; requests in flight go on. It must be called before Run. The
+// function must not report false because the host is leaving: a leaving host
+// serves callers until no valid lookup response names it.
+func (s *Server) AcceptOnlyWhile(takesWork func() bool) { s.takesWork = takesWork }
+
 // Run serves the listener until Shutdown is called.
 func (s *Server) Run(listener net.Listener) error {
 	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/entry/archive_test.go
+++ b/entry/archive_test.go
@@ -257,12 +257,15 @@
 		assert.Equal(t, (<-decisions).For(), place.RequestID("r1"))
 		answer = place.Answered{Request: place.Request{ID: "r1", Service: "filing-desk"}, Outcome: model.NotSent}
 		assert.NilError(t, dispatcher.Report(ctx, answer))
+		answer = place.Answered{Request: place.Request{ID: "r2", Service: "diary-view"}, Outcome: model.NotSent}
+		assert.NilError(t, dispatcher.Report(ctx, answer))
 		synctest.Wait()
 		cancel()
 		synctest.Wait()
 		s.stop(t)
 		records, _ := s.store.verify(t)
-		assert.Equal(t, len(records), 5)
+		assert.Equal(t, len(records), 6)
+		assert.Assert(t, records[5].Kind == audit.Refused && records[5].IsFinal(), "a read is refused before placement")
 		assert.Equal(t, records[1].Outcome, string(model.Pending))
 		assert.Equal(t, records[2].Kind, audit.Admitted)
 		assert.Equal(t, records[3].Kind, audit.Refused)
--- a/entry/host.go
+++ b/entry/host.go
@@ -81,6 +81,7 @@
 	}
 	host.operators = admin.NewServer(host.Status)
 	dispatcher.metrics = host.operators.Metrics()
+	callers.AcceptOnlyWhile(func() bool { return directory.Confirmed(time.Now()) })
 	callers.ObserveRequests(host.operators.Metrics().ObserveRequest)
 	host.configuration = &Configuration{
 		log: base.Log(), store: platform, state: mesh.State(), offers: ring.New[offer](offerCapacity), adopt: host.adopt,
--- a/entry/records.go
+++ b/entry/records.go
@@ -129,16 +129,26 @@
 	case place.Marked:
 		return audit.Record{Kind: audit.Marked, Endpoint: event.Endpoint, Reason: event.Source}, true
 	case place.Answered:
-		// The register decides after placement what the caller may be told.
-		record := about(openRequest{request: event.Request, class: a.classOf(event.Request.Service)}, audit.Answered)
-		record.Outcome, record.Reason = string(event.Outcome), event.Reason
-		return record, true
+		return a.recordAnswer(event), true
 	case place.Unmarked:
 		return audit.Record{Kind: audit.Unmarked, Endpoint: event.Endpoint, Reason: event.Incarnation}, true
 	}
 	return audit.Record{}, false
 }
 
+// recordAnswer accounts for an answer that was not decided by placement. The
+// register decides after placement what the caller of a submit may be told;
+// other requests are answered so only when they are refused before placement.
+func (a *Archive) recordAnswer(event place.Answered) audit.Record {
+	kind, class := audit.Answered, a.classOf(event.Request.Service)
+	if class != model.Submit.String() {
+		kind = audit.Refused
+	}
+	record := about(openRequest{request: event.Request, class: class}, kind)
+	record.Outcome, record.Reason = string(event.Outcome), event.Reason
+	return record
+}
+
 func (a *Archive) recordDecision(decision place.Decision) audit.Record {
 	open := a.open(decision.For())
 	switch decision := decision.(type) {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,20 +1,25 @@
 package entry
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"filberthold/caller"
 	"filberthold/common"
 	"filberthold/config"
 	"filberthold/fakes"
+	"filberthold/model"
+	"filberthold/peers"
 	"filberthold/place"
+	"filberthold/revise"
 	"filberthold/upstrm"
 
 	"gotest.tools/v3/assert"
@@ -27,7 +32,10 @@
 	host    *Host
 	network *fakes.Network
 	stop    context.CancelFunc
-	ended   chan error // the result of Serve
+	// isCutOff is true while no peer confirms the revision. The store is down.
+	isCutOff atomic.Bool
+	ended    chan error // the result of Serve
+	log      bytes.Buffer
 }
 
 func startStopping(t *testing.T, behaviour fakes.Behaviour) *stopping {
@@ -44,26 +52,48 @@
 		t.Cleanup(made.network.Serve(endpoint.Address(), upstream))
 	}
 	base, err := common.NewBase(config.Settings{
-		Host: string(deployment.Hosts()[0].Name()), PlatformAddress: "127.0.0.1:1", Log: config.LogSettings{Level: "error"},
-	}, io.Discard)
+		Host: string(deployment.Hosts()[0].Name()), PlatformAddress: "127.0.0.1:1", Log: config.LogSettings{Level: "info"},
+	}, &made.log)
 	assert.NilError(t, err)
 	options := upstrm.DefaultOptions("a")
 	options.Dial = made.network.Dial
 	made.host = newHost(base, upstrm.NewClientWith(options))
 	made.host.directory.Adopt(deployment)
+	made.host.mesh.State().Publish(revise.HeadOf(1, text), text)
 	assert.NilError(t, made.host.dispatcher.Report(t.Context(), place.Adopted{Deployment: deployment, Revision: 1}))
 	ctx, stop := context.WithCancel(t.Context())
 	made.stop = stop
+	go made.loopPeer(t.Context())
 	listeners := Listeners{Callers: made.network.Listen("callers:1"), Operators: made.network.Listen("operators:1")}
 	go func() { made.ended <- made.host.Serve(ctx, listeners) }()
 	synctest.Wait()
 	return made
 }
 
+// loopPeer is a peer that has the same revision and says so every second.
+func (s *stopping) loopPeer(ctx context.Context) {
+	for {
+		if !s.isCutOff.Load() {
+			s.host.mesh.State().ReceiveDigest(peers.Digest{Host: "peer", Revision: 1}, time.Now())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
 func (s *stopping) get(url string) (fakes.Fetched, error) {
 	return s.network.Fetch(context.Background(), http.MethodGet, "http://"+url, nil)
 }
 
+func (s *stopping) post(url string) fakes.Fetched {
+	got, err := s.network.Fetch(context.Background(), http.MethodPost, "http://"+url, http.Header{caller.KeyHeader: {"k"}})
+	assert.NilError(s.t, err)
+	return got
+}
+
 // isNamed reports whether the host is in its own lookup responses.
 func (s *stopping) isNamed() bool {
 	got, err := s.get("callers:1/v1/entries")
@@ -92,6 +122,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, ready.Status, http.StatusServiceUnavailable)
 		assert.Assert(t, !host.isNamed(), "a leaving host names itself")
+		assert.Equal(t, host.post("callers:1/v1/keys").Status, http.StatusServiceUnavailable, "a leaving host issues a key")
 		time.Sleep(5 * time.Second)
 		got, err := host.get("callers:1/s/specbook/x")
 		assert.NilError(t, err, "the lookup is valid and the host is gone")
@@ -106,6 +137,46 @@
 	})
 }
 
+// Guards against a host that goes on with an old revision when it hears neither
+// the store nor a peer, against one that stops as soon as the store is down, and
+// against requests in flight that the cut breaks.
+func TestHostThatIsCutOffTakesNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 1 << 20
+		host := startStopping(t, fakes.Behaviour{ExportBytes: size, ExportRate: size / 60})
+		export := make(chan string, 1)
+		go func() {
+			got, _ := host.get("callers:1/s/patternvault/x")
+			export <- got.Body
+		}()
+		read := func() fakes.Fetched {
+			got, err := host.get("callers:1/s/specbook/x")
+			assert.NilError(t, err)
+			return got
+		}
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, read().Status, http.StatusOK, "a peer confirms the revision")
+		host.isCutOff.Store(true)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, read().Status, http.StatusOK, "the cut is short")
+		time.Sleep(2 * time.Second)
+		refused := []fakes.Fetched{read(), host.post("callers:1/s/orderdesk/x"), host.post("callers:1/v1/keys")}
+		for i, got := range refused {
+			assert.Equal(t, got.Status, http.StatusServiceUnavailable, "%d: %s", i, got.Body)
+			assert.Equal(t, got.Header.Get(caller.OutcomeHeader), string(model.NotSent))
+			assert.Assert(t, strings.Contains(got.Body, "takes no new work"), got.Body)
+		}
+		host.isCutOff.Store(false)
+		time.Sleep(time.Second)
+		assert.Equal(t, read().Status, http.StatusOK, "the cut is healed")
+		assert.Equal(t, host.post("callers:1/v1/keys").Status, http.StatusOK)
+		assert.Assert(t, <-export == string(fakes.ExportContent("/x", size)))
+		host.host.Abort()
+		assert.NilError(t, <-host.ended)
+		assert.Equal(t, strings.Count(host.log.String(), "takes no new work"), len(refused), "log lines")
+	})
+}
+
 // Guards against a slot that stays taken for ever because its request ended
 // while placement decided to send it.
 func TestUndeliverableAttemptIsReported(t *testing.T) {
