Let exports that make progress go on beyond the bound of attempts

An export resumes where the attempt before it ended, but after 8 attempts it was refused, however far each had come. place.Finished has a field Progress, which the caller server sets if an attempt passed bytes on to the caller. Placement does not count such attempts of an export and does not charge the retry budget for the attempt that follows, since it repeats no work; the deadline and the slot remain its bounds. Attempts without progress are bounded as before. Reads ignore the field.

A higher fixed bound was ruled out: it does not tell an export that advances from one that does not.

Without counting progress, without the check for the class, and without the field set by the caller, in a scratch copy: exports_test.go:54: assertion failed: 8 (attempts int) != 108 exports_test.go:54: assertion failed: 6 (attempts int) != 3 exports_test.go:68: assertion failed: 0 (h.progressed int) != 1

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -56,7 +56,9 @@
 	whole   *wholeReply
 	opened  *upstrm.Reply
 	leaving bool
-	err     error
+	// progressed is true if the attempt passed on bytes of an export.
+	progressed bool
+	err        error
 }
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
@@ -275,7 +277,7 @@
 
 // reportEnd tells placement how an attempt ended.
 func (e *exchange) reportEnd(reply reply) {
-	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded, Leaving: reply.leaving}
+	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded, Leaving: reply.leaving, Progress: reply.progressed}
 	var notStarted *upstrm.NotStartedError
 	switch {
 	case reply.err == nil:
--- a/caller/exports.go
+++ b/caller/exports.go
@@ -184,10 +184,11 @@
 
 func (c *copying) run() {
 	defer c.exchange.server.attempts.Done()
+	first := c.next
 	err := c.copy()
 	_ = c.reply.opened.Body.Close()
 	close(c.done)
-	c.exchange.hand(reply{attempt: c.reply.attempt, leaving: c.reply.leaving, err: err})
+	c.exchange.hand(reply{attempt: c.reply.attempt, leaving: c.reply.leaving, progressed: c.next > first, err: err})
 }
 
 func (c *copying) copy() error {
--- a/caller/exports_test.go
+++ b/caller/exports_test.go
@@ -61,6 +61,11 @@
 				assert.Equal(t, time.Since(start), test.took)
 				synctest.Wait()
 				assert.Equal(t, len(h.results), test.attempts)
+				progressed := 1 // Only the first attempt of an aborted export passes bytes on.
+				if test.want != "" {
+					progressed = test.attempts
+				}
+				assert.Equal(t, h.progressed, progressed)
 				assert.Equal(t, h.results[test.attempts-1] == place.Succeeded, test.want != "")
 			})
 		})
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -37,6 +37,8 @@
 	owners   map[place.AttemptID]place.RequestID
 	// results tells how the attempts ended, in order.
 	results []place.Result
+	// progressed counts the attempts that passed bytes of an export on.
+	progressed int
 }
 
 type planned struct {
@@ -128,6 +130,9 @@
 		h.requests[event.Request].isOver = h.class != model.Submit
 	case place.Finished:
 		h.results = append(h.results, event.Result)
+		if event.Progress {
+			h.progressed++
+		}
 		id := h.owners[event.Attempt]
 		request := h.requests[id]
 		switch {
--- a/place/baseline.go
+++ b/place/baseline.go
@@ -71,7 +71,7 @@
 		waiting := c.requests[sent.request]
 		waiting.inFlight--
 		waiting.isUncertain = true
-		decisions = append(decisions, c.retry(waiting, "attempt timed out", now)...)
+		decisions = append(decisions, c.retry(waiting, "attempt timed out", false, now)...)
 	}
 	return decisions
 }
--- a/place/core.go
+++ b/place/core.go
@@ -53,7 +53,9 @@
 	request  Request
 	class    model.Class
 	attempts int
-	inFlight int
+	// progressed counts the attempts of an export that made progress.
+	progressed int
+	inFlight   int
 	// isUncertain is true if an attempt has ended other than by not starting.
 	isUncertain bool
 	// tried holds the endpoints that got the request.
@@ -83,8 +85,8 @@
 	// maxAttempts bounds the attempts of one request, retries and hedges
 	// together.
 	maxAttempts = 3
-	// maxExportAttempts is higher, because an export resumes where the attempt
-	// before it ended.
+	// maxExportAttempts bounds the attempts of an export that made no progress.
+	// It is higher, because an export resumes where the attempt before it ended.
 	maxExportAttempts = 8
 	// retryReserve lets a service with few requests retry at all.
 	retryReserve = 10
--- a/place/events.go
+++ b/place/events.go
@@ -67,6 +67,9 @@
 	Result  Result    `cbor:"result"`
 	// Leaving is true if the upstream said that it takes no more work.
 	Leaving bool `cbor:"leaving"`
+	// Progress is true if the attempt passed bytes of an export on to the
+	// caller. The next attempt resumes after them.
+	Progress bool `cbor:"progress"`
 	// Detail is a short text for logs and records.
 	Detail string `cbor:"detail"`
 }
--- a/place/finish.go
+++ b/place/finish.go
@@ -37,11 +37,15 @@
 	if event.Result != NotStarted {
 		waiting.isUncertain = true
 	}
+	isResumed := event.Progress && waiting.class == model.Export
+	if isResumed {
+		waiting.progressed++
+	}
 	switch {
 	case waiting.inFlight > 0:
 		return nil
 	case event.Result == NotStarted || waiting.class.Idempotent():
-		return c.retry(waiting, event.Detail, now)
+		return c.retry(waiting, event.Detail, isResumed, now)
 	}
 	return c.refuse(waiting, event.Detail)
 }
--- a/place/send.go
+++ b/place/send.go
@@ -87,8 +87,10 @@
 }
 
 // retry sends a request again after an attempt has ended, if the budget, the
-// deadline and the number of attempts allow it.
-func (c *Core) retry(waiting *pending, detail string, now time.Time) []Decision {
+// deadline and the number of attempts allow it. An export that made progress is
+// bounded by its deadline only: the next attempt repeats no work, so it is not
+// an extra load that the budget has to limit.
+func (c *Core) retry(waiting *pending, detail string, isResumed bool, now time.Time) []Decision {
 	limit := maxAttempts
 	if waiting.class == model.Export {
 		limit = maxExportAttempts
@@ -98,9 +100,9 @@
 		return c.refuse(waiting, "deadline passed after an attempt: "+detail)
 	case c.mode != config.Steered:
 		return c.sendBaseline(waiting, now)
-	case waiting.attempts >= limit:
+	case waiting.attempts-waiting.progressed >= limit:
 		return c.refuse(waiting, "all attempts used: "+detail)
-	case !c.services[waiting.request.Service].retries.Spend():
+	case !isResumed && !c.services[waiting.request.Service].retries.Spend():
 		return c.refuse(waiting, "retry budget used: "+detail)
 	}
 	waiting.hedgeAt = time.Time{}
