Put link shares and load reports of a host into force

upstrm paces exports by a link share and placement takes load reports, but no caller gave either. After a revision is adopted, the host sets its share of the link bandwidth from share's assignment, and reads the load reports of the endpoints on which it owns slots each second, in a loop of its own: in the loop for health, silent endpoints would delay the news of leaving ones.

All exports of a host share one token bucket, so the share is the smallest of the host's parts of the links of its region. The sum over the hosts was ruled out, since one link could then carry it all. The cost: exports within a region are paced too. A host without a part of any link keeps the share it had. Missing load reports leave the last one; reports only break ties.

--- a/entry/health.go
+++ b/entry/health.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"filberthold/model"
@@ -28,18 +29,23 @@
 	maxProbeBytes = 4096
 )
 
-// Prober asks endpoints whether they are leaving. An endpoint that does not
+// Prober asks endpoints whether they are leaving, and how loaded they are. An endpoint that does not
 // answer is not marked: only its own word is sticky.
 type Prober struct {
 	host       model.HostName
 	directory  *Directory
 	membership *Membership
 	client     *http.Client
+	// load reads the load report of an address.
+	load func(ctx context.Context, address string) (upstrm.Load, error)
+	// owned holds the endpoints whose load reports are read. It is nil until a
+	// revision is adopted.
+	owned atomic.Pointer[[]model.Endpoint]
 }
 
-func newProber(host model.HostName, directory *Directory, membership *Membership) *Prober {
+func newProber(host model.HostName, directory *Directory, membership *Membership, upstreams *upstrm.Client) *Prober {
 	return &Prober{
-		host: host, directory: directory, membership: membership,
+		host: host, directory: directory, membership: membership, load: upstreams.ProbeLoad,
 		client: &http.Client{Timeout: membershipInterval, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 	}
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -19,6 +19,7 @@
 	"filberthold/plat"
 	"filberthold/revise"
 	"filberthold/ring"
+	"filberthold/share"
 	"filberthold/upstrm"
 
 	"github.com/oklog/ulid/v2"
@@ -41,6 +42,8 @@
 	configuration *Configuration
 	membership    *Membership
 	prober        *Prober
+	// assignment is that of the revision in force. It is used by adopt only.
+	assignment *share.Assignment
 	// aborted is closed when the host must end without a graceful stop.
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -76,7 +79,7 @@
 		callers:     callers,
 		mesh:        mesh,
 		membership:  membership,
-		prober:      newProber(name, directory, membership),
+		prober:      newProber(name, directory, membership, upstreams),
 		aborted:     make(chan struct{}),
 	}
 	host.operators = admin.NewServer(host.Status)
@@ -149,6 +152,7 @@
 	group.Go(func() error { return h.configuration.loopOffers(working) })
 	group.Go(func() error { return h.membership.loopMembers(working) })
 	group.Go(func() error { return h.prober.loop(working) })
+	group.Go(func() error { return h.prober.loopLoads(working) })
 	group.Go(func() error { return h.loopLeavingAnswers(working) })
 	group.Go(func() error { return h.loopPeers(working) })
 	if listeners.Peers != nil {
@@ -183,5 +187,6 @@
 	}
 	h.directory.Adopt(deployment)
 	h.mesh.Publish(head, body, deployment)
+	h.adoptShares(deployment)
 	return nil
 }
--- a/entry/membership_test.go
+++ b/entry/membership_test.go
@@ -116,7 +116,7 @@
 	})
 	assert.NilError(t, err)
 	membership.directory.Adopt(deployment)
-	prober := newProber("host", membership.directory, membership)
+	prober := newProber("host", membership.directory, membership, upstrm.NewClient("a"))
 	defer prober.client.CloseIdleConnections()
 	assert.NilError(t, prober.probeAll(t.Context()))
 	assert.DeepEqual(t, *events, []string{"marked by-answer/ by answer", "marked by-probe/ by health"})
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -58,9 +58,7 @@
 	options := upstrm.DefaultOptions("a")
 	options.Dial = made.network.Dial
 	made.host = newHost(base, upstrm.NewClientWith(options))
-	made.host.directory.Adopt(deployment)
-	made.host.mesh.State().Publish(revise.HeadOf(1, text), text)
-	assert.NilError(t, made.host.dispatcher.Report(t.Context(), place.Adopted{Deployment: deployment, Revision: 1}))
+	assert.NilError(t, made.host.adopt(t.Context(), deployment, revise.HeadOf(1, text), text))
 	ctx, stop := context.WithCancel(t.Context())
 	made.stop = stop
 	go made.loopPeer(t.Context())
