--- a/place/exports_test.go
+++ b/place/exports_test.go
@@ -26,13 +26,12 @@
 		assert.NilError(t, err)
 		core := place.New("here")
 		core.Apply(place.Adopted{Deployment: deployment, Revision: 1}, now)
-		request := place.Request{ID: "x", Service: "yard", Home: "r", Deadline: now.Add(time.Hour)}
-		decisions, attempts := core.Apply(place.Arrived{Request: request}, now), 0
+		arrived := place.Arrived{Request: place.Request{ID: "x", Service: "yard", Home: "r", Deadline: now.Add(time.Hour)}}
+		decisions, attempts := core.Apply(arrived, now), 0
 		for send, isSend := decisions[0].(place.Send); isSend && attempts < 1000; send, isSend = decisions[0].(place.Send) {
 			attempts++
 			assert.Equal(t, send.Number, attempts)
-			finished := place.Finished{Attempt: send.Attempt, Result: place.Failed, Progress: attempts <= 100, Detail: "broken"}
-			decisions = core.Apply(finished, now)
+			decisions = core.Apply(place.Finished{Attempt: send.Attempt, Result: place.Failed, Progress: attempts <= 100, Detail: "broken"}, now)
 		}
 		assert.Equal(t, attempts, most, "%v", decisions)
 		assert.DeepEqual(t, decisions[0], place.Refuse{Request: "x", Outcome: model.Unknown, Reason: "all attempts used: broken"})
