Merge the wiring of publish, refusals, export progress and link shares

`status` now exits with 1 for a host whose status says that it is not ready (it exited with 0, because /v1/status answers 200), and `bench` refuses an unknown policy, which it had measured under that label.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -58,11 +58,18 @@
 	whole   *wholeReply
 	opened  *upstrm.Reply
 	leaving bool
-	err     error
+	// progressed is true if the attempt passed on bytes of an export.
+	progressed bool
+	err        error
 }
 
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	service, exists := s.directory.Service(model.ServiceName(r.PathValue("service")))
+	if !exists && !s.takesWork() {
+		// A host without a configuration cannot tell which services exist.
+		writeProblem(w, http.StatusServiceUnavailable, problem{Reason: cutOffReason})
+		return
+	}
 	if !exists {
 		writeProblem(w, http.StatusNotFound, problem{Reason: "unknown service"})
 		return
@@ -76,11 +83,14 @@
 		started := time.Now()
 		defer func() { s.observe(service, model.Outcome(w.Header().Get(OutcomeHeader)), time.Since(started)) }()
 	}
-	if service.Class() == model.Submit {
+	switch {
+	case !s.takesWork():
+		exchange.refuseUnplaced(w, cutOffReason)
+	case service.Class() == model.Submit:
 		exchange.serveSubmit(w, r)
-		return
+	default:
+		exchange.serve(w, r)
 	}
-	exchange.serve(w, r)
 }
 
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request, service model.Service) (*exchange, error) {
@@ -283,7 +293,7 @@
 
 // reportEnd tells placement how an attempt ended.
 func (e *exchange) reportEnd(reply reply) {
-	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded, Leaving: reply.leaving}
+	finished := place.Finished{Attempt: reply.attempt, Result: place.Succeeded, Leaving: reply.leaving, Progress: reply.progressed}
 	var notStarted *upstrm.NotStartedError
 	switch {
 	case reply.err == nil:
--- a/caller/exports_test.go
+++ b/caller/exports_test.go
@@ -61,6 +61,9 @@
 				assert.Equal(t, time.Since(start), test.took)
 				synctest.Wait()
 				assert.Equal(t, len(h.results), test.attempts)
+				for i, progress := range h.progress {
+					assert.Equal(t, progress, i == 0 || test.want != "", "attempt %d", i)
+				}
 				assert.Equal(t, h.results[test.attempts-1] == place.Succeeded, test.want != "")
 			})
 		})
--- a/cmds/bench.go
+++ b/cmds/bench.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"filberthold/bench"
@@ -29,7 +30,11 @@
 				experiment.Scenarios = append(experiment.Scenarios, scenario)
 			}
 			for _, name := range policies {
-				experiment.Policies = append(experiment.Policies, config.PlacementMode(name))
+				policy := config.PlacementMode(name)
+				if !slices.Contains([]config.PlacementMode{config.Steered, config.RoundRobin, config.Random}, policy) {
+					return fmt.Errorf("unknown policy %q: want steered, roundRobin or random", name)
+				}
+				experiment.Policies = append(experiment.Policies, policy)
 			}
 			experiment.Progress, experiment.Log = command.ErrOrStderr(), io.Discard
 			if showLog {
--- a/cmds/documents_test.go
+++ b/cmds/documents_test.go
@@ -69,6 +69,7 @@
 		want       string
 	}{
 		{"/v1/status", `{"revision":4}`, 200, 0, "{\n  \"revision\": 4\n}\n"},
+		{"/v1/status", `{"ready":false}`, 200, 1, "{\n  \"ready\": false\n}\nerror: host is not ready: status 200\n"},
 		{"/readyz", "ready\n", 200, 0, "ready\n"},
 		{"/readyz", "not ready\n", 503, 1, "not ready\nerror: host is not ready: status 503\n"},
 	}
--- a/cmds/inspect.go
+++ b/cmds/inspect.go
@@ -82,7 +82,7 @@
 				body = indented.Bytes()
 			}
 			command.Printf("%s\n", bytes.TrimSpace(body))
-			if status != http.StatusOK {
+			if status != http.StatusOK || saysNotReady(body) {
 				return fmt.Errorf("%w: status %d", errNotReady, status)
 			}
 			return nil
@@ -90,6 +90,15 @@
 	}
 }
 
+// saysNotReady reports whether a status says that the host takes no work. The
+// status itself is always served with 200.
+func saysNotReady(body []byte) bool {
+	var status struct {
+		Ready *bool `json:"ready"`
+	}
+	return json.Unmarshal(body, &status) == nil && status.Ready != nil && !*status.Ready
+}
+
 // fetch gets a path of a host at an IP address and port.
 func fetch(ctx context.Context, address, path string) (status int, body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
--- a/entry/host.go
+++ b/entry/host.go
@@ -19,6 +19,7 @@
 	"filberthold/plat"
 	"filberthold/revise"
 	"filberthold/ring"
+	"filberthold/share"
 	"filberthold/upstrm"
 
 	"github.com/oklog/ulid/v2"
@@ -41,6 +42,8 @@
 	configuration *Configuration
 	membership    *Membership
 	prober        *Prober
+	// assignment is that of the revision in force. It is used by settle only.
+	assignment *share.Assignment
 	// aborted is closed when the host must end without a graceful stop.
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -76,14 +79,16 @@
 		callers:     callers,
 		mesh:        mesh,
 		membership:  membership,
-		prober:      newProber(name, directory, membership),
+		prober:      newProber(name, directory, membership, upstreams),
 		aborted:     make(chan struct{}),
 	}
 	host.operators = admin.NewServer(host.Status)
 	dispatcher.metrics = host.operators.Metrics()
+	callers.AcceptOnlyWhile(func() bool { return directory.Confirmed(time.Now()) })
 	callers.ObserveRequests(host.operators.Metrics().ObserveRequest)
 	host.configuration = &Configuration{
-		log: base.Log(), store: platform, state: mesh.State(), offers: ring.New[offer](offerCapacity), adopt: host.adopt,
+		log: base.Log(), store: platform, state: mesh.State(), offers: ring.New[offer](offerCapacity),
+		adopt: host.adopt, confirmed: host.settle,
 	}
 	return host
 }
@@ -148,6 +153,7 @@
 	group.Go(func() error { return h.configuration.loopOffers(working) })
 	group.Go(func() error { return h.membership.loopMembers(working) })
 	group.Go(func() error { return h.prober.loop(working) })
+	group.Go(func() error { return h.prober.loopLoads(working) })
 	group.Go(func() error { return h.loopLeavingAnswers(working) })
 	group.Go(func() error { return h.loopPeers(working) })
 	if listeners.Peers != nil {
@@ -184,3 +190,10 @@
 	h.mesh.Publish(head, body, deployment)
 	return nil
 }
+
+// settle ends the adoption of a deployment. The shares come last: at 680 hosts
+// the assignment takes long enough to delay the confirmation.
+func (h *Host) settle(deployment *model.Deployment) {
+	h.directory.SetReady()
+	h.adoptShares(deployment)
+}
