Add loan and release frames between entry hosts

Placement decides on loans of slots and on releases, but no frame carried them between hosts.

Add the frames loanRequest, loanGrant, loanReturn and releases with bounds on names, durations, slot indexes and counts, and accept them only from the parties of a loan: a grant only from the peer to which its request was sent, once, and a return only from the borrower. Releases are flooded; each host passes a frame on once, by its number.

The frame test used loanRequest as its example of an unknown kind. It now uses a kind that does not exist; the assertion is the same.

Dialling owners on demand was left out: a request goes to the first owner that is already linked, and placement asks again every second.

--- a/peers/frame.go
+++ b/peers/frame.go
@@ -136,6 +136,14 @@
 		return decodeInto[Revision](d, outer.Body, checkRevision)
 	case Marks{}.kind():
 		return decodeInto[Marks](d, outer.Body, checkMarks)
+	case LoanRequest{}.kind():
+		return decodeInto[LoanRequest](d, outer.Body, checkLoanRequest)
+	case LoanGrant{}.kind():
+		return decodeInto[LoanGrant](d, outer.Body, checkLoanGrant)
+	case LoanReturn{}.kind():
+		return decodeInto[LoanReturn](d, outer.Body, checkLoanReturn)
+	case Releases{}.kind():
+		return decodeInto[Releases](d, outer.Body, checkReleases)
 	default:
 		return nil, ErrUnknownKind
 	}
--- a/peers/frame_test.go
+++ b/peers/frame_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filberthold/model"
+	"filberthold/share"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
@@ -21,6 +22,10 @@
 		Digest{Host: "a", Incarnation: "1", Revision: 7, Notices: []Notice{{Host: "b", Leaving: true}}},
 		Revision{Number: 7, Body: []byte("body")},
 		Marks{Marks: []Mark{{Endpoint: "e", Incarnation: "1"}}},
+		LoanRequest{Number: 1, Endpoint: "e", Duration: time.Second},
+		LoanGrant{Number: 1, Loan: loanOf("a", "b")},
+		LoanReturn{Loan: loanOf("a", "b").ID},
+		Releases{Host: "a", Number: 1, Releases: []share.Release{{Host: "a", Slot: share.Slot{Endpoint: "e"}, Revision: 2}}},
 	} {
 		data, err := encodeFrame(frame)
 		assert.NilError(f, err)
@@ -41,6 +46,12 @@
 			state.ReceiveMarks(frame)
 		case Revision:
 			assert.Assert(t, frame.Number > 0)
+		case LoanRequest:
+			assert.Assert(t, len(frame.Endpoint) <= maxNameBytes && frame.Duration > 0 && frame.Duration <= maxLoan)
+		case LoanGrant:
+			assert.Assert(t, len(frame.Loan.Borrower) <= maxNameBytes && frame.Loan.Duration <= maxLoan)
+		case Releases:
+			assert.Assert(t, len(frame.Releases) <= maxReleases)
 		}
 		encoded, err := encodeFrame(frame)
 		assert.NilError(t, err)
@@ -73,13 +84,17 @@
 	for _, frame := range []Frame{
 		many, Digest{}, Digest{Host: "a", Marks: maxMarks + 1}, Digest{Host: model.HostName(strings.Repeat("n", 65))},
 		Revision{}, Marks{Marks: make([]Mark, 1)}, Marks{Marks: make([]Mark, maxMarks+1)},
+		LoanRequest{Number: 1, Endpoint: "e"}, LoanRequest{Number: 1, Endpoint: "e", Duration: maxLoan + 1},
+		LoanRequest{Number: 1, Duration: 1}, LoanGrant{Number: 1}, LoanReturn{}, Releases{Host: "a", Number: 1},
+		Releases{Host: "a", Number: 1, Releases: []share.Release{{Host: "b", Slot: share.Slot{Endpoint: "e"}, Revision: 2}}},
+		Releases{Host: "a", Number: 1, Releases: make([]share.Release, maxReleases+1)},
 	} {
 		data, err := encodeFrame(frame)
 		assert.NilError(t, err)
 		_, err = frames.decode(data)
 		assert.Assert(t, err != nil, "%T", frame)
 	}
-	data, err = cbor.Marshal(envelope{Kind: "loanRequest", Body: cbor.RawMessage{0xa0}})
+	data, err = cbor.Marshal(envelope{Kind: "later", Body: cbor.RawMessage{0xa0}})
 	assert.NilError(t, err)
 	_, err = frames.decode(data)
 	assert.ErrorIs(t, err, ErrUnknownKind)
--- a/peers/mesh.go
+++ b/peers/mesh.go
@@ -61,6 +61,7 @@
 	log     *slog.Logger
 	options Options
 	state   *State
+	loans   *loanBook
 	events  *ring.Ring[Event]
 	// hurry holds an item when digests are to be sent at once.
 	hurry *ring.Ring[struct{}]
@@ -88,6 +89,7 @@
 		log:      options.Log,
 		options:  options,
 		state:    NewState(options.Host, options.Incarnation),
+		loans:    newLoanBook(options.Host),
 		events:   ring.New[Event](eventCapacity),
 		hurry:    ring.New[struct{}](1),
 		links:    make(map[*link]struct{}),
@@ -214,6 +216,8 @@
 				return fmt.Errorf("report marks: %w", err)
 			}
 		}
+	case LoanRequest, LoanGrant, LoanReturn, Releases:
+		return m.receiveLoan(ctx, from, frame)
 	}
 	return nil
 }
