Carry loans and releases between entry hosts

The decisions AskLoan, GrantLoan, ReturnLoan and Announce are about no request, so the dispatcher logged and dropped them: a loaded host never got an idle slot of another one.

Hand them to the mesh, and turn loan frames of peers into events of placement.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -32,6 +32,8 @@
 	mu      sync.Mutex
 	// open holds the decision channel of each request that is being served.
 	open map[place.RequestID]chan place.Decision
+	// carrier takes decisions about loans to other hosts. It may be nil.
+	carrier loanCarrier
 	// archive accounts for all events and decisions. It may be nil.
 	archive *Archive
 	// metrics counts decisions. It may be nil.
@@ -115,6 +117,7 @@
 	for _, decision := range decisions {
 		d.logDecision(decision)
 		d.metrics.ObserveDecision(decision)
+		d.carry(decision)
 		send, isSend := decision.(place.Send)
 		if d.hand(decision) || !isSend {
 			continue
--- a/entry/host.go
+++ b/entry/host.go
@@ -80,6 +80,7 @@
 		aborted:     make(chan struct{}),
 	}
 	host.operators = admin.NewServer(host.Status)
+	dispatcher.carrier = mesh
 	dispatcher.metrics = host.operators.Metrics()
 	callers.ObserveRequests(host.operators.Metrics().ObserveRequest)
 	host.configuration = &Configuration{
--- a/entry/mesh.go
+++ b/entry/mesh.go
@@ -36,6 +36,8 @@
 			err = h.configuration.offers.Put(ctx, offer{head: event.Head, body: event.Body, at: event.At})
 		case peers.EndpointsMarked:
 			err = h.membership.markFromPeer(ctx, event.Marks)
+		default:
+			err = h.takeLoan(ctx, event)
 		}
 		if err != nil {
 			return fmt.Errorf("pass on event of peer: %w", err)
