Keep releases in the table rows releases/HOST

Frames of releases reach only the hosts that are connected at that moment. A host that was cut off would wait for a gained slot for good.

Write the releases of a host to its row, merged with those that an earlier process stored, and read the rows of others every 10 s; a row that has not changed is not reported again. Reading at adoption only was ruled out: an export can delay a release for longer than any retry.

In a scratch copy that overwrites the row instead of merging, the test fails with:

releases_test.go:40: assertion failed: - Index: 1, + Index: 0,

--- a/entry/host.go
+++ b/entry/host.go
@@ -41,6 +41,7 @@
 	configuration *Configuration
 	membership    *Membership
 	prober        *Prober
+	releases      *releaseRows
 	// aborted is closed when the host must end without a graceful stop.
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -80,7 +81,8 @@
 		aborted:     make(chan struct{}),
 	}
 	host.operators = admin.NewServer(host.Status)
-	dispatcher.carrier = mesh
+	host.releases = newReleaseRows(base.Log(), name, platform, dispatcher.Report)
+	dispatcher.carrier = meshAndRows{Mesh: mesh, rows: host.releases}
 	dispatcher.metrics = host.operators.Metrics()
 	callers.ObserveRequests(host.operators.Metrics().ObserveRequest)
 	host.configuration = &Configuration{
@@ -151,6 +153,8 @@
 	group.Go(func() error { return h.prober.loop(working) })
 	group.Go(func() error { return h.loopLeavingAnswers(working) })
 	group.Go(func() error { return h.loopPeers(working) })
+	group.Go(func() error { return h.releases.loopWrite(working) })
+	group.Go(func() error { return h.releases.loopRead(working) })
 	if listeners.Peers != nil {
 		group.Go(func() error { return h.mesh.Run(working, listeners.Peers) })
 	}
