Test that a late grant does not prolong a loan

The borrower has to count a loan from before its request was sent.

Delay a grant by 4 s between two dispatchers and open a request that ends 1 ms too late for the loan.

--- a/entry/loans_test.go
+++ b/entry/loans_test.go
@@ -15,12 +15,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// wire carries loans between two dispatchers in one process. It loses grants
-// if it is told so.
+// wire carries loans between two dispatchers in one process. It loses or delays
+// grants if it is told so.
 type wire struct {
 	from        model.HostName
 	far         *Dispatcher
 	losesGrants bool
+	delay       time.Duration
 	granted     []time.Time
 }
 
@@ -32,7 +33,10 @@
 
 func (w *wire) GrantLoan(grant peers.LoanGrant) bool {
 	w.granted = append(w.granted, time.Now())
-	return w.losesGrants || w.far.events.TryPut(place.LoanGranted(grant))
+	if !w.losesGrants {
+		time.AfterFunc(w.delay, func() { w.far.events.TryPut(place.LoanGranted(grant)) })
+	}
+	return true
 }
 
 func (w *wire) ReturnLoan(loan share.LoanID) bool {
@@ -64,17 +68,19 @@
 
 // Guards against a loaded host that cannot use the idle slot of another one,
 // and against a lost grant that keeps the slot from its owner for good or lets
-// the owner use it while the borrower still may.
+// the owner use it while the borrower still may. A borrower that counted from
+// the arrival of a late grant would use the slot after the owner has it back.
 func TestLoanBetweenTwoDispatchers(t *testing.T) {
 	for _, test := range []struct {
 		name        string
 		losesGrants bool
-	}{{"grant arrives", false}, {"grant is lost", true}} {
+		delay       time.Duration
+	}{{"grant arrives", false, 0}, {"grant is late", false, 4 * time.Second}, {"grant is lost", true, 0}} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				here := NewDispatcher(slog.New(slog.DiscardHandler), place.New("here"))
 				there := NewDispatcher(slog.New(slog.DiscardHandler), place.New("there"))
-				lender := &wire{from: "there", far: here, losesGrants: test.losesGrants}
+				lender := &wire{from: "there", far: here, losesGrants: test.losesGrants, delay: test.delay}
 				here.carrier, there.carrier = &wire{from: "here", far: there}, lender
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
@@ -93,7 +99,14 @@
 				_, waits = (<-own).(place.Wait)
 				assert.Assert(t, waits, "the owner uses a slot that it has lent")
 				if !test.losesGrants {
-					assert.Equal(t, (<-second).(place.Send).Endpoint, model.EndpointName("e"))
+					send := (<-second).(place.Send)
+					assert.Equal(t, time.Since(lender.granted[0]), test.delay)
+					assert.NilError(t, here.Report(ctx, place.Finished{Attempt: send.Attempt, Result: place.Succeeded}))
+					// The loan ends 10 s after the request for it, and the upstream may
+					// work for 1 s after the deadline that it gets.
+					third := open(t, here, "third", 9*time.Second-test.delay+time.Millisecond)
+					_, waits = (<-third).(place.Wait)
+					assert.Assert(t, waits, "a request outlasts the loan")
 					return
 				}
 				_, sent := (<-own).(place.Send)
