Test that releases reach hosts beyond the peers of the sender

No test sent releases over real links. Nine hosts have six peers each, so two of them hear a release only if another host passes it on.

In a scratch copy that does not pass releases on, the test fails with:

panic: test timed out after 15s ... TestMeshOverLoopback

--- a/peers/mesh_test.go
+++ b/peers/mesh_test.go
@@ -11,6 +11,7 @@
 	"filberthold/model"
 	"filberthold/peers"
 	"filberthold/revise"
+	"filberthold/share"
 
 	"gotest.tools/v3/assert"
 )
@@ -43,8 +44,8 @@
 }
 
 // Guards against a break on the way between hosts: a host that has only a seed
-// gets the body of the highest revision, and marks reach hosts that are not
-// peers of the first one.
+// gets the body of the highest revision, and marks and releases reach hosts that
+// are not peers of the first one.
 func TestMeshOverLoopback(t *testing.T) {
 	deployment, conns := deploy(t, 9)
 	body := []byte("name = 'test'\n")
@@ -75,6 +76,13 @@
 		}
 		assert.NilError(t, err)
 	}
+	releases := []share.Release{{Host: hosts[8].Name(), Slot: share.Slot{Endpoint: "e"}, Revision: 2}}
+	meshes[8].Announce(releases)
+	for _, mesh := range meshes[:8] {
+		event, err := mesh.Events().Get(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, event, peers.SlotsReleased{Releases: releases})
+	}
 }
 
 // waitLinked waits until every host is connected with all its peers.
