--- a/entry/host.go
+++ b/entry/host.go
@@ -44,6 +44,7 @@
 	prober        *Prober
 	// assignment is that of the revision in force. It is used by settle only.
 	assignment *share.Assignment
+	releases   *releaseRows
 	// aborted is closed when the host must end without a graceful stop.
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -83,6 +84,8 @@
 		aborted:     make(chan struct{}),
 	}
 	host.operators = admin.NewServer(host.Status)
+	host.releases = newReleaseRows(base.Log(), name, platform, dispatcher.Report)
+	dispatcher.carrier = meshAndRows{Mesh: mesh, rows: host.releases}
 	dispatcher.metrics = host.operators.Metrics()
 	callers.AcceptOnlyWhile(func() bool { return directory.Confirmed(time.Now()) })
 	callers.ObserveRequests(host.operators.Metrics().ObserveRequest)
@@ -156,6 +159,8 @@
 	group.Go(func() error { return h.prober.loopLoads(working) })
 	group.Go(func() error { return h.loopLeavingAnswers(working) })
 	group.Go(func() error { return h.loopPeers(working) })
+	group.Go(func() error { return h.releases.loopWrite(working) })
+	group.Go(func() error { return h.releases.loopRead(working) })
 	if listeners.Peers != nil {
 		group.Go(func() error { return h.mesh.Run(working, listeners.Peers) })
 	}
