Revert the try to lend no slot of a straggler

What the decision log shows instead: the slow reads of hlukodenik wait at the hosts of de-south, whose region has 4 diary-view endpoints (12 slots for 4 hosts) where the others have 6. When most of these straggle, the hosts wait up to 400 ms although a region 110 ms away has free slots: a full region is not a failed one, so nothing moves.

--- a/place/loans.go
+++ b/place/loans.go
@@ -55,8 +55,7 @@
 	for _, endpoint := range c.deployment.EndpointsOf(request.Service) {
 		name := endpoint.Name()
 		isWanted := slices.Contains(regions, c.deployment.RegionOf(endpoint.Zone()))
-		isSlow := c.board.IsFailing(name, now) || c.board.IsStraggling(name, now)
-		if !isWanted || c.leaving.has(name) || isSlow || now.Before(c.asks.nextAt[name]) {
+		if !isWanted || c.leaving.has(name) || c.board.IsFailing(name, now) || now.Before(c.asks.nextAt[name]) {
 			continue
 		}
 		if owners := c.ledger.OtherOwners(name); len(owners) > 0 {
@@ -84,11 +83,9 @@
 	})
 }
 
-// lend grants a loan of a slot that no queued request of this host can use. It
-// lends no slot of a straggler: such a slot is idle because this host avoids
-// it, and the borrower has not seen yet that it is slow.
+// lend grants a loan of a slot that no queued request of this host can use.
 func (c *Core) lend(event LoanAsked, now time.Time) []Decision {
-	if c.deployment == nil || c.leaving.has(event.Endpoint) || c.board.IsStraggling(event.Endpoint, now) {
+	if c.deployment == nil || c.leaving.has(event.Endpoint) {
 		return nil
 	}
 	endpoint, exists := c.deployment.Endpoint(event.Endpoint)
