Let only losers finish, not reads that placement gives up

Cause: the exchange let every cancelled read run to its end. That is right for the loser of a hedge and wrong for an attempt that a baseline gave up at its timeout, which went on and loaded its endpoint. The rule sat in the exchange, which cannot tell the two apart.

Ruled out: comparing the text of the reason.

Change: place.Cancel says whether another attempt has answered (IsLoser), and the exchange lets only those finish.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -229,7 +229,7 @@
 	case place.Send:
 		e.send(decision)
 	case place.Cancel:
-		if e.letsLosersFinish() {
+		if decision.IsLoser && e.letsLosersFinish() {
 			break
 		}
 		e.forget(decision.Attempt)
--- a/place/arrive.go
+++ b/place/arrive.go
@@ -152,18 +152,18 @@
 	}
 	delete(c.requests, id)
 	c.services[waiting.request.Service].queue.Remove(id)
-	return c.cancelAttempts(id, "caller gave up")
+	return c.cancelAttempts(id, "caller gave up", false)
 }
 
 // cancelAttempts cancels all attempts of a request that are in flight. Their
 // slots stay held until their end is reported or their deadline has passed.
-func (c *Core) cancelAttempts(id RequestID, reason string) []Decision {
+func (c *Core) cancelAttempts(id RequestID, reason string, areLosers bool) []Decision {
 	var decisions []Decision
 	for _, sent := range c.sortedAttempts() {
 		if sent.request == id && !sent.isCancelled {
 			sent.isCancelled = true
 			c.ledger.Hold(sent.ticket)
-			decisions = append(decisions, Cancel{Request: id, Attempt: sent.id, Reason: reason})
+			decisions = append(decisions, Cancel{Request: id, Attempt: sent.id, Reason: reason, IsLoser: areLosers})
 		}
 	}
 	return decisions
--- a/place/decisions.go
+++ b/place/decisions.go
@@ -58,6 +58,8 @@
 	Request RequestID `cbor:"request"`
 	Attempt AttemptID `cbor:"attempt"`
 	Reason  string    `cbor:"reason"`
+	// IsLoser is true if another attempt has answered the request.
+	IsLoser bool `cbor:"isLoser,omitempty" json:",omitempty"`
 }
 
 // AskLoan tells to ask one or more of the owners for a slot of an endpoint.
--- a/place/finish.go
+++ b/place/finish.go
@@ -31,7 +31,7 @@
 	waiting.inFlight--
 	if event.Result == Succeeded {
 		delete(c.requests, sent.request)
-		decisions := c.cancelAttempts(sent.request, "another attempt was faster")
+		decisions := c.cancelAttempts(sent.request, "another attempt was faster", true)
 		return append(decisions, Deliver{Request: sent.request, Attempt: event.Attempt})
 	}
 	if event.Result != NotStarted {
