Serve the users' platform with one process on each host

Cause: filberthold spoke only its own wire; on the users' hosts it served nothing. Ruled out: carrying the static slot shares over (endpoints and hosts come and go every few seconds there), and handing bodies from host to host (a second hop for each body, and requests lost with the second host).

Change: package platform translates settings, store, headers and documents. route, roster, member and steer decide without I/O; conns, proxy, gossip, logs and node move bytes. Each host hashes an object to the same endpoints, with a fixed plan of which part of a region's requests crosses to which region.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -72,7 +72,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand(),
+	root.AddCommand(newEntryCommand(), newServeCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand(),
 		newExplainCommand(), newVerifyCommand(), newReplayCommand(), newCheckCommand(),
 		newGenerateCommand(), newPlanCommand(), newLookupCommand(), newStatusCommand(),
 		newPublishCommand(), newRevisionCommand(), newVersionCommand())
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,146 @@
+// Package member keeps which entry hosts are alive, from what they say of
+// themselves. It is pure: time is passed in.
+package member
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"filberthold/model"
+)
+
+const (
+	// silence is how long a host may be silent and still counts as alive. It
+	// covers three lost datagrams.
+	silence = 1300 * time.Millisecond
+	// forgetting is how long the address of a silent host is still contacted.
+	forgetting = 30 * time.Second
+)
+
+// Hello is what a host says of itself.
+type Hello struct {
+	Host   model.HostName   `cbor:"host"`
+	Zone   model.ZoneName   `cbor:"zone"`
+	Region model.RegionName `cbor:"region"`
+	// Incarnation is higher for each start of the host.
+	Incarnation int64      `cbor:"incarnation"`
+	IP          netip.Addr `cbor:"ip"`
+	// CallerAddress is where callers reach the host.
+	CallerAddress string `cbor:"callerAddress"`
+	// ControlAddress is where peers read what the host knows.
+	ControlAddress string `cbor:"controlAddress"`
+	// IsReady is true if the host takes requests.
+	IsReady bool `cbor:"isReady"`
+	// IsLeaving is true once the host stops. It is final for the incarnation.
+	IsLeaving bool `cbor:"isLeaving"`
+	// ConfigVersion is the version of the configuration in force.
+	ConfigVersion uint64 `cbor:"configVersion"`
+	// OperatorVersion is the version of the store at the last reading of
+	// configuration and evacuations.
+	OperatorVersion uint64 `cbor:"operatorVersion"`
+	// Peers are addresses of other hosts that the host has heard.
+	Peers []netip.Addr `cbor:"peers"`
+}
+
+// known is the last hello of a host.
+type known struct {
+	hello   Hello
+	heardAt time.Time
+}
+
+// Table is the set of known hosts. It is not safe for concurrent use.
+type Table struct {
+	self  model.HostName
+	hosts map[model.HostName]*known
+	// addresses holds until when an address is contacted.
+	addresses map[netip.Addr]time.Time
+}
+
+// NewTable returns a table for a host that knows no other one.
+func NewTable(self model.HostName) *Table {
+	return &Table{self: self, hosts: make(map[model.HostName]*known), addresses: make(map[netip.Addr]time.Time)}
+}
+
+// Contact adds addresses at which there may be hosts.
+func (t *Table) Contact(addresses []netip.Addr, now time.Time) {
+	for _, address := range addresses {
+		if _, exists := t.addresses[address]; !exists {
+			t.addresses[address] = now.Add(forgetting)
+		}
+	}
+}
+
+// Observe takes in a hello and reports whether the host is new or has changed
+// between ready, not ready and leaving.
+func (t *Table) Observe(hello Hello, now time.Time) bool {
+	if hello.Host == t.self {
+		return false
+	}
+	before := t.hosts[hello.Host]
+	if before != nil && hello.Incarnation < before.hello.Incarnation {
+		return false
+	}
+	if before != nil && hello.Incarnation == before.hello.Incarnation && before.hello.IsLeaving {
+		// Datagrams may overtake each other.
+		hello.IsLeaving = true
+	}
+	t.hosts[hello.Host] = &known{hello: hello, heardAt: now}
+	t.addresses[hello.IP] = now.Add(forgetting)
+	t.Contact(hello.Peers, now)
+	return before == nil || !before.isAlive(now) || before.hello.IsReady != hello.IsReady ||
+		before.hello.IsLeaving != hello.IsLeaving || before.hello.Incarnation != hello.Incarnation
+}
+
+func (k *known) isAlive(now time.Time) bool { return now.Sub(k.heardAt) < silence }
+
+// Alive returns the hosts that were heard of late and are not leaving, by name.
+func (t *Table) Alive(now time.Time) []Hello {
+	var alive []Hello
+	for _, host := range t.hosts {
+		if host.isAlive(now) && !host.hello.IsLeaving {
+			alive = append(alive, host.hello)
+		}
+	}
+	slices.SortFunc(alive, func(a, b Hello) int { return cmp.Compare(a.Host, b.Host) })
+	return alive
+}
+
+// Addresses returns the addresses to contact.
+func (t *Table) Addresses(now time.Time) []netip.Addr {
+	var addresses []netip.Addr
+	for address, until := range t.addresses {
+		if now.After(until) {
+			delete(t.addresses, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	slices.SortFunc(addresses, netip.Addr.Compare)
+	return addresses
+}
+
+// Nearest returns the ready hosts that a caller in an availability zone should
+// use: those of the zone, or of the region if the zone has fewer than least.
+func Nearest(hosts []Hello, zone model.ZoneName, region model.RegionName, least int) []Hello {
+	inZone := filter(hosts, func(host Hello) bool { return host.IsReady && host.Zone == zone })
+	if len(inZone) >= least {
+		return inZone
+	}
+	inRegion := filter(hosts, func(host Hello) bool { return host.IsReady && host.Region == region })
+	if len(inRegion) > 0 {
+		return inRegion
+	}
+	return filter(hosts, func(host Hello) bool { return host.IsReady })
+}
+
+func filter(hosts []Hello, keep func(Hello) bool) []Hello {
+	var kept []Hello
+	for _, host := range hosts {
+		if keep(host) {
+			kept = append(kept, host)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/node/hosts.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"filberthold/member"
+	"filberthold/model"
+	"filberthold/platform"
+)
+
+const (
+	// registerInterval is how often a host reads the rows of the other hosts.
+	// Between readings hosts learn of each other from their hellos.
+	registerInterval = 10 * time.Second
+	// registerRetry is the pause after a failed reading or writing.
+	registerRetry = 500 * time.Millisecond
+)
+
+// hostRow is the value of a host's row in the store.
+type hostRow struct {
+	IP          netip.Addr `json:"ip"`
+	Incarnation int64      `json:"incarnation"`
+}
+
+// describe returns what this host says of itself.
+func (n *Node) describe() member.Hello {
+	hello := member.Hello{
+		Host: n.settings.Host, Zone: n.settings.Zone, Region: n.settings.Region, Incarnation: n.incarnation,
+		IP: n.settings.IP, CallerAddress: n.settings.CallerAddress, ControlAddress: n.settings.ControlAddress,
+		IsReady: n.isReady(), IsLeaving: n.isLeaving.Load(), OperatorVersion: n.operator.version(),
+	}
+	if config := n.core.Config(); config != nil {
+		hello.ConfigVersion = config.Version()
+	}
+	return hello
+}
+
+// refreshHosts hands the live hosts to the decisions.
+func (n *Node) refreshHosts() {
+	hosts := make(map[model.RegionName][]model.HostName)
+	if !n.isLeaving.Load() {
+		hosts[n.settings.Region] = append(hosts[n.settings.Region], n.settings.Host)
+	}
+	for _, alive := range n.link.Alive() {
+		hosts[alive.Region] = append(hosts[alive.Region], alive.Host)
+	}
+	n.core.SetHosts(hosts)
+}
+
+// registerLoop makes this host known and finds the other hosts.
+func (n *Node) registerLoop(ctx context.Context) error {
+	isRegistered := false
+	for {
+		pause := registerInterval
+		if !isRegistered {
+			isRegistered = n.register(ctx)
+		}
+		if !n.findHosts(ctx) || !isRegistered {
+			pause = registerRetry
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (n *Node) register(ctx context.Context) bool {
+	value, err := json.Marshal(hostRow{IP: n.settings.IP, Incarnation: n.incarnation})
+	if err != nil {
+		n.log.Error("row of this host not encoded", "error", err)
+		return false
+	}
+	if err := n.store.Put(ctx, platform.HostTable, string(n.settings.Host), value); err != nil {
+		n.log.Warn("row of this host not written", "error", err)
+		return false
+	}
+	return true
+}
+
+func (n *Node) findHosts(ctx context.Context) bool {
+	rows, err := n.store.List(ctx, platform.HostTable)
+	if err != nil {
+		n.log.Warn("rows of hosts not read", "error", err)
+		return false
+	}
+	var addresses []netip.Addr
+	for _, row := range rows.Rows {
+		var decoded hostRow
+		if err := json.Unmarshal(row.Value, &decoded); err != nil || !decoded.IP.IsValid() {
+			n.log.Warn("row of a host not understood", "key", row.Key, "error", err)
+			continue
+		}
+		if decoded.IP != n.settings.IP {
+			addresses = append(addresses, decoded.IP)
+		}
+	}
+	n.link.Contact(addresses)
+	return true
+}
--- /dev/null
+++ b/proxy/core.go
@@ -0,0 +1,196 @@
+// Package proxy carries requests of callers to endpoints: it asks the pure
+// decision packages where a request goes and what becomes of its result, and
+// moves the bytes.
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"filberthold/model"
+	"filberthold/roster"
+	"filberthold/route"
+	"filberthold/score"
+	"filberthold/steer"
+)
+
+const (
+	// retryPercent is the part of a service's requests for which a host may
+	// send a second time. It is half of what all hosts together may do, which
+	// leaves room for requests that move between hosts.
+	retryPercent = 10
+	// doubt is how long an entry may stay missing after an outage of the store.
+	doubt = 2 * time.Second
+)
+
+// Core joins what a host knows with its decisions. It is safe for concurrent
+// use; nothing in it waits.
+type Core struct {
+	mu       sync.Mutex
+	config   *route.Config
+	roster   *roster.Roster
+	steerer  *steer.Steerer
+	splitter *route.Splitter
+	budgets  map[model.ServiceName]*score.Budget
+	services []model.ServiceName
+	// steered is the revision of the roster that the steerer has.
+	steered uint64
+	// hasEndpoints is true after the first reading of the entries.
+	hasEndpoints bool
+}
+
+// NewCore returns the core of a host that knows nothing yet.
+func NewCore(host model.HostName, zone model.ZoneName, regions map[model.ZoneName]model.RegionName) *Core {
+	return &Core{
+		roster: roster.New(regions), steerer: steer.New(host, zone, regions),
+		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
+	}
+}
+
+// SetConfig puts a configuration into force unless a newer one is. It reports
+// whether it did.
+func (c *Core) SetConfig(config *route.Config) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.config != nil && config.Version() <= c.config.Version() {
+		return false
+	}
+	c.config = config
+	c.services = config.Services()
+	for _, name := range c.services {
+		if c.budgets[name] == nil {
+			c.budgets[name] = score.NewBudget(retryPercent, 1)
+		}
+	}
+	c.refresh(true)
+	return true
+}
+
+// Config returns the configuration in force, or nil.
+func (c *Core) Config() *route.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config
+}
+
+// IsReady reports whether the host knows enough to take requests.
+func (c *Core) IsReady() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config != nil && c.hasEndpoints
+}
+
+// SetEvacuated replaces the set of evacuated availability zones.
+func (c *Core) SetEvacuated(zones []model.ZoneName) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := c.roster.SetEvacuated(zones)
+	c.refresh(false)
+	return changed
+}
+
+// ReplaceEntries takes in a whole reading of the endpoints' entries. After an
+// outage of the store, missing entries are given time to come back.
+func (c *Core) ReplaceEntries(entries []roster.Entry, isAfterOutage bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.roster.Replace(entries, now, doubtUntil(now, isAfterOutage))
+	c.hasEndpoints = true
+	c.refresh(false)
+}
+
+// ApplyEntry takes in one entry.
+func (c *Core) ApplyEntry(entry roster.Entry) roster.Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change := c.roster.Apply(entry, time.Now())
+	c.refresh(false)
+	return change
+}
+
+// RemoveEntry takes in that an entry was removed.
+func (c *Core) RemoveEntry(name model.EndpointName, isAfterOutage bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	removed := c.roster.Remove(name, now, doubtUntil(now, isAfterOutage))
+	c.refresh(false)
+	return removed
+}
+
+func doubtUntil(now time.Time, isAfterOutage bool) time.Time {
+	if !isAfterOutage {
+		return time.Time{}
+	}
+	return now.Add(doubt)
+}
+
+// Expire drops endpoints whose entries did not come back.
+func (c *Core) Expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.roster.Expire(time.Now())
+	c.refresh(false)
+}
+
+// SetHosts replaces the live entry hosts.
+func (c *Core) SetHosts(hosts map[model.RegionName][]model.HostName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.steerer.SetHosts(hosts)
+}
+
+// refresh hands changes of the roster to the steerer.
+func (c *Core) refresh(always bool) {
+	if c.config == nil || (!always && c.roster.Revision() == c.steered) {
+		return
+	}
+	c.steered = c.roster.Revision()
+	c.steerer.Update(c.config, c.roster, c.services)
+}
+
+// pickService returns the service of the next request of a route and counts
+// the request in its retry budget.
+func (c *Core) pickService(version uint64, picked route.Route) model.ServiceName {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	service := c.splitter.Pick(version, picked)
+	if budget := c.budgets[service]; budget != nil {
+		budget.Earn()
+	}
+	return service
+}
+
+func (c *Core) choose(query steer.Query) steer.Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(query.Tried) > 0 && !c.mayRetry(query) {
+		return steer.Reject{Reason: "the retry budget is used up", RetryAfter: budgetPause}
+	}
+	decision := c.steerer.Choose(query, time.Now())
+	if _, isSent := decision.(steer.Send); isSent && len(query.Tried) > 0 {
+		c.budgets[query.Service].Spend()
+	}
+	return decision
+}
+
+// budgetPause is the Retry-After of a request that would need a retry while
+// the budget is used up.
+const budgetPause = 500 * time.Millisecond
+
+func (c *Core) mayRetry(query steer.Query) bool {
+	budget := c.budgets[query.Service]
+	return budget != nil && budget.CanSpend()
+}
+
+func (c *Core) done(outcome steer.Outcome, isGone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.steerer.Done(outcome, now)
+	if isGone {
+		c.roster.MarkGone(outcome.Endpoint, now)
+		c.refresh(false)
+	}
+}
--- /dev/null
+++ b/proxy/metrics.go
@@ -0,0 +1,41 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are the counters and histograms of requests.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	opened   prometheus.Gauge
+}
+
+// NewMetrics registers the metrics of requests.
+func NewMetrics(registry *prometheus.Registry) *Metrics {
+	metrics := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filberthold_requests_total", Help: "Requests of callers by class and status.",
+		}, []string{"class", "status"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filberthold_attempts_total", Help: "Attempts at endpoints by service and result.",
+		}, []string{"service", "result"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "filberthold_request_seconds", Help: "Time from the arrival of a request to the end of its answer.",
+			Buckets: []float64{.01, .025, .05, .1, .2, .3, .45, .6, .8, 1.2, 2, 4, 8},
+		}, []string{"class"}),
+		opened: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "filberthold_endpoint_connections_opened", Help: "Connections to endpoints opened since the start.",
+		}),
+	}
+	registry.MustRegister(metrics.requests, metrics.attempts, metrics.latency, metrics.opened)
+	return metrics
+}
+
+func (m *Metrics) observeRequest(class, status string, elapsed time.Duration) {
+	m.requests.WithLabelValues(class, status).Inc()
+	m.latency.WithLabelValues(class).Observe(elapsed.Seconds())
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,132 @@
+// Package route selects the route of a request and the service that handles
+// it. A configuration is immutable; a newer one replaces it as a whole.
+package route
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"filberthold/model"
+)
+
+// Share is the part of a route's requests that a service handles.
+type Share struct {
+	Service model.ServiceName
+	// Weight is relative to the other shares of the route and not negative.
+	Weight float64
+}
+
+// Route tells how requests for a host name and path prefix are handled.
+type Route struct {
+	Name   string
+	Domain string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Class  model.Class
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full value.
+	Objective time.Duration
+	// Priority is the rank among routes; 0 is the highest.
+	Priority int
+	// Shares are never empty.
+	Shares []Share
+	// MaxAttempts is at least 1.
+	MaxAttempts int
+	// HasAffinity is true if an endpoint is faster with objects that it has
+	// handled recently.
+	HasAffinity bool
+	// Homes are the only regions that may handle the request; empty means all.
+	Homes []model.RegionName
+}
+
+// Service is what a configuration says of the endpoints of a service.
+type Service struct {
+	Name       model.ServiceName
+	HealthPath string
+	// MaxConnections is the number of connections that an endpoint accepts from
+	// all callers together.
+	MaxConnections int
+	// ColdStart is how long an endpoint stays cold after its start.
+	ColdStart time.Duration
+	// ColdRate is the number of requests a second that a cold endpoint bears.
+	ColdRate float64
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is a configuration: routes, services and limits of one version.
+type Config struct {
+	version  uint64
+	domains  map[string][]Route
+	services map[model.ServiceName]Service
+	limits   Limits
+}
+
+// NewConfig returns a configuration. Routes must satisfy the invariants of
+// their fields.
+func NewConfig(version uint64, routes []Route, services []Service, limits Limits) *Config {
+	config := &Config{
+		version:  version,
+		domains:  make(map[string][]Route),
+		services: make(map[model.ServiceName]Service, len(services)),
+		limits:   limits,
+	}
+	for _, route := range routes {
+		config.domains[route.Domain] = append(config.domains[route.Domain], route)
+	}
+	for _, domain := range config.domains {
+		slices.SortFunc(domain, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, service := range services {
+		config.services[service.Name] = service
+	}
+	return config
+}
+
+// Version returns the version; a higher one is newer.
+func (c *Config) Version() uint64 { return c.version }
+
+// Limits returns the limits for callers.
+func (c *Config) Limits() Limits { return c.limits }
+
+// Service returns a service by name.
+func (c *Config) Service(name model.ServiceName) (Service, bool) {
+	service, exists := c.services[name]
+	return service, exists
+}
+
+// Services returns the names of the services in order.
+func (c *Config) Services() []model.ServiceName {
+	return slices.Sorted(maps.Keys(c.services))
+}
+
+// Match returns the route with the longest prefix that begins the path.
+func (c *Config) Match(domain, path string) (Route, bool) {
+	for _, route := range c.domains[withoutPort(domain)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+func withoutPort(domain string) string {
+	if colon := strings.LastIndexByte(domain, ':'); colon >= 0 {
+		return domain[:colon]
+	}
+	return domain
+}
+
+// AllowsRegion reports whether a region may handle requests of the route.
+func (r Route) AllowsRegion(region model.RegionName) bool {
+	return len(r.Homes) == 0 || slices.Contains(r.Homes, region)
+}
--- /dev/null
+++ b/route/split.go
@@ -0,0 +1,48 @@
+package route
+
+import "filberthold/model"
+
+// Splitter distributes the requests of each route over its services in
+// proportion to their weights. It counts instead of drawing at random, so that
+// the shares are exact also over a few requests. It is not safe for concurrent
+// use.
+type Splitter struct {
+	version uint64
+	// credits holds for each route and service how many requests the service
+	// is behind its share.
+	credits map[string]map[model.ServiceName]float64
+}
+
+// NewSplitter returns a splitter without history.
+func NewSplitter() *Splitter {
+	return &Splitter{credits: make(map[string]map[model.ServiceName]float64)}
+}
+
+// Pick returns the service of the next request of a route.
+func (s *Splitter) Pick(version uint64, route Route) model.ServiceName {
+	if len(route.Shares) == 1 {
+		return route.Shares[0].Service
+	}
+	if version != s.version {
+		s.version = version
+		clear(s.credits)
+	}
+	credits := s.credits[route.Name]
+	if credits == nil {
+		credits = make(map[model.ServiceName]float64, len(route.Shares))
+		s.credits[route.Name] = credits
+	}
+	total := 0.0
+	for _, share := range route.Shares {
+		total += share.Weight
+		credits[share.Service] += share.Weight
+	}
+	best := route.Shares[0].Service
+	for _, share := range route.Shares[1:] {
+		if credits[share.Service] > credits[best] {
+			best = share.Service
+		}
+	}
+	credits[best] -= total
+	return best
+}
--- a/score/budget.go
+++ b/score/budget.go
@@ -37,9 +37,12 @@
 // Earn counts a request.
 func (b *Budget) Earn() { b.credit = min(b.credit+b.percent, maxCredit) }
 
+// CanSpend reports whether the budget holds an extra attempt.
+func (b *Budget) CanSpend() bool { return b.credit >= price }
+
 // Spend takes one extra attempt from the budget, if there is one.
 func (b *Budget) Spend() bool {
-	if b.credit < price {
+	if !b.CanSpend() {
 		return false
 	}
 	b.credit -= price
