Relay the store's rows from one reader in each region

Ruled out: shorter waits alone (a host that is turned away learns nothing), a reader for all regions (two ways between regions).

Change: in each region one host reads the store, the others follow it by long poll; a host that the store turns away follows any reader; when the store is back, the wait for the operator's rows starts anew.

--- a/member/table.go
+++ b/member/table.go
@@ -35,6 +35,8 @@
 	IsReady bool `cbor:"isReady"`
 	// IsLeaving is true once the host stops. It is final for the incarnation.
 	IsLeaving bool `cbor:"isLeaving"`
+	// HasStore is false while the store does not answer the host.
+	HasStore bool `cbor:"hasStore"`
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion uint64 `cbor:"configVersion"`
 	// OperatorVersion is the version of the store at the last reading of
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -30,7 +30,8 @@
 	hello := member.Hello{
 		Host: n.settings.Host, Zone: n.settings.Zone, Region: n.settings.Region, Incarnation: n.incarnation,
 		IP: n.settings.IP, CallerAddress: n.settings.CallerAddress, ControlAddress: n.settings.ControlAddress,
-		IsReady: n.isReady(), IsLeaving: n.isLeaving.Load(), OperatorVersion: n.operator.version(),
+		IsReady: n.isReady(), IsLeaving: n.isLeaving.Load(),
+		HasStore: n.reader.hasStore.Load(), OperatorVersion: n.known.operator.Version(),
 	}
 	if config := n.core.Config(); config != nil {
 		hello.ConfigVersion = config.Version()
@@ -38,6 +39,35 @@
 	return hello
 }
 
+// readsStore reports whether this host reads the store: it is the reader of
+// its region, the store does not answer it at the moment, or what it knows from
+// other hosts is too old.
+func (n *Node) readsStore() bool {
+	if !n.reader.hasStore.Load() {
+		return true
+	}
+	reader, exists := member.Reader(append(n.link.Alive(), n.describe()), n.settings.Region)
+	if !exists || reader.Host == n.settings.Host {
+		return true
+	}
+	now := time.Now()
+	return n.known.endpoints.Age(now) > maxAge || n.known.operator.Age(now) > maxOperatorAge
+}
+
+// maxOperatorAge is longer than a call of the reader waits for a change of the
+// operator's rows, because only its end confirms that nothing has changed.
+const maxOperatorAge = operatorWait + time.Second
+
+// sources returns the hosts to follow.
+func (n *Node) sources() []member.Hello {
+	sources := member.Sources(n.link.Alive(), n.settings.Region)
+	reader, exists := member.Reader(append(n.link.Alive(), n.describe()), n.settings.Region)
+	if exists && reader.Host == n.settings.Host {
+		return nil
+	}
+	return sources
+}
+
 // refreshHosts hands the live hosts to the decisions.
 func (n *Node) refreshHosts() {
 	hosts := make(map[model.RegionName][]model.HostName)
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"filberthold/member"
 	"filberthold/platform"
 	"filberthold/proxy"
+	"filberthold/relay"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -48,8 +49,9 @@
 	// incarnation is higher for each start of the host.
 	incarnation int64
 	isLeaving   atomic.Bool
-	operator    *operatorWatch
-	entries     *entryWatch
+	known       *knowledge
+	reader      *reader
+	follower    *follower
 }
 
 // New returns a node that is not yet running; it logs to out.
@@ -64,8 +66,9 @@
 		server:      proxy.NewServer(log, core, proxy.NewMetrics(registry)),
 		incarnation: time.Now().UnixMilli(),
 	}
-	node.operator = newOperatorWatch(log, store, core)
-	node.entries = newEntryWatch(log, store, core, settings.Heartbeat)
+	node.known = newKnowledge(log, core)
+	node.reader = newReader(log, store, node.known, settings.Heartbeat, node.readsStore)
+	node.follower = newFollower(log, node.known, node.sources)
 	return node
 }
 
@@ -102,8 +105,9 @@
 		return fmt.Errorf("start host: %w", err)
 	}
 	group.Go(func() error { return n.link.Run(running) })
-	group.Go(func() error { return n.operator.run(running) })
-	group.Go(func() error { return n.entries.run(running) })
+	group.Go(func() error { return n.reader.operatorLoop(running) })
+	group.Go(func() error { return n.reader.endpointLoop(running) })
+	group.Go(func() error { return n.follower.loop(running) })
 	group.Go(func() error { return n.registerLoop(running) })
 	group.Go(func() error { return n.server.TrimLoop(running) })
 	group.Go(func() error { return n.tickLoop(running) })
@@ -137,7 +141,7 @@
 	}{
 		{n.settings.ReadyAddress, "GET /ready", http.HandlerFunc(n.handleReady)},
 		{n.settings.DirectoryAddress, "GET /resolve", http.HandlerFunc(n.handleResolve)},
-		{n.settings.ControlAddress, "GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})},
+		{n.settings.ControlAddress, "GET " + relay.Path, relay.NewHandler(n.log, n.known.operator, n.known.endpoints)},
 		{net.JoinHostPort(n.settings.IP.String(), metricsPort), "GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})},
 	}
 	for _, page := range pages {
@@ -164,7 +168,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			n.core.Expire()
+			n.known.expire()
 			n.refreshHosts()
 		case <-ctx.Done():
 			return nil
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -89,15 +89,11 @@
 	return changed
 }
 
-// ReplaceEntries takes in a whole reading of the endpoints' entries. After an
-// outage of the store, missing entries are given time to come back.
-func (c *Core) ReplaceEntries(entries []roster.Entry, isAfterOutage bool) {
+// HaveEndpoints notes that the endpoints were read.
+func (c *Core) HaveEndpoints() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	c.roster.Replace(entries, now, doubtUntil(now, isAfterOutage))
 	c.hasEndpoints = true
-	c.refresh(false)
 }
 
 // ApplyEntry takes in one entry.
@@ -126,12 +122,13 @@
 	return now.Add(doubt)
 }
 
-// Expire drops endpoints whose entries did not come back.
-func (c *Core) Expire() {
+// Expire drops endpoints whose entries did not come back, and returns them.
+func (c *Core) Expire() []model.EndpointName {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.roster.Expire(time.Now())
+	dropped := c.roster.Expire(time.Now())
 	c.refresh(false)
+	return dropped
 }
 
 // SetHosts replaces the live entry hosts.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -21,6 +21,14 @@
 	Draining
 )
 
+// String returns the text form for logs.
+func (s State) String() string {
+	if s == Draining {
+		return "draining"
+	}
+	return "ready"
+}
+
 // Entry is one report of an endpoint about itself.
 type Entry struct {
 	Endpoint model.EndpointName
@@ -112,16 +120,11 @@
 	}
 	change := changeOf(known, entry)
 	next := &record{entry: entry}
-	if known != nil && change != Added {
-		next.coldUntil = known.coldUntil
-	}
 	if entry.ColdFor > 0 {
 		next.coldUntil = now.Add(entry.ColdFor)
-	} else {
-		next.coldUntil = time.Time{}
 	}
 	r.records[entry.Endpoint] = next
-	if change != Unchanged || (known != nil && !known.coldUntil.Equal(next.coldUntil)) {
+	if change != Unchanged {
 		r.revision++
 	}
 	return change
@@ -148,7 +151,8 @@
 		return Added
 	case entry.State != known.entry.State:
 		return Left
-	case entry.Address != known.entry.Address, entry.Service != known.entry.Service, entry.Slots != known.entry.Slots, entry.Zone != known.entry.Zone:
+	case entry.Address != known.entry.Address, entry.Service != known.entry.Service, entry.Slots != known.entry.Slots, entry.Zone != known.entry.Zone,
+		entry.ColdFor > known.entry.ColdFor:
 		return Updated
 	}
 	return Unchanged
@@ -172,32 +176,21 @@
 	return true
 }
 
-// Replace takes in a whole reading of the entries. Endpoints that it does not
-// hold are removed.
-func (r *Roster) Replace(entries []Entry, now, doubtUntil time.Time) {
-	present := make(map[model.EndpointName]bool, len(entries))
-	for _, entry := range entries {
-		present[entry.Endpoint] = true
-		r.Apply(entry, now)
-	}
-	for name := range r.records {
-		if !present[name] {
-			r.Remove(name, now, doubtUntil)
-		}
-	}
-}
-
-// Expire drops endpoints whose entry did not come back after an outage, and
-// forgets old removals.
-func (r *Roster) Expire(now time.Time) {
+// Expire drops endpoints whose entry did not come back after an outage and
+// returns their names. It forgets old removals.
+func (r *Roster) Expire(now time.Time) []model.EndpointName {
+	var dropped []model.EndpointName
 	for name, known := range r.records {
 		switch {
 		case known.isGone && now.Sub(known.goneAt) > goneMemory:
 			delete(r.records, name)
 		case !known.isGone && !known.doubtUntil.IsZero() && !now.Before(known.doubtUntil):
 			r.Remove(name, now, time.Time{})
+			dropped = append(dropped, name)
 		}
 	}
+	slices.Sort(dropped)
+	return dropped
 }
 
 // MarkGone drops an incarnation on evidence other than the store, such as an
@@ -244,14 +237,3 @@
 	})
 	return usable
 }
-
-// Entries returns the last report of each endpoint that is not gone.
-func (r *Roster) Entries() []Entry {
-	var entries []Entry
-	for _, known := range r.records {
-		if !known.isGone {
-			entries = append(entries, known.entry)
-		}
-	}
-	return entries
-}
