Keep objects at two endpoints and share loads between hosts

Ruled out: too little capacity (100 reads/s at 0.23 s each need 23 of 48 slots).

Change: an object uses the first two available endpoints of its ranking; hosts tell each other their requests in flight every 100 ms.

Conclusion: spreading an object is what keeps an overload alive.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"filberthold/member"
+	"filberthold/model"
+	"filberthold/steer"
 
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
@@ -24,32 +26,63 @@
 	// them; with more hosts the interval grows, so that the bytes of a host
 	// stay bounded.
 	fullMesh = 16
+	// loadInterval is how often a host says what changed in its requests.
+	loadInterval = 100 * time.Millisecond
+	// fullEvery is the number of such messages of which one names everything,
+	// because messages may be lost.
+	fullEvery = 10
+	// peersEvery is the number of hellos of which one names other hosts.
+	peersEvery = 8
 	// maxPeers bounds the addresses in a hello, so that it fits a datagram.
 	maxPeers = 64
 	// maxDatagram is the size of the receive buffer.
 	maxDatagram = 8 << 10
 )
 
+// Events is what a link asks and tells its host.
+type Events struct {
+	// Describe returns the present hello of this host.
+	Describe func() member.Hello
+	// Changed is called after a host came, left or changed its readiness.
+	Changed func()
+	// Loads returns the requests of this host that others have to know.
+	Loads func(isFull bool) []steer.Load
+	// TakeLoads takes in the requests of another host.
+	TakeLoads func(host model.HostName, loads []steer.Load, isFull bool)
+}
+
+// datagram is one message between hosts; one of its fields is set.
+type datagram struct {
+	Hello *member.Hello `cbor:"1,keyasint,omitempty"`
+	Loads *loadMessage  `cbor:"2,keyasint,omitempty"`
+}
+
+// loadMessage says how many requests a host has at endpoints.
+type loadMessage struct {
+	Host   model.HostName `cbor:"1,keyasint"`
+	IsFull bool           `cbor:"2,keyasint,omitempty"`
+	// Endpoints and Counts have the same length.
+	Endpoints []steer.EndpointID `cbor:"3,keyasint,omitempty"`
+	Counts    []byte             `cbor:"4,keyasint,omitempty"`
+}
+
 // Link sends and receives hellos. It is safe for concurrent use.
 type Link struct {
-	log  *slog.Logger
-	port uint16
-	conn *net.UDPConn
-	// describe returns the present hello of this host.
-	describe func() member.Hello
-	// changed is called after a host came, left or changed its readiness.
-	changed func()
-	mu      sync.Mutex
-	table   *member.Table
+	log    *slog.Logger
+	port   uint16
+	conn   *net.UDPConn
+	events Events
+	mu     sync.Mutex
+	table  *member.Table
 }
 
 // Listen opens the port for hellos on an address.
-func Listen(log *slog.Logger, address netip.AddrPort, table *member.Table, describe func() member.Hello, changed func()) (*Link, error) {
+func Listen(log *slog.Logger, address netip.AddrPort, table *member.Table, events Events) (*Link, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
-	return &Link{log: log, port: address.Port(), conn: conn, describe: describe, changed: changed, table: table}, nil
+	return &Link{log: log, port: address.Port(), conn: conn, events: events, table: table}, nil
 }
 
 // Contact adds addresses at which there may be hosts.
@@ -72,6 +105,7 @@
 	context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	group.Go(func() error { return l.sendLoop(ctx) })
 	group.Go(func() error { return l.receiveLoop(ctx) })
+	group.Go(func() error { return l.loadLoop(ctx) })
 	if err := group.Wait(); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("exchange hellos: %w", err)
 	}
@@ -79,6 +113,7 @@
 }
 
 func (l *Link) sendLoop(ctx context.Context) error {
+	round := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -87,35 +122,76 @@
 		case <-ctx.Done():
 			return nil
 		}
-		reached := l.Send()
+		reached := l.send(round%peersEvery == 0)
+		round++
 		timer.Reset(interval * time.Duration(1+reached/fullMesh))
 	}
 }
 
-// Send says hello to all known hosts at once and returns their number.
-func (l *Link) Send() int {
-	hello := l.describe()
+// Send says hello to all known hosts at once.
+func (l *Link) Send() { l.send(false) }
+
+// send returns the number of addresses that were contacted.
+func (l *Link) send(namesPeers bool) int {
+	hello := l.events.Describe()
 	l.mu.Lock()
-	addresses := l.table.Addresses(time.Now())
 	for _, alive := range l.table.Alive(time.Now()) {
-		if len(hello.Peers) < maxPeers {
+		if namesPeers && len(hello.Peers) < maxPeers {
 			hello.Peers = append(hello.Peers, alive.IP)
 		}
 	}
+	addresses := l.table.Addresses(time.Now())
 	l.mu.Unlock()
-	datagram, err := cbor.Marshal(hello)
+	l.sendTo(addresses, hello.IP, datagram{Hello: &hello})
+	return len(addresses)
+}
+
+func (l *Link) sendTo(addresses []netip.Addr, self netip.Addr, message datagram) {
+	content, err := cbor.Marshal(message)
 	if err != nil {
-		l.log.Error("hello not encoded", "error", err)
-		return 0
+		l.log.Error("message to hosts not encoded", "error", err)
+		return
 	}
 	for _, address := range addresses {
-		if address == hello.IP {
+		if address == self {
 			continue
 		}
-		// A lost hello is repeated soon; an unreachable host shows by its silence.
-		_, _ = l.conn.WriteToUDPAddrPort(datagram, netip.AddrPortFrom(address, l.port))
+		// A lost message is made up for soon; an unreachable host shows by its
+		// silence.
+		_, _ = l.conn.WriteToUDPAddrPort(content, netip.AddrPortFrom(address, l.port))
+	}
+}
+
+// loadLoop tells the live hosts how many requests this host has where.
+func (l *Link) loadLoop(ctx context.Context) error {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ticker.C:
+			l.sendLoads(round%fullEvery == 0)
+		case <-ctx.Done():
+			return nil
+		}
 	}
-	return len(addresses)
+}
+
+func (l *Link) sendLoads(isFull bool) {
+	loads := l.events.Loads(isFull)
+	if len(loads) == 0 {
+		return
+	}
+	hello := l.events.Describe()
+	message := &loadMessage{Host: hello.Host, IsFull: isFull}
+	for _, load := range loads {
+		message.Endpoints = append(message.Endpoints, load.Endpoint)
+		message.Counts = append(message.Counts, load.Count)
+	}
+	var addresses []netip.Addr
+	for _, alive := range l.Alive() {
+		addresses = append(addresses, alive.IP)
+	}
+	l.sendTo(addresses, hello.IP, datagram{Loads: message})
 }
 
 func (l *Link) receiveLoop(ctx context.Context) error {
@@ -126,16 +202,30 @@
 			return nil
 		}
 		if err != nil {
-			l.log.Warn("hello not received", "error", err)
+			l.log.Warn("message not received", "error", err)
 			continue
 		}
-		hello, err := Decode(buffer[:count])
+		message, err := decode(buffer[:count])
 		if err != nil {
-			l.log.Warn("hello not understood", "from", from.String(), "error", err)
+			l.log.Warn("message not understood", "from", from.String(), "error", err)
 			continue
 		}
-		l.observe(hello)
+		l.take(message)
+	}
+}
+
+func (l *Link) take(message datagram) {
+	if message.Hello != nil {
+		l.observe(*message.Hello)
 	}
+	if message.Loads == nil {
+		return
+	}
+	loads := make([]steer.Load, len(message.Loads.Endpoints))
+	for i, endpoint := range message.Loads.Endpoints {
+		loads[i] = steer.Load{Endpoint: endpoint, Count: message.Loads.Counts[i]}
+	}
+	l.events.TakeLoads(message.Loads.Host, loads, message.Loads.IsFull)
 }
 
 func (l *Link) observe(hello member.Hello) {
@@ -147,17 +237,20 @@
 	}
 	l.log.Info("host changed", "peer", hello.Host, "zone", hello.Zone, "ready", hello.IsReady,
 		"leaving", hello.IsLeaving, "incarnation", hello.Incarnation, "configVersion", hello.ConfigVersion)
-	l.changed()
+	l.events.Changed()
 }
 
-// Decode decodes a hello and checks what the table relies on.
-func Decode(datagram []byte) (member.Hello, error) {
-	var hello member.Hello
-	if err := cbor.Unmarshal(datagram, &hello); err != nil {
-		return member.Hello{}, fmt.Errorf("decode hello: %w", err)
+// decode decodes a message and checks what its readers rely on.
+func decode(content []byte) (datagram, error) {
+	var message datagram
+	if err := cbor.Unmarshal(content, &message); err != nil {
+		return datagram{}, fmt.Errorf("decode message: %w", err)
+	}
+	if message.Hello != nil && (message.Hello.Host == "" || !message.Hello.IP.IsValid()) {
+		return datagram{}, errors.New("decode hello: host or address is missing")
 	}
-	if hello.Host == "" || !hello.IP.IsValid() {
-		return member.Hello{}, errors.New("decode hello: host or address is missing")
+	if message.Loads != nil && len(message.Loads.Endpoints) != len(message.Loads.Counts) {
+		return datagram{}, errors.New("decode loads: endpoints and counts differ in number")
 	}
-	return hello, nil
+	return message, nil
 }
--- a/member/table.go
+++ b/member/table.go
@@ -21,29 +21,29 @@
 
 // Hello is what a host says of itself.
 type Hello struct {
-	Host   model.HostName   `cbor:"host"`
-	Zone   model.ZoneName   `cbor:"zone"`
-	Region model.RegionName `cbor:"region"`
+	Host   model.HostName   `cbor:"1,keyasint,omitempty"`
+	Zone   model.ZoneName   `cbor:"2,keyasint,omitempty"`
+	Region model.RegionName `cbor:"3,keyasint,omitempty"`
 	// Incarnation is higher for each start of the host.
-	Incarnation int64      `cbor:"incarnation"`
-	IP          netip.Addr `cbor:"ip"`
+	Incarnation int64      `cbor:"4,keyasint,omitempty"`
+	IP          netip.Addr `cbor:"5,keyasint,omitempty"`
 	// CallerAddress is where callers reach the host.
-	CallerAddress string `cbor:"callerAddress"`
+	CallerAddress string `cbor:"6,keyasint,omitempty"`
 	// ControlAddress is where peers read what the host knows.
-	ControlAddress string `cbor:"controlAddress"`
+	ControlAddress string `cbor:"7,keyasint,omitempty"`
 	// IsReady is true if the host takes requests.
-	IsReady bool `cbor:"isReady"`
+	IsReady bool `cbor:"8,keyasint,omitempty"`
 	// IsLeaving is true once the host stops. It is final for the incarnation.
-	IsLeaving bool `cbor:"isLeaving"`
+	IsLeaving bool `cbor:"9,keyasint,omitempty"`
 	// HasStore is false while the store does not answer the host.
-	HasStore bool `cbor:"hasStore"`
+	HasStore bool `cbor:"10,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration in force.
-	ConfigVersion uint64 `cbor:"configVersion"`
+	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
 	// OperatorVersion is the version of the store at the last reading of
 	// configuration and evacuations.
-	OperatorVersion uint64 `cbor:"operatorVersion"`
+	OperatorVersion uint64 `cbor:"12,keyasint,omitempty"`
 	// Peers are addresses of other hosts that the host has heard.
-	Peers []netip.Addr `cbor:"peers"`
+	Peers []netip.Addr `cbor:"13,keyasint,omitempty"`
 }
 
 // known is the last hello of a host.
--- a/node/node.go
+++ b/node/node.go
@@ -92,7 +92,9 @@
 		"callers", n.settings.CallerAddress, "store", n.settings.StoreAddress)
 	table := member.NewTable(n.settings.Host)
 	table.Contact(n.settings.Seeds, time.Now())
-	link, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, n.describe, n.refreshHosts)
+	link, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, gossip.Events{
+		Describe: n.describe, Changed: n.refreshHosts, Loads: n.core.Loads, TakeLoads: n.core.TakeLoads,
+	})
 	if err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -138,6 +138,20 @@
 	c.steerer.SetHosts(hosts)
 }
 
+// Loads returns what other hosts have to know of this host's requests.
+func (c *Core) Loads(isFull bool) []steer.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.steerer.Loads(isFull)
+}
+
+// TakeLoads takes in what another host said of its requests.
+func (c *Core) TakeLoads(host model.HostName, loads []steer.Load, isFull bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.steerer.TakeLoads(host, loads, isFull, time.Now())
+}
+
 // refresh hands changes of the roster to the steerer.
 func (c *Core) refresh(always bool) {
 	if c.config == nil || (!always && c.roster.Revision() == c.steered) {
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -12,7 +12,7 @@
 const (
 	// reportDecay is the time in which what a load report says of other hosts'
 	// requests fades: most of them have ended by then.
-	reportDecay = 400 * time.Millisecond
+	reportDecay = 200 * time.Millisecond
 	// slownessDecay is the time in which a slow response fades. Endpoints are
 	// slowed by their neighbours for moments.
 	slownessDecay = 1500 * time.Millisecond
@@ -40,6 +40,10 @@
 
 	// inFlight is the number of this host's requests at the endpoint.
 	inFlight int
+	// announced is the number that other hosts know.
+	announced int
+	// told holds what other hosts said of their requests at the endpoint.
+	told map[model.HostName]told
 	// others is the number of other hosts' requests at reportedAt.
 	others     float64
 	reportedAt time.Time
@@ -76,7 +80,7 @@
 
 // load is the expected number of requests at the endpoint.
 func (e *endpoint) load(now time.Time) float64 {
-	return float64(e.inFlight) + e.others*fade(now.Sub(e.reportedAt), reportDecay)
+	return float64(e.inFlight) + max(e.toldLoad(now), e.others*fade(now.Sub(e.reportedAt), reportDecay))
 }
 
 // report takes in a load report, which counts this host's requests too.
@@ -125,6 +129,9 @@
 
 func (e *endpoint) isCold(now time.Time) bool { return now.Before(e.coldUntil) }
 
+// isAvailable reports whether the endpoint takes requests at its full rate.
+func (e *endpoint) isAvailable(now time.Time) bool { return !e.isSuspect(now) && !e.isCold(now) }
+
 func (e *endpoint) isSuspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
 func fade(elapsed, over time.Duration) float64 {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -21,6 +21,11 @@
 	// queueRoom is how many requests may wait at an endpoint beyond its slots.
 	// More would pass their objective while they wait.
 	queueRoom = 2
+	// maxPlaces is how many endpoints of its ranking an object may use. An
+	// endpoint keeps a limited number of objects: under load, objects that go
+	// everywhere push each other out, every request becomes slow, and the load
+	// stays even after its cause has gone.
+	maxPlaces = 2
 	// localRetry is the Retry-After of a request that finds every endpoint
 	// full: about the time in which a slot becomes free.
 	localRetry = 300 * time.Millisecond
@@ -200,8 +205,12 @@
 	return s.send(state, best, now)
 }
 
+// hasObject reports whether an endpoint may be faster with the request if it
+// has handled the object before.
+func (q Query) hasObject() bool { return q.Route.HasAffinity && q.Object != "" }
+
 func (s *Steerer) objectHash(query Query) uint64 {
-	if query.Route.HasAffinity && query.Object != "" {
+	if query.hasObject() {
 		return hash64(query.Route.Domain, query.Route.Prefix, query.Object)
 	}
 	return hash64(query.Attempt)
@@ -218,7 +227,19 @@
 // best returns the endpoint that is expected to answer first.
 func (s *Steerer) best(state *service, endpoints []*endpoint, object uint64, query Query, now time.Time) choice {
 	var best choice
+	places := len(endpoints)
+	if query.hasObject() {
+		places = maxPlaces
+	}
+	available := 0
 	for place, candidate := range rank(object, endpoints) {
+		if available == places {
+			break
+		}
+		// The objects of an endpoint that is not available move on to the next.
+		if candidate.isAvailable(now) {
+			available++
+		}
 		if !s.mayUse(state, candidate, query, now) {
 			continue
 		}
@@ -276,7 +297,7 @@
 func (s *Steerer) expected(state *service, candidate *endpoint, place int, query Query, now time.Time) time.Duration {
 	median := state.median()
 	work := float64(median) / familiarity(0)
-	if query.Route.HasAffinity {
+	if query.hasObject() {
 		work *= familiarity(place)
 	}
 	work *= candidate.currentSlowness(now)
