--- a/steer/steer.go
+++ b/steer/steer.go
@@ -26,6 +26,9 @@
 	// everywhere push each other out, every request becomes slow, and the load
 	// stays even after its cause has gone.
 	maxPlaces = 2
+	// spareShare is the part of its slots up to which an endpoint must be used
+	// to take an object that it hardly knows.
+	spareShare = 0.5
 	// localRetry is the Retry-After of a request that finds every endpoint
 	// full: about the time in which a slot becomes free.
 	localRetry = 300 * time.Millisecond
@@ -46,12 +49,8 @@
 	switch place {
 	case 0:
 		return 0.3
-	case 1:
-		return 0.5
-	case 2:
-		return 0.7
 	}
-	return 1
+	return 0.9
 }
 
 // Query is a request that needs an endpoint.
@@ -243,6 +242,11 @@
 		if !s.mayUse(state, candidate, query, now) {
 			continue
 		}
+		// The other endpoints take an object that they hardly know only into a
+		// free slot, so that an overload does not spread it.
+		if query.hasObject() && place > 0 && available > 1 && candidate.load(now) >= float64(candidate.slots)*spareShare {
+			continue
+		}
 		best.candidates++
 		expected := s.expected(state, candidate, place, query, now)
 		if best.endpoint == nil || expected < best.expected {
