--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -103,7 +103,7 @@
 		return nil, &NotSentError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = used.Close() })
-	reply, err := p.exchangeOn(used, address, request)
+	reply, err := exchangeOn(used, request)
 	if err != nil || reply.Rest == nil {
 		isOurs := stop()
 		if err != nil || !isOurs {
@@ -132,7 +132,7 @@
 	p.put(address, used, lifetimeOf(reply.Header))
 }
 
-func (p *Pool) exchangeOn(used *connection, address netip.AddrPort, request Request) (*Reply, error) {
+func exchangeOn(used *connection, request Request) (*Reply, error) {
 	// A process that was paused must not begin to send after the deadline.
 	if !time.Now().Before(request.Deadline) {
 		return nil, &NotSentError{cause: errors.New("deadline has passed")}
@@ -189,7 +189,7 @@
 // which faulty endpoints send late, are skipped.
 func readReply(used *connection, request Request) (*Reply, error) {
 	for range maxForeign + 1 {
-		response, err := readHead(used, request.Method)
+		response, err := readHead(used, request.Method) //nolint:bodyclose // the body is read to its end or becomes part of the reply
 		if err != nil {
 			return nil, err
 		}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -46,8 +46,7 @@
 // familiarity is the expected work of a request for an object at the endpoints
 // of its ranking, in relation to an endpoint that does not know the object.
 func familiarity(place int) float64 {
-	switch place {
-	case 0:
+	if place == 0 {
 		return 0.3
 	}
 	return 0.9
@@ -95,7 +94,6 @@
 	region  model.RegionName
 	regions map[model.ZoneName]model.RegionName
 
-	revision  uint64
 	endpoints map[model.EndpointName]*endpoint
 	services  map[model.ServiceName]*service
 	// hosts are the live entry hosts by region; they share cold endpoints.
@@ -239,7 +237,7 @@
 		if candidate.isAvailable(now) {
 			available++
 		}
-		if !s.mayUse(state, candidate, query, now) {
+		if !s.mayUse(candidate, query, now) {
 			continue
 		}
 		// The other endpoints take an object that they hardly know only into a
@@ -267,7 +265,7 @@
 	return s.best(state, others, object, query, now)
 }
 
-func (s *Steerer) mayUse(state *service, candidate *endpoint, query Query, now time.Time) bool {
+func (s *Steerer) mayUse(candidate *endpoint, query Query, now time.Time) bool {
 	if slices.Contains(query.Tried, candidate.name) || candidate.isSuspect(now) {
 		return false
 	}
