--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -65,7 +65,7 @@
 type NotSentError struct{ cause error }
 
 // Error implements error.
-func (e *NotSentError) Error() string { return "request was not sent: " + e.cause.Error() }
+func (e *NotSentError) Error() string { return fmt.Sprintf("request was not sent: %v", e.cause) }
 
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.cause }
@@ -80,7 +80,7 @@
 }
 
 // Error implements error.
-func (e *BrokenError) Error() string { return "no whole response: " + e.cause.Error() }
+func (e *BrokenError) Error() string { return fmt.Sprintf("no whole response: %v", e.cause) }
 
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,110 @@
+package member
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"filberthold/model"
+
+	"gotest.tools/v3/assert"
+)
+
+func start() time.Time { return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC) }
+
+func hello(host, zone, region string) Hello {
+	return Hello{
+		Host: model.HostName(host), Zone: model.ZoneName(zone), Region: model.RegionName(region), Incarnation: 1,
+		IP: netip.MustParseAddr("10.0.0.1"), CallerAddress: host + ":80", IsReady: true, HasStore: true,
+	}
+}
+
+// A lookup response must not name a host that has died or leaves.
+func TestSilentAndLeavingHostsAreNotAlive(t *testing.T) {
+	table := NewTable("self")
+	assert.Assert(t, table.Observe(hello("a", "za", "north"), start()))
+	assert.Assert(t, !table.Observe(hello("a", "za", "north"), start()))
+	assert.Equal(t, len(table.Alive(start())), 1)
+	assert.Equal(t, len(table.Alive(start().Add(silence))), 0)
+	leaving := hello("a", "za", "north")
+	leaving.IsLeaving = true
+	assert.Assert(t, table.Observe(leaving, start()))
+	// A hello from before may arrive after it.
+	table.Observe(hello("a", "za", "north"), start())
+	assert.Equal(t, len(table.Alive(start())), 0)
+	again := hello("a", "za", "north")
+	again.Incarnation = 2
+	assert.Assert(t, table.Observe(again, start()))
+	assert.Equal(t, len(table.Alive(start())), 1)
+}
+
+func TestOldIncarnationIsIgnored(t *testing.T) {
+	table := NewTable("self")
+	again := hello("a", "za", "north")
+	again.Incarnation = 2
+	table.Observe(again, start())
+	late := hello("a", "zb", "south")
+	assert.Assert(t, !table.Observe(late, start()))
+	assert.Equal(t, table.Alive(start())[0].Zone, model.ZoneName("za"))
+}
+
+// Hosts that start while the store is down find each other through the
+// addresses that others name.
+func TestPeersOfPeersAreContacted(t *testing.T) {
+	table := NewTable("self")
+	naming := hello("a", "za", "north")
+	naming.Peers = []netip.Addr{netip.MustParseAddr("10.0.0.9")}
+	table.Observe(naming, start())
+	found := table.Addresses(start())
+	assert.Equal(t, len(found), 2)
+	assert.Equal(t, found[1], netip.MustParseAddr("10.0.0.9"))
+	assert.Equal(t, len(table.Addresses(start().Add(forgetting+time.Second))), 0)
+}
+
+func TestNearest(t *testing.T) {
+	unready := hello("d", "za", "north")
+	unready.IsReady = false
+	hosts := []Hello{hello("a", "za", "north"), hello("b", "zb", "north"), hello("c", "zc", "south"), unready}
+	tests := map[string]struct {
+		zone, region string
+		least        int
+		want         []string
+	}{
+		"the zone has enough":           {"za", "north", 1, []string{"a"}},
+		"the region makes up":           {"za", "north", 2, []string{"a", "b"}},
+		"no host in the region":         {"zx", "west", 2, []string{"a", "b", "c"}},
+		"one host in the whole region":  {"zc", "south", 2, []string{"c"}},
+		"another zone of the same area": {"zx", "north", 2, []string{"a", "b"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			for _, host := range Nearest(hosts, model.ZoneName(test.zone), model.RegionName(test.region), test.least) {
+				got = append(got, string(host.Host))
+			}
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+// Hosts that see the same hosts must agree on the reader, and a host that the
+// store turns away must not be it.
+func TestReader(t *testing.T) {
+	hosts := []Hello{hello("a", "za", "north"), hello("b", "zb", "north"), hello("c", "zc", "south")}
+	reader, exists := Reader(hosts, "north")
+	assert.Assert(t, exists)
+	reversed, _ := Reader([]Hello{hosts[1], hosts[0]}, "north")
+	assert.Equal(t, reader.Host, reversed.Host)
+	for i := range hosts {
+		if hosts[i].Host == reader.Host {
+			hosts[i].HasStore = false
+		}
+	}
+	other, exists := Reader(hosts, "north")
+	assert.Assert(t, exists && other.Host != reader.Host)
+	_, exists = Reader(hosts, "west")
+	assert.Assert(t, !exists)
+	sources := Sources(hosts, "south")
+	assert.Equal(t, sources[0].Host, model.HostName("c"))
+	assert.Equal(t, sources[1].Host, other.Host)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -60,7 +60,7 @@
 	log := slog.New(slog.NewJSONHandler(lines, nil)).With("host", settings.Host)
 	registry := prometheus.NewRegistry()
 	core := proxy.NewCore(settings.Host, settings.Zone, settings.Regions)
-	store := platform.NewStore(settings.StoreAddress)
+	store := platform.NewStore(settings.StoreAddress, settings.IP)
 	node := &Node{
 		settings: settings, log: log, lines: lines, store: store, core: core, registry: registry,
 		server:      proxy.NewServer(log, core, proxy.NewMetrics(registry)),
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"filberthold/platform"
+
+	"gotest.tools/v3/assert"
+)
+
+func row(key string, version uint64) platform.Row {
+	return platform.Row{Key: key, Value: []byte(key), Version: version}
+}
+
+// Heartbeats are most of what the store says; hosts that follow need only what
+// changed, but a host that knows nothing needs all.
+func TestOnlyChangesThatMatterArePassedOn(t *testing.T) {
+	cache := NewCache()
+	cache.Put(row("a", 1), true)
+	cache.Put(row("b", 2), true)
+	cache.Put(row("a", 3), false)
+	cache.Confirm(3, time.Now())
+	changes, _ := cache.Since(0)
+	assert.Equal(t, len(changes.Rows), 2)
+	changes, _ = cache.Since(2)
+	assert.Equal(t, len(changes.Rows), 0)
+	assert.Equal(t, changes.Version, uint64(3))
+	cache.Put(row("a", 4), true)
+	changes, _ = cache.Since(3)
+	assert.Equal(t, changes.Rows[0].Key, "a")
+}
+
+// Rows may arrive from several hosts; an older one must not replace a newer.
+func TestOlderRowIsIgnored(t *testing.T) {
+	cache := NewCache()
+	cache.Put(platform.Row{Key: "a", Version: 5, IsRemoved: true}, true)
+	cache.Put(row("a", 4), true)
+	changes, _ := cache.Since(0)
+	assert.Assert(t, changes.Rows[0].IsRemoved)
+}
+
+func TestMissingNamesWhatAWholeReadingLacks(t *testing.T) {
+	cache := NewCache()
+	cache.Put(row("a", 1), true)
+	cache.Put(row("b", 2), true)
+	cache.Put(platform.Row{Key: "c", Version: 3, IsRemoved: true}, true)
+	assert.DeepEqual(t, cache.Missing([]platform.Row{row("b", 2)}), []string{"a"})
+}
+
+func TestVersionNeverGoesBack(t *testing.T) {
+	cache := NewCache()
+	at := time.Now()
+	cache.Confirm(7, at)
+	cache.Confirm(5, at.Add(-time.Hour))
+	assert.Equal(t, cache.Version(), uint64(7))
+	assert.Assert(t, cache.Age(at) < time.Second)
+}
+
+func startRelay(t *testing.T) (*Cache, *Cache, string) {
+	t.Helper()
+	operator, endpoints := NewCache(), NewCache()
+	server := httptest.NewServer(NewHandler(slog.New(slog.DiscardHandler), operator, endpoints))
+	t.Cleanup(server.Close)
+	return operator, endpoints, strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestFollowGetsRowsAtOnce(t *testing.T) {
+	operator, endpoints, address := startRelay(t)
+	operator.Put(row("config", 4), true)
+	operator.Confirm(9, time.Now())
+	endpoints.Confirm(9, time.Now())
+	update, err := NewClient().Follow(context.Background(), address, 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, string(update.Operator.Rows[0].Value), "config")
+	assert.Equal(t, update.Operator.Version, uint64(9))
+}
+
+// A change has to reach the hosts that follow without waiting for their next
+// question.
+func TestFollowWakesOnChange(t *testing.T) {
+	operator, endpoints, address := startRelay(t)
+	operator.Confirm(1, time.Now())
+	time.AfterFunc(20*time.Millisecond, func() { endpoints.Put(row("i-1", 2), true) })
+	update, err := NewClient().Follow(context.Background(), address, 1, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, len(update.Endpoints.Rows), 1)
+}
+
+func TestFollowReportsUnreachableHost(t *testing.T) {
+	_, err := NewClient().Follow(context.Background(), "127.0.0.1:1", 0, 0)
+	assert.Assert(t, err != nil)
+}
+
+func FuzzDecodeUpdate(f *testing.F) {
+	f.Add([]byte{0xa0})
+	f.Add([]byte("hello"))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		// Any bytes give an update or an error, and no panic.
+		_, _ = DecodeUpdate(content)
+	})
+}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -19,7 +19,9 @@
 	}
 }
 
-func newRoster() *Roster { return New(map[model.ZoneName]model.RegionName{"za": "north", "zb": "south"}) }
+func newRoster() *Roster {
+	return New(map[model.ZoneName]model.RegionName{"za": "north", "zb": "south"})
+}
 
 // Reports may arrive late; an old one must not bring an endpoint back that
 // drains or is gone.
