Count a removal at once if other hosts have read the store

Ruled out: the reading itself (changes were read at 20.5 s), the relay.

Change: what counts as an outage is the age of what any host has read, not whether the store answers this one.

--- a/node/reader.go
+++ b/node/reader.go
@@ -94,17 +94,20 @@
 	if away == 0 {
 		return
 	}
-	if away > r.heartbeat {
-		r.outageEnded = time.Now()
-	}
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (r *reader) isAfterOutage() bool {
-	return r.link.isLost || time.Since(r.outageEnded) < renewalTime
+// isAfterOutage reports whether entries may be missing only because the store
+// was away. A host that the store turned away while others read it knows what
+// has happened meanwhile: an entry that is missing then is gone.
+func (r *reader) isAfterOutage(now time.Time) bool {
+	if r.known.endpoints.Version() > 0 && r.known.endpoints.Age(now) > r.heartbeat {
+		r.outageEnded = now
+	}
+	return now.Sub(r.outageEnded) < renewalTime
 }
 
 // readEndpoints reads what changed, or the whole table if that is not known.
@@ -113,7 +116,7 @@
 	if after > 0 {
 		rows, err := r.store.Watch(ctx, platform.EndpointTable, after, 0)
 		if err == nil {
-			r.known.takeEndpoints(rows.Rows, rows.Version, at, r.isAfterOutage())
+			r.known.takeEndpoints(rows.Rows, rows.Version, at, r.isAfterOutage(time.Now()))
 			return nil
 		}
 		if !r.isHistoryLost(err, platform.EndpointTable, after) {
@@ -124,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	r.known.takeEndpointTable(rows, at, r.isAfterOutage())
+	r.known.takeEndpointTable(rows, at, r.isAfterOutage(time.Now()))
 	return nil
 }
 
