--- a/proxy/core.go
+++ b/proxy/core.go
@@ -34,15 +34,20 @@
 	budgets  map[model.ServiceName]*score.Budget
 	services []model.ServiceName
 	// steered is the revision of the roster that the steerer has.
-	steered uint64
+	steered  uint64
+	waitlist *steer.Waitlist
+	// waiters hold where a waiting request learns of its endpoint.
+	waiters map[steer.Ticket]chan steer.Send
 	// hasEndpoints is true after the first reading of the entries.
 	hasEndpoints bool
 }
 
 // NewCore returns the core of a host that knows nothing yet.
 func NewCore(host model.HostName, zone model.ZoneName, regions map[model.ZoneName]model.RegionName) *Core {
+	steerer := steer.New(host, zone, regions)
 	return &Core{
-		roster: roster.New(regions), steerer: steer.New(host, zone, regions),
+		roster: roster.New(regions), steerer: steerer,
+		waitlist: steer.NewWaitlist(steerer, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Send),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
 	}
 }
@@ -149,7 +154,9 @@
 func (c *Core) TakeLoads(host model.HostName, loads []steer.Load, isFull bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.steerer.TakeLoads(host, loads, isFull, time.Now())
+	now := time.Now()
+	c.steerer.TakeLoads(host, loads, isFull, now)
+	c.serveWaiting(now)
 }
 
 // refresh hands changes of the roster to the steerer.
@@ -204,4 +211,5 @@
 		c.roster.MarkGone(outcome.Endpoint, now)
 		c.refresh(false)
 	}
+	c.serveWaiting(now)
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -134,9 +134,9 @@
 // attempt sends the request to an endpoint and reports whether the request has
 // ended.
 func (e *exchange) attempt() bool {
-	decision := e.server.core.choose(steer.Query{
+	decision := e.server.core.chooseOrWait(e.request.Context(), steer.Query{
 		Service: e.service, Object: e.meta.Object, Attempt: e.meta.Attempt, Route: e.route, Tried: e.tried,
-	})
+	}, e.waitUntil())
 	switch decision := decision.(type) {
 	case steer.Reject:
 		e.rejected(decision)
@@ -149,6 +149,12 @@
 	return true
 }
 
+// waitUntil is until when the request waits for a slot.
+func (e *exchange) waitUntil() time.Time {
+	patience := time.Duration(float64(e.route.Objective) * waitPart)
+	return e.arrived.Add(min(patience, e.deadline.Sub(e.arrived)/4))
+}
+
 func (e *exchange) rejected(decision steer.Reject) {
 	if e.hasRun {
 		e.fail(http.StatusBadGateway, decision.Reason)
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -210,3 +210,20 @@
 	assert.NilError(t, served.server.Stop(t.Context()))
 	assert.Equal(t, <-results, http.StatusOK)
 }
+
+// A request that finds every slot taken waits for one instead of being sent
+// away.
+func TestRequestWaitsForASlot(t *testing.T) {
+	served := startSite(t, 1)
+	served.endpoints[0].SetWork(150 * time.Millisecond)
+	statuses := make(chan int, 6)
+	for i := range cap(statuses) {
+		go func() {
+			status, _, _ := served.ask(http.MethodGet, "/read/1", fmt.Sprintf("a%d", i), "")
+			statuses <- status
+		}()
+	}
+	for range cap(statuses) {
+		assert.Equal(t, <-statuses, http.StatusOK)
+	}
+}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -61,6 +61,8 @@
 	Route   route.Route
 	// Tried holds the endpoints that the request was sent to before.
 	Tried []model.EndpointName
+	// HasWaited is true if the query was chosen for before and found no room.
+	HasWaited bool
 }
 
 // Decision is what becomes of a query.
@@ -81,6 +83,8 @@
 type Reject struct {
 	Reason     string
 	RetryAfter time.Duration
+	// IsFull is true if a slot may become free soon.
+	IsFull bool
 }
 
 func (Send) isDecision()   {}
@@ -179,7 +183,7 @@
 	if state == nil || len(state.endpoints) == 0 {
 		return Reject{Reason: "the service has no endpoint", RetryAfter: time.Second}
 	}
-	if len(query.Tried) == 0 {
+	if len(query.Tried) == 0 && !query.HasWaited {
 		s.spill = min(spillMost, s.spill+spillEarned)
 	}
 	object := s.objectHash(query)
@@ -194,7 +198,7 @@
 		isSpill = true
 	}
 	if best.endpoint == nil {
-		return Reject{Reason: "every endpoint is full or not reachable", RetryAfter: localRetry}
+		return Reject{Reason: "every endpoint is full or not reachable", RetryAfter: localRetry, IsFull: true}
 	}
 	if isSpill {
 		s.spill--
