Keep knowledge and liveness steady with 65 hosts

Readers of regions changed with them, followers fell back to the store (1,180 calls in 28 s). At the first start all hosts read the store at once. Ruled out: slow answers of the readers alone (5 calls failed).

Change: a hello says how often it comes, and load messages count as signs of life; intervals grow half as fast. The pace of reading follows the drain time of the settings. At the first start only readers read the store. Loads go to other regions every fifth round. Hosts list the rows of hosts every 60 s.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -22,15 +22,19 @@
 const (
 	// interval is how often a host says hello to each other host.
 	interval = 300 * time.Millisecond
-	// fullMesh is the number of hosts up to which each hello goes to all of
-	// them; with more hosts the interval grows, so that the bytes of a host
-	// stay bounded.
-	fullMesh = 16
-	// loadInterval is how often a host says what changed in its requests.
+	// manyHosts is the number of hosts for each of which the intervals grow by
+	// one more time, so that the messages of a host stay bounded.
+	manyHosts = 32
+	// loadInterval is how often a host tells the hosts of its region what
+	// changed in its requests. With many hosts it grows as interval does.
 	loadInterval = 100 * time.Millisecond
 	// fullEvery is the number of such messages of which one names everything,
 	// because messages may be lost.
 	fullEvery = 10
+	// farEvery is the number of such messages of which one goes to the other
+	// regions, whose hosts rarely send to the same endpoints. It names
+	// everything.
+	farEvery = 5
 	// peersEvery is the number of hellos of which one names other hosts.
 	peersEvery = 8
 	// maxPeers bounds the addresses in a hello, so that it fits a datagram.
@@ -122,18 +126,23 @@
 		case <-ctx.Done():
 			return nil
 		}
-		reached := l.send(round%peersEvery == 0)
+		l.send(round%peersEvery == 0)
 		round++
-		timer.Reset(interval * time.Duration(1+reached/fullMesh))
+		timer.Reset(l.helloInterval())
 	}
 }
 
+// helloInterval is how often this host says hello.
+func (l *Link) helloInterval() time.Duration {
+	return interval * time.Duration(1+len(l.Alive())/manyHosts)
+}
+
 // Send says hello to all known hosts at once.
 func (l *Link) Send() { l.send(false) }
 
-// send returns the number of addresses that were contacted.
-func (l *Link) send(namesPeers bool) int {
+func (l *Link) send(namesPeers bool) {
 	hello := l.events.Describe()
+	hello.Interval = l.helloInterval()
 	l.mu.Lock()
 	for _, alive := range l.table.Alive(time.Now()) {
 		if namesPeers && len(hello.Peers) < maxPeers {
@@ -143,7 +152,6 @@
 	addresses := l.table.Addresses(time.Now())
 	l.mu.Unlock()
 	l.sendTo(addresses, hello.IP, datagram{Hello: &hello})
-	return len(addresses)
 }
 
 func (l *Link) sendTo(addresses []netip.Addr, self netip.Addr, message datagram) {
@@ -164,33 +172,47 @@
 
 // loadLoop tells the live hosts how many requests this host has where.
 func (l *Link) loadLoop(ctx context.Context) error {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(loadInterval)
+	defer timer.Stop()
 	for round := 0; ; round++ {
 		select {
-		case <-ticker.C:
-			l.sendLoads(round%fullEvery == 0)
+		case <-timer.C:
 		case <-ctx.Done():
 			return nil
 		}
+		reached := l.sendLoads(round)
+		timer.Reset(loadInterval * time.Duration(1+reached/manyHosts))
 	}
 }
 
-func (l *Link) sendLoads(isFull bool) {
-	loads := l.events.Loads(isFull)
-	if len(loads) == 0 {
+// sendLoads returns the number of hosts in the region.
+func (l *Link) sendLoads(round int) int {
+	hello := l.events.Describe()
+	var near, far []netip.Addr
+	for _, alive := range l.Alive() {
+		if alive.Region == hello.Region {
+			near = append(near, alive.IP)
+			continue
+		}
+		far = append(far, alive.IP)
+	}
+	isFull := round%fullEvery == 0
+	l.sendLoad(hello, near, l.events.Loads(isFull), isFull)
+	if round%farEvery == 0 {
+		l.sendLoad(hello, far, l.events.Loads(true), true)
+	}
+	return len(near)
+}
+
+func (l *Link) sendLoad(hello member.Hello, addresses []netip.Addr, loads []steer.Load, isFull bool) {
+	if len(loads) == 0 && !isFull {
 		return
 	}
-	hello := l.events.Describe()
 	message := &loadMessage{Host: hello.Host, IsFull: isFull}
 	for _, load := range loads {
 		message.Endpoints = append(message.Endpoints, load.Endpoint)
 		message.Counts = append(message.Counts, load.Count)
 	}
-	var addresses []netip.Addr
-	for _, alive := range l.Alive() {
-		addresses = append(addresses, alive.IP)
-	}
 	l.sendTo(addresses, hello.IP, datagram{Loads: message})
 }
 
@@ -221,6 +243,9 @@
 	if message.Loads == nil {
 		return
 	}
+	l.mu.Lock()
+	l.table.Touch(message.Loads.Host, time.Now())
+	l.mu.Unlock()
 	loads := make([]steer.Load, len(message.Loads.Endpoints))
 	for i, endpoint := range message.Loads.Endpoints {
 		loads[i] = steer.Load{Endpoint: endpoint, Count: message.Loads.Counts[i]}
--- a/member/table.go
+++ b/member/table.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// silence is how long a host may be silent and still counts as alive. It
-	// covers three lost datagrams.
-	silence = 1300 * time.Millisecond
+	// missedHellos is how many hellos of a host may be missing while it counts as
+	// alive, and lateness is how late the next one may be.
+	missedHellos = 4
+	lateness     = 100 * time.Millisecond
+	// defaultInterval is assumed of a host that does not say how often it says
+	// hello.
+	defaultInterval = 300 * time.Millisecond
 	// forgetting is how long the address of a silent host is still contacted.
 	forgetting = 30 * time.Second
 )
@@ -42,6 +46,8 @@
 	// OperatorVersion is the version of the store at the last reading of
 	// configuration and evacuations.
 	OperatorVersion uint64 `cbor:"12,keyasint,omitempty"`
+	// Interval is how often the host says hello.
+	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 	// Peers are addresses of other hosts that the host has heard.
 	Peers []netip.Addr `cbor:"13,keyasint,omitempty"`
 }
@@ -95,7 +101,22 @@
 		before.hello.IsLeaving != hello.IsLeaving || before.hello.Incarnation != hello.Incarnation
 }
 
-func (k *known) isAlive(now time.Time) bool { return now.Sub(k.heardAt) < silence }
+// isAlive reports whether the host was heard of late. A host that knows many
+// others says hello more rarely.
+func (k *known) isAlive(now time.Time) bool {
+	interval := k.hello.Interval
+	if interval <= 0 {
+		interval = defaultInterval
+	}
+	return now.Sub(k.heardAt) < missedHellos*interval+lateness
+}
+
+// Touch notes that any other message of a host has arrived.
+func (t *Table) Touch(host model.HostName, now time.Time) {
+	if before := t.hosts[host]; before != nil && before.isAlive(now) {
+		before.heardAt = now
+	}
+}
 
 // Alive returns the hosts that were heard of late and are not leaving, by name.
 func (t *Table) Alive(now time.Time) []Hello {
--- a/node/follower.go
+++ b/node/follower.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// maxAge is the age from which what another host knows is too old to rely
-	// on. The host then reads the store itself.
-	maxAge = 1200 * time.Millisecond
 	// followPause is the pause after a host could not be followed.
 	followPause = 100 * time.Millisecond
 	// avoidTime is how long a host that did not answer is not asked.
@@ -24,6 +21,7 @@
 type follower struct {
 	log    *slog.Logger
 	known  *knowledge
+	pace   pace
 	client *relay.Client
 	// sources returns the hosts to follow, the preferred one first; none if
 	// the host reads the store.
@@ -34,8 +32,8 @@
 	followed model.HostName
 }
 
-func newFollower(log *slog.Logger, known *knowledge, sources func() []member.Hello) *follower {
-	return &follower{log: log, known: known, client: relay.NewClient(), sources: sources, avoided: make(map[model.HostName]time.Time)}
+func newFollower(log *slog.Logger, known *knowledge, pace pace, sources func() []member.Hello) *follower {
+	return &follower{log: log, known: known, pace: pace, client: relay.NewClient(pace.followWait), sources: sources, avoided: make(map[model.HostName]time.Time)}
 }
 
 // loop follows other hosts until ctx ends.
@@ -77,7 +75,7 @@
 		return
 	}
 	f.known.takeUpdate(update, now)
-	if update.Endpoints.Age > maxAge {
+	if update.Endpoints.Age > f.pace.maxAge {
 		f.avoided[source.Host] = now.Add(avoidTime)
 	}
 }
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// registerInterval is how often a host reads the rows of the other hosts.
-	// Between readings hosts learn of each other from their hellos.
-	registerInterval = 10 * time.Second
+	// aloneInterval is how often a host that hears no other one reads the rows of
+	// the other hosts.
+	aloneInterval = 5 * time.Second
+	// registerInterval is how often any other host does. Hosts learn of each
+	// other from their hellos; the rows join groups that do not know each other.
+	registerInterval = 60 * time.Second
 	// registerRetry is the pause after a failed reading or writing.
 	registerRetry = 500 * time.Millisecond
 )
@@ -46,14 +49,29 @@
 	if !n.reader.hasStore.Load() {
 		return true
 	}
+	sinceStart := time.Since(n.startedAt)
+	if n.settings.IsFirstStart && sinceStart < acquaintance {
+		return false
+	}
 	reader, exists := member.Reader(append(n.link.Alive(), n.describe()), n.settings.Region)
 	if !exists || reader.Host == n.settings.Host {
 		return true
 	}
+	if n.settings.IsFirstStart && sinceStart < firstReading {
+		return false
+	}
 	now := time.Now()
-	return n.known.endpoints.Age(now) > maxAge || n.known.operator.Age(now) > maxOperatorAge
+	return n.known.endpoints.Age(now) > n.pace.maxAge || n.known.operator.Age(now) > maxOperatorAge
 }
 
+// acquaintance is how long a host waits for the hellos of others before it
+// reads the store itself, if all hosts start for the first time: one reader in
+// each region is enough, and no caller waits yet.
+const acquaintance = 700 * time.Millisecond
+
+// firstReading is how long the other hosts then wait for the reader.
+const firstReading = 3 * time.Second
+
 // maxOperatorAge is longer than a call of the reader waits for a change of the
 // operator's rows, because only its end confirms that nothing has changed.
 const maxOperatorAge = operatorWait + time.Second
@@ -85,6 +103,9 @@
 	isRegistered := false
 	for {
 		pause := registerInterval
+		if len(n.link.Alive()) == 0 {
+			pause = aloneInterval
+		}
 		if !isRegistered {
 			isRegistered = n.register(ctx)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -48,7 +48,9 @@
 	registry *prometheus.Registry
 	// incarnation is higher for each start of the host.
 	incarnation int64
+	startedAt   time.Time
 	isLeaving   atomic.Bool
+	pace        pace
 	known       *knowledge
 	reader      *reader
 	follower    *follower
@@ -65,10 +67,12 @@
 		settings: settings, log: log, lines: lines, store: store, core: core, registry: registry,
 		server:      proxy.NewServer(log, core, proxy.NewMetrics(registry)),
 		incarnation: time.Now().UnixMilli(),
+		startedAt:   time.Now(),
 	}
+	node.pace = newPace(settings.DrainTime)
 	node.known = newKnowledge(log, core)
-	node.reader = newReader(log, store, node.known, settings.Heartbeat, node.readsStore)
-	node.follower = newFollower(log, node.known, node.sources)
+	node.reader = newReader(log, store, node.known, node.pace, settings.Heartbeat, node.readsStore)
+	node.follower = newFollower(log, node.known, node.pace, node.sources)
 	return node
 }
 
@@ -143,7 +147,7 @@
 	}{
 		{n.settings.ReadyAddress, "GET /ready", http.HandlerFunc(n.handleReady)},
 		{n.settings.DirectoryAddress, "GET /resolve", http.HandlerFunc(n.handleResolve)},
-		{n.settings.ControlAddress, "GET " + relay.Path, relay.NewHandler(n.log, n.known.operator, n.known.endpoints)},
+		{n.settings.ControlAddress, "GET " + relay.Path, relay.NewHandler(n.log, n.known.operator, n.known.endpoints, n.pace.followWait)},
 		{net.JoinHostPort(n.settings.IP.String(), metricsPort), "GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})},
 	}
 	for _, page := range pages {
--- a/node/reader.go
+++ b/node/reader.go
@@ -14,9 +14,6 @@
 	// operatorWait is how long one call waits for a change of the operator's
 	// rows. They change rarely, so that a long wait costs little.
 	operatorWait = 3 * time.Second
-	// entryInterval is how often the changes of the endpoints' entries are
-	// read. An endpoint that drains must be left within about two seconds.
-	entryInterval = 600 * time.Millisecond
 	// storeRetry is the pause after a failed call.
 	storeRetry = 300 * time.Millisecond
 	// probeInterval is how often a host that the store turns away tries again
@@ -32,6 +29,7 @@
 	log   *slog.Logger
 	store *platform.Store
 	known *knowledge
+	pace  pace
 	// isActive reports whether this host should read the store now.
 	isActive  func() bool
 	link      dependency
@@ -45,9 +43,9 @@
 	wake chan struct{}
 }
 
-func newReader(log *slog.Logger, store *platform.Store, known *knowledge, heartbeat time.Duration, isActive func() bool) *reader {
+func newReader(log *slog.Logger, store *platform.Store, known *knowledge, pace pace, heartbeat time.Duration, isActive func() bool) *reader {
 	made := &reader{
-		log: log, store: store, known: known, isActive: isActive, heartbeat: heartbeat,
+		log: log, store: store, known: known, pace: pace, isActive: isActive, heartbeat: heartbeat,
 		link: dependency{log: log, name: "store"}, wake: make(chan struct{}, 1),
 	}
 	made.hasStore.Store(true)
@@ -69,7 +67,7 @@
 			continue
 		}
 		r.regain()
-		wait(ctx, entryInterval-time.Since(started))
+		wait(ctx, r.pace.entryInterval-time.Since(started))
 	}
 	return nil
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -19,10 +19,8 @@
 const (
 	// Path is where a host answers what it knows.
 	Path = "/changes"
-	// followWait is how long a host waits for a change before it answers. It
-	// bounds how old the age is that the asking host knows.
-	followWait = 500 * time.Millisecond
-	// followTimeout bounds a call beyond that, for the way between regions.
+	// followTimeout bounds a call beyond the wait for a change, for the way
+	// between regions.
 	followTimeout = 500 * time.Millisecond
 	// maxChangesBytes bounds an answer.
 	maxChangesBytes = 8 << 20
@@ -47,15 +45,18 @@
 type Handler struct {
 	log                 *slog.Logger
 	operator, endpoints *Cache
+	// wait is how long a call waits for a change. It bounds how old the age is
+	// that the asking host knows.
+	wait time.Duration
 }
 
-// NewHandler returns a handler for two caches.
-func NewHandler(log *slog.Logger, operator, endpoints *Cache) *Handler {
-	return &Handler{log: log, operator: operator, endpoints: endpoints}
+// NewHandler returns a handler for two caches that waits for a change.
+func NewHandler(log *slog.Logger, operator, endpoints *Cache, wait time.Duration) *Handler {
+	return &Handler{log: log, operator: operator, endpoints: endpoints, wait: wait}
 }
 
 // ServeHTTP implements http.Handler. It answers at the next change, or after
-// followWait.
+// the wait.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
 	operatorAfter, errOperator := strconv.ParseUint(query.Get("operator"), 10, 64)
@@ -66,7 +67,7 @@
 	}
 	update, operatorChanged, endpointsChanged := h.update(operatorAfter, endpointsAfter)
 	if len(update.Operator.Rows) == 0 && len(update.Endpoints.Rows) == 0 {
-		timer := time.NewTimer(followWait)
+		timer := time.NewTimer(h.wait)
 		defer timer.Stop()
 		select {
 		case <-operatorChanged:
@@ -98,18 +99,22 @@
 }
 
 // Client asks other hosts. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	// wait is how long the other host waits for a change.
+	wait time.Duration
+}
 
-// NewClient returns a client.
-func NewClient() *Client {
+// NewClient returns a client for hosts that wait for a change.
+func NewClient(wait time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: followTimeout}
-	return &Client{http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}}
+	return &Client{wait: wait, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}}
 }
 
 // Follow asks a host for the rows that changed after the given versions. It
 // waits for the next change, but not for long.
 func (c *Client) Follow(ctx context.Context, address string, operatorAfter, endpointsAfter uint64) (Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.wait+followTimeout)
 	defer cancel()
 	query := url.Values{
 		"operator":  {strconv.FormatUint(operatorAfter, 10)},
--- a/steer/loads.go
+++ b/steer/loads.go
@@ -53,14 +53,16 @@
 }
 
 // Loads returns what other hosts have to know of this host's requests: what
-// changed since the last call, or all.
+// changed since the last call for changes, or all.
 func (s *Steerer) Loads(isFull bool) []Load {
 	var loads []Load
 	for _, one := range s.endpoints {
-		if one.inFlight == one.announced && (!isFull || one.inFlight == 0) {
+		if isFull && one.inFlight == 0 || !isFull && one.inFlight == one.announced {
 			continue
 		}
-		one.announced = one.inFlight
+		if !isFull {
+			one.announced = one.inFlight
+		}
 		loads = append(loads, Load{Endpoint: one.id(), Count: uint8(min(one.inFlight, 255))})
 	}
 	return loads
