Check deploy files, count what a host knows, log failed attempts

'filberthold check' did not know the platform's files. Change: a line for each attempt that fails, the age of the knowledge in the line of the request, gauges, checks of deploy files and settings with file, line and hint (exit code 3).

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"filberthold/config"
+	"filberthold/platform"
 	"filberthold/quest"
 
 	"github.com/pelletier/go-toml/v2"
@@ -16,7 +17,7 @@
 func newCheckCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE...",
-		Short: "Check documents: answers, settings of a host, or the configuration of a deployment",
+		Short: "Check documents: answers, settings of a host, a deploy file, or the configuration of a deployment",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(command *cobra.Command, files []string) error {
 			var faults []error
@@ -49,6 +50,13 @@
 		}
 		return "answers", wrapInvalid(err)
 	}
+	if _, isDeploy := keys["roles"]; isDeploy {
+		return "deploy file", wrapInvalid(platform.CheckDeploy(file, text))
+	}
+	if _, isHost := keys["nodeName"]; isHost {
+		_, err := platform.ParseSettings(file, text)
+		return "settings of a host on the users' platform", wrapInvalid(err)
+	}
 	if _, isSettings := keys["callerAddress"]; isSettings {
 		_, err := config.ParseSettings(file, text)
 		return "settings", wrapInvalid(err)
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"filberthold/config"
+	"filberthold/platform"
 
 	"github.com/samber/oops"
 	"github.com/spf13/cobra"
@@ -49,10 +50,11 @@
 
 func exitCode(err error, hasStarted bool) int {
 	var invalid *config.InvalidError
+	var invalidSettings *platform.SettingsError
 	switch {
 	case !hasStarted:
 		return exitUsage
-	case errors.As(err, &invalid):
+	case errors.As(err, &invalid), errors.As(err, &invalidSettings):
 		return exitInvalid
 	}
 	return exitFailed
--- a/node/node.go
+++ b/node/node.go
@@ -65,12 +65,13 @@
 	store := platform.NewStore(settings.StoreAddress, settings.IP)
 	node := &Node{
 		settings: settings, log: log, lines: lines, store: store, core: core, registry: registry,
-		server:      proxy.NewServer(log, core, proxy.NewMetrics(registry)),
 		incarnation: time.Now().UnixMilli(),
 		startedAt:   time.Now(),
 	}
+	node.registerMetrics()
 	node.pace = newPace(settings.DrainTime)
 	node.known = newKnowledge(log, core)
+	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), func() time.Duration { return node.known.endpoints.Age(time.Now()) })
 	node.reader = newReader(log, store, node.known, node.pace, settings.Heartbeat, node.readsStore)
 	node.follower = newFollower(log, node.known, node.pace, node.sources)
 	return node
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -224,3 +224,16 @@
 	}
 	assert.ErrorContains(t, New(settings, io.Discard).Run(t.Context()), "listen for callers")
 }
+
+// On-call engineers see from the metrics how old a host's knowledge is.
+func TestMetricsTellWhatAHostKnows(t *testing.T) {
+	made := startCluster(t)
+	made.start(16)
+	response, err := http.Get("http://127.0.8.16:9464/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(content), "filberthold_config_version 1"))
+	assert.Assert(t, strings.Contains(string(content), "filberthold_endpoints_age_seconds"))
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -193,8 +193,11 @@
 		e.server.pool.Drop(decision.Endpoint.Address)
 	}
 	e.server.metrics.attempts.WithLabelValues(string(e.service), made.result.String()).Inc()
-	e.server.log.Debug("attempt ended", "request", e.meta.Attempt, "endpoint", decision.Endpoint.Name,
-		"result", made.result.String(), "elapsed", time.Since(started), "error", errorText(err))
+	if made.result != steer.Answered {
+		e.server.log.Info("attempt failed", "request", e.meta.Attempt, "attempt", len(e.tried), "service", e.service,
+			"endpoint", decision.Endpoint.Name, "zone", decision.Endpoint.Zone, "load", decision.Load,
+			"result", made.result.String(), "elapsed", time.Since(started), "error", errorText(err))
+	}
 	return made
 }
 
@@ -300,7 +303,8 @@
 		version = e.config.Version()
 	}
 	e.server.log.Info("request ended", "request", e.meta.Attempt, "object", e.meta.Object, "class", class,
-		"route", e.route.Name, "configVersion", version, "service", e.service, "attempts", len(e.tried), "endpoint", e.last.Endpoint.Name,
+		"route", e.route.Name, "configVersion", version,
+		"knowledgeAge", e.server.knowledgeAge(), "service", e.service, "attempts", len(e.tried), "endpoint", e.last.Endpoint.Name,
 		"place", e.last.Place, "load", e.last.Load, "candidates", e.last.Candidates,
 		"patience", e.meta.Patience, "elapsed", elapsed, "status", status, "outcome", reason, "error", errorText(err))
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -32,6 +32,8 @@
 	pool    *conns.Pool
 	http    *http.Server
 	metrics *Metrics
+	// knowledgeAge is how long ago the endpoints were known to be complete.
+	knowledgeAge func() time.Duration
 	// isLeaving is true once the host stops.
 	isLeaving atomic.Bool
 	// isClosed is true once new requests are refused.
@@ -39,8 +41,8 @@
 }
 
 // NewServer returns a server that is not yet listening.
-func NewServer(log *slog.Logger, core *Core, metrics *Metrics) *Server {
-	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics}
+func NewServer(log *slog.Logger, core *Core, metrics *Metrics, knowledgeAge func() time.Duration) *Server {
+	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics, knowledgeAge: knowledgeAge}
 	server.http = &http.Server{
 		Handler: http.HandlerFunc(server.handle), IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
