--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -52,7 +52,7 @@
 // endpoint 2.1 s after it had left.
 func TestRemovalCountsAtOnceIfOthersReadTheStore(t *testing.T) {
 	stand, made := startReader(t, time.Second)
-	made.lose(turnedAway{})
+	made.lose(storeError{})
 	stand.Remove(platform.EndpointTable, "i-1")
 	made.known.takeUpdate(relay.Update{Endpoints: relay.Changes{Version: 2}}, time.Now())
 	assert.NilError(t, made.readEndpoints(t.Context(), time.Now()))
@@ -81,6 +81,6 @@
 	assert.Equal(t, made.doubtUntil(outage.Add(time.Second)), outage.Add(renewalTime))
 }
 
-type turnedAway struct{}
+type storeError struct{}
 
-func (turnedAway) Error() string { return "the store turned the host away" }
+func (storeError) Error() string { return "the store turned the host away" }
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -43,8 +43,9 @@
 	}, start())
 }
 
-func (w *world) steerer(host model.HostName, zone model.ZoneName) *Steerer {
-	made := New(host, zone, regions())
+// steerer returns the state of a host in zone za.
+func (w *world) steerer(host model.HostName) *Steerer {
+	made := New(host, "za", regions())
 	made.Update(w.config, w.known, []model.ServiceName{"s"})
 	return made
 }
@@ -115,7 +116,7 @@
 func TestRankingIsStable(t *testing.T) {
 	full, fewer := newWorld(8), newWorld(8)
 	fewer.known.Remove("za-3", start(), time.Time{})
-	before, after := full.steerer("h", "za"), fewer.steerer("h", "za")
+	before, after := full.steerer("h"), fewer.steerer("h")
 	moved := 0
 	for i := range 200 {
 		object := fmt.Sprintf("o-%d", i)
@@ -135,7 +136,7 @@
 // of their memories, and the overload stays when its cause has gone. Seen on a
 // day with 100 reads a second at 16 endpoints: each saw about 30 objects.
 func TestOverloadDoesNotSpreadObjects(t *testing.T) {
-	steerer := newWorld(8).steerer("h", "za")
+	steerer := newWorld(8).steerer("h")
 	objects := map[model.EndpointName]map[string]bool{}
 	seen := map[string]map[model.EndpointName]bool{}
 	now := start()
@@ -175,7 +176,7 @@
 	hosts := map[model.RegionName][]model.HostName{"north": {"h1", "h2", "h3"}}
 	arrivals := 0
 	for _, host := range hosts["north"] {
-		steerer := cold.steerer(host, "za")
+		steerer := cold.steerer(host)
 		steerer.SetHosts(hosts)
 		now := start()
 		for range 100 {
@@ -194,7 +195,7 @@
 func TestLoadOfOtherHostsCounts(t *testing.T) {
 	one := newWorld(0)
 	one.add("only", "za", 0)
-	first, second := one.steerer("h1", "za"), one.steerer("h2", "za")
+	first, second := one.steerer("h1"), one.steerer("h2")
 	for i := range 5 {
 		sent(t, first.Choose(query(fmt.Sprintf("o-%d", i)), start()))
 	}
@@ -208,7 +209,7 @@
 func TestLoadsTellOnlyChanges(t *testing.T) {
 	one := newWorld(0)
 	one.add("only", "za", 0)
-	steerer := one.steerer("h1", "za")
+	steerer := one.steerer("h1")
 	assert.Equal(t, len(steerer.Loads(true)), 0)
 	sent(t, steerer.Choose(query("o"), start()))
 	assert.Equal(t, len(steerer.Loads(false)), 1)
@@ -221,7 +222,7 @@
 func TestFullMessageClearsLoads(t *testing.T) {
 	one := newWorld(0)
 	one.add("only", "za", 0)
-	first, second := one.steerer("h1", "za"), one.steerer("h2", "za")
+	first, second := one.steerer("h1"), one.steerer("h2")
 	for i := range 5 {
 		sent(t, first.Choose(query(fmt.Sprintf("o-%d", i)), start()))
 	}
@@ -232,7 +233,7 @@
 
 // A request with homes must not reach an endpoint elsewhere, whatever the load.
 func TestHomesAreKept(t *testing.T) {
-	steerer := newWorld(2).steerer("h", "za")
+	steerer := newWorld(2).steerer("h")
 	bound := query("o")
 	bound.Route.Homes = []model.RegionName{"south"}
 	for i := range 100 {
@@ -245,7 +246,7 @@
 
 // Load alone must move only a small part of a region's requests elsewhere.
 func TestFullRegionSpillsLittle(t *testing.T) {
-	steerer := newWorld(2).steerer("h", "za")
+	steerer := newWorld(2).steerer("h")
 	spilled, total := 0, 0
 	now := start()
 	for i := range 400 {
@@ -264,7 +265,7 @@
 
 // An endpoint that cannot be reached is left for a while and tried again.
 func TestUnreachableEndpointIsAvoided(t *testing.T) {
-	steerer := newWorld(2).steerer("h", "za")
+	steerer := newWorld(2).steerer("h")
 	first := sent(t, steerer.Choose(query("o"), start())).Endpoint.Name
 	steerer.Done(Outcome{Endpoint: first, Result: Unreachable}, start())
 	second := sent(t, steerer.Choose(query("o"), start())).Endpoint.Name
@@ -274,7 +275,7 @@
 }
 
 func TestSecondAttemptGoesElsewhere(t *testing.T) {
-	steerer := newWorld(2).steerer("h", "za")
+	steerer := newWorld(2).steerer("h")
 	asked := query("o")
 	first := sent(t, steerer.Choose(asked, start())).Endpoint.Name
 	asked.Tried = []model.EndpointName{first}
--- a/steer/waitlist_test.go
+++ b/steer/waitlist_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	one := newWorld(0)
 	one.add("only", "za", 0)
-	steerer := one.steerer("h", "za")
+	steerer := one.steerer("h")
 	for i := range 3 + queueRoom {
 		sent(t, steerer.Choose(query(fmt.Sprintf("o-%d", i)), start()))
 	}
@@ -75,7 +75,7 @@
 func TestShortBurstIsServedFromTheList(t *testing.T) {
 	one := newWorld(0)
 	one.add("only", "za", 0)
-	steerer := one.steerer("h", "za")
+	steerer := one.steerer("h")
 	list := NewWaitlist(steerer, 64)
 	served, until := 0, start().Add(500*time.Millisecond)
 	for i := range 12 {
