--- /dev/null
+++ b/conns/fuzz_test.go
@@ -0,0 +1,35 @@
+package conns
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// FuzzReadReply feeds the reader of answers with any bytes. An answer that it
+// accepts must be the own one, and as long as its head says.
+func FuzzReadReply(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 3\r\n\r\none"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 3\r\n\r\none"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 9\r\n\r\nshort"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nuntil the end"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		used := &connection{reader: bufio.NewReader(bytes.NewReader(content))}
+		request := Request{Method: http.MethodGet, IsOwn: func(_ int, header http.Header) bool {
+			return strings.TrimSpace(header.Get("Attempt-Id")) == "a"
+		}}
+		reply, err := readReply(used, request)
+		if err != nil {
+			return
+		}
+		if reply.Header.Get("Attempt-Id") != "a" {
+			t.Fatalf("foreign answer accepted: %v", reply.Header)
+		}
+		if reply.Rest == nil && reply.Length >= 0 && int64(len(reply.Body)) != reply.Length && reply.Status != http.StatusNoContent && reply.Status != http.StatusNotModified {
+			t.Fatalf("%d bytes of %d accepted as whole", len(reply.Body), reply.Length)
+		}
+	})
+}
