Move all requests of a lost region; let retries not wait

Cause: found by reading. A retry on the waiting list was sent without its place in the retry budget. Ruled out: changing the credit for load, which keeps the moved share small.

Change: a region without an available endpoint spends no credit; retries do not wait. Both have a test that fails first.

--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -15,6 +15,7 @@
 	"filberthold/platform/fake"
 	"filberthold/roster"
 	"filberthold/route"
+	"filberthold/steer"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
@@ -229,3 +230,13 @@
 		assert.Equal(t, <-statuses, http.StatusOK)
 	}
 }
+
+// A retry that waits would be sent without its place in the budget.
+func TestRetryDoesNotWait(t *testing.T) {
+	served := startSite(t, 1)
+	decision := served.core.chooseOrWait(t.Context(), steer.Query{
+		Service: "s", Attempt: "a1", Route: served.route("/read/", model.Read), Tried: []model.EndpointName{"i-0"},
+	}, time.Now().Add(time.Hour))
+	_, isRejected := decision.(steer.Reject)
+	assert.Assert(t, isRejected)
+}
--- a/proxy/waiting.go
+++ b/proxy/waiting.go
@@ -16,11 +16,12 @@
 )
 
 // chooseOrWait decides where a request goes. If every endpoint is full, it
-// waits for a slot until a deadline.
+// waits for a slot until a deadline. A retry does not wait: its place in the
+// budget is taken when it is sent.
 func (c *Core) chooseOrWait(ctx context.Context, query steer.Query, until time.Time) steer.Decision {
 	decision := c.choose(query)
 	rejected, isRejected := decision.(steer.Reject)
-	if !isRejected || !rejected.IsFull || !time.Now().Before(until) {
+	if !isRejected || !rejected.IsFull || len(query.Tried) > 0 || !time.Now().Before(until) {
 		return decision
 	}
 	query.HasWaited = true
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -192,17 +192,12 @@
 		return Reject{Reason: "no endpoint in an allowed region", RetryAfter: time.Second}
 	}
 	best := s.best(state, state.byRegion[planned], object, query, now)
-	isSpill := false
-	if best.endpoint == nil && s.spill >= 1 {
-		best = s.bestElsewhere(state, planned, object, query, now)
-		isSpill = true
+	if best.endpoint == nil {
+		best = s.spillOver(state, planned, object, query, now)
 	}
 	if best.endpoint == nil {
 		return Reject{Reason: "every endpoint is full or not reachable", RetryAfter: localRetry, IsFull: true}
 	}
-	if isSpill {
-		s.spill--
-	}
 	return s.send(state, best, now)
 }
 
@@ -258,6 +253,21 @@
 	return best
 }
 
+// spillOver chooses in the other regions for a request that its region cannot
+// take. Load moves only as many requests as there is credit for; a region
+// without an available endpoint loses all of them.
+func (s *Steerer) spillOver(state *service, planned model.RegionName, object uint64, query Query, now time.Time) choice {
+	isDown := !slices.ContainsFunc(state.byRegion[planned], func(one *endpoint) bool { return one.isAvailable(now) })
+	if s.spill < 1 && !isDown {
+		return choice{}
+	}
+	best := s.bestElsewhere(state, planned, object, query, now)
+	if best.endpoint != nil && !isDown {
+		s.spill--
+	}
+	return best
+}
+
 func (s *Steerer) bestElsewhere(state *service, planned model.RegionName, object uint64, query Query, now time.Time) choice {
 	var others []*endpoint
 	for region, endpoints := range state.byRegion {
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -282,3 +282,17 @@
 	second := sent(t, steerer.Choose(asked, start())).Endpoint.Name
 	assert.Assert(t, first != second)
 }
+
+// When every endpoint of a region has become unreachable, its requests must not
+// be rejected beside idle endpoints elsewhere.
+func TestLostRegionSpillsAll(t *testing.T) {
+	steerer := newWorld(2).steerer("h")
+	for _, one := range steerer.services["s"].byRegion["north"] {
+		one.noteUnreachable(start())
+	}
+	for i := range 50 {
+		chosen := sent(t, steerer.Choose(query(fmt.Sprintf("o-%d", i)), start()))
+		assert.Equal(t, chosen.Endpoint.Region, model.RegionName("south"))
+		steerer.Done(Outcome{Endpoint: chosen.Endpoint.Name, Result: Answered, Elapsed: time.Millisecond}, start())
+	}
+}
