--- a/node/hosts.go
+++ b/node/hosts.go
@@ -53,7 +53,7 @@
 	if n.settings.IsFirstStart && sinceStart < acquaintance {
 		return false
 	}
-	reader, exists := member.Reader(append(n.link.Alive(), n.describe()), n.settings.Region)
+	reader, exists := n.regionReader()
 	if !exists || reader.Host == n.settings.Host {
 		return true
 	}
@@ -78,12 +78,16 @@
 
 // sources returns the hosts to follow.
 func (n *Node) sources() []member.Hello {
-	sources := member.Sources(n.link.Alive(), n.settings.Region)
-	reader, exists := member.Reader(append(n.link.Alive(), n.describe()), n.settings.Region)
+	reader, exists := n.regionReader()
 	if exists && reader.Host == n.settings.Host {
 		return nil
 	}
-	return sources
+	return member.Sources(n.link.Alive(), n.settings.Region)
+}
+
+// regionReader returns the host that reads the store for this region.
+func (n *Node) regionReader() (member.Hello, bool) {
+	return member.Reader(append(n.link.Alive(), n.describe()), n.settings.Region)
 }
 
 // refreshHosts hands the live hosts to the decisions.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -213,9 +213,6 @@
 	return true
 }
 
-// IsEvacuated reports whether an availability zone is evacuated.
-func (r *Roster) IsEvacuated(zone model.ZoneName) bool { return r.evacuated[zone] }
-
 // Endpoints returns the endpoints of a service that may be used, by name.
 func (r *Roster) Endpoints(service model.ServiceName) []Endpoint {
 	var usable []Endpoint
