Let the faults of the caller tests spare probes

Its upstream pauses the first request that it gets. Hosts probe their upstreams every second, and a probe that came between the setting of the fault and the submit was paused in its place; the submit was then served, the test failed at line 185 and its cleanup waited for the paused probe for ever. The same gate counted probes in the cases of TestOutcomesUnderFaults.

Ruled out: a second sending.

Change: a gate hands probes to the stand-in whatever the fault. The test sends a probe of its own before the submit, and resumes in a cleanup.

--- a/caller/cluster_test.go
+++ b/caller/cluster_test.go
@@ -25,14 +25,16 @@
 )
 
 // gate stands before a stand-in. The fault, if set, handles requests in place
-// of the stand-in.
+// of the stand-in, except for the probes that hosts send to an upstream at
+// times of their own.
 type gate struct {
 	handler http.Handler
 	fault   atomic.Pointer[func(w http.ResponseWriter, r *http.Request)]
 }
 
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if fault := g.fault.Load(); fault != nil {
+	isProbe := r.URL.Path == "/healthz" || r.URL.Path == "/load"
+	if fault := g.fault.Load(); fault != nil && !isProbe {
 		(*fault)(w, r)
 		return
 	}
@@ -53,11 +55,15 @@
 // cluster is a set of entry hosts, each with a gate of its own before the one
 // platform, and an upstream service with one endpoint.
 type cluster struct {
-	platform  *fakes.Platform
-	ledger    *fakes.Ledger
-	stores    []*gate
-	upstream  *gate
-	addresses []string
+	platform *fakes.Platform
+	ledger   *fakes.Ledger
+	stores   []*gate
+	upstream *gate
+	// upstreamAddress is the address of the gate before the upstream.
+	upstreamAddress string
+	addresses       []string
+	// aborts end the hosts at once and wait for their end.
+	aborts []func()
 	// storeAddresses are the addresses of the gates in stores.
 	storeAddresses []string
 }
@@ -69,8 +75,9 @@
 		t.Cleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
+	c.upstreamAddress = serve(c.upstream)
 	endpoint := config.EndpointDoc{Name: "desk-1", Service: "desk", AvailabilityZone: "a", Slots: slots,
-		Connections: 100, Address: serve(c.upstream)}
+		Connections: 100, Address: c.upstreamAddress}
 	document := config.Document{
 		Name:              "test",
 		AvailabilityZones: []config.ZoneDocument{{Name: "a", Region: "r"}},
@@ -116,7 +123,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { assert.Check(t, host.Serve(ctx, listeners)) })
-	t.Cleanup(func() { host.Abort(); running.Wait(); stop() })
+	abort := func() { host.Abort(); running.Wait(); stop() }
+	c.aborts = append(c.aborts, abort)
+	t.Cleanup(abort)
 	assert.NilError(t, host.WaitReady(t.Context()))
 }
 
--- a/caller/submits_test.go
+++ b/caller/submits_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filberthold/model"
+	"filberthold/upstrm"
 
 	"gotest.tools/v3/assert"
 )
@@ -170,16 +171,23 @@
 // and then the first host goes on. The upstream checks no deadline.
 func TestPauseBetweenCheckAndSend(t *testing.T) {
 	c := startCluster(t, 2, 8, 0)
-	resume, arrived := make(chan struct{}), make(chan struct{})
+	paused, arrived := make(chan struct{}), make(chan struct{})
+	resume := sync.OnceFunc(func() { close(paused) })
+	// A pause that outlives a failed test would keep the upstream from closing.
+	t.Cleanup(resume)
 	var calls atomic.Int64
 	c.upstream.set(func(w http.ResponseWriter, r *http.Request) {
 		if calls.Add(1) == 1 {
 			close(arrived)
-			<-resume
+			<-paused
 		}
 		r.Header.Del("Filberthold-Deadline")
 		c.upstream.handler.ServeHTTP(w, r)
 	})
+	// A probe may come first. It must not be taken for the submit.
+	prober := upstrm.NewClient("a")
+	t.Cleanup(prober.Close)
+	assert.NilError(t, prober.ProbeHealth(t.Context(), c.upstreamAddress))
 	deadline := time.Now().Add(800 * time.Millisecond)
 	outcome, body := c.submit(t.Context(), 0, "key", deadline)
 	assert.Equal(t, outcome, model.Unknown, "%s", body)
@@ -187,10 +195,31 @@
 	until := time.Now().Add(20 * time.Second)
 	outcome, body = c.submit(t.Context(), 1, "key", until)
 	assert.Check(t, outcome == model.Unknown, "%s: %s", outcome, body)
-	close(resume)
+	resume()
 	for outcome != model.Served && time.Now().Before(until) {
 		outcome, body = c.submit(t.Context(), 1, "key", until)
 	}
 	assert.Equal(t, outcome, model.Served, "%s", body)
 	assert.Equal(t, c.ledger.Executions("key"), 1)
 }
+
+// Guards against a host that calls the store after its end: its submission
+// went on, and its calls reached whatever listened at the store's address next.
+func TestAbortedHostCallsNoStore(t *testing.T) {
+	c := startCluster(t, 1, 8, 0)
+	var isAborted atomic.Bool
+	var late atomic.Int64
+	c.stores[0].set(func(w http.ResponseWriter, r *http.Request) {
+		if isAborted.Load() {
+			late.Add(1)
+		}
+		down(w, r)
+	})
+	outcome, body := c.submit(t.Context(), 0, "key", time.Now().Add(100*time.Millisecond))
+	assert.Equal(t, outcome, model.NotSent, "%s", body)
+	c.aborts[0]()
+	isAborted.Store(true)
+	// The pauses of a submission that settles its claim are shorter.
+	time.Sleep(1200 * time.Millisecond)
+	assert.Equal(t, late.Load(), int64(0))
+}
