End the submissions of a host that is aborted

Cause: TestEveryClassIsServedEndToEnd counted 4 executions for 3 calls. A submission runs apart from its caller and did not end when its host was aborted; it went on calling the store for up to LateWindow. When the port of that store was given to an upstream of another test, the upstream executed the call. A run beside the caller tests showed it: two executions were "GET /table/claims/desk/key", Platform-Caller host-0.

Ruled out: hedges, retries and replays inside net/http: the log of the failing run has three sendings and three deliveries.

Change: Server.Close ends the submissions and waits for them. The ledger of the stand-ins describes the first requests that were executed, and the test prints them and keeps its host's log.

--- a/caller/server.go
+++ b/caller/server.go
@@ -146,14 +146,23 @@
 	if err := s.submits.wait(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
+	if err := s.submits.flush(ctx); err != nil {
+		return fmt.Errorf("shut down caller server: %w", err)
+	}
 	return nil
 }
 
-// Close breaks all connections.
+// Close breaks all connections and ends all submissions where they are.
 func (s *Server) Close() error {
 	if err := s.http.Close(); err != nil {
 		return fmt.Errorf("close caller server: %w", err)
 	}
+	if s.submits == nil {
+		return nil
+	}
+	if err := s.submits.stop(); err != nil {
+		return fmt.Errorf("close caller server: %w", err)
+	}
 	return nil
 }
 
--- a/caller/submits.go
+++ b/caller/submits.go
@@ -22,6 +22,9 @@
 	maxSubmits = 2048
 	// maxKeyBytes bounds an idempotency key, which becomes part of a row key.
 	maxKeyBytes = 200
+	// abortTimeout bounds the wait for submissions that were told to end. They
+	// give up their calls at once.
+	abortTimeout = 5 * time.Second
 )
 
 // submits carries submits from the claim of their key to the kept response. A
@@ -33,12 +36,16 @@
 	boundRegister *plat.Register
 	// slots has one element for each submission in progress.
 	slots chan struct{}
+	// working ends when abort is called.
+	working context.Context
+	abort   context.CancelFunc
 }
 
 func newSubmits(register *plat.Register, bound *plat.Bound) *submits {
+	working, abort := context.WithCancel(context.Background())
 	return &submits{
 		register: register, bound: bound, boundRegister: bound.Register(),
-		slots: make(chan struct{}, maxSubmits),
+		slots: make(chan struct{}, maxSubmits), working: working, abort: abort,
 	}
 }
 
@@ -58,7 +65,15 @@
 			return fmt.Errorf("wait for submits: %w", ctx.Err())
 		}
 	}
-	return s.flush(ctx)
+	return nil
+}
+
+// stop ends all submissions where they are.
+func (s *submits) stop() error {
+	s.abort()
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	return s.wait(ctx)
 }
 
 // serveSubmit starts a submission and answers the caller if it is still there
@@ -90,7 +105,7 @@
 		return
 	}
 	submission := &submission{exchange: e, register: register, key: key, answers: make(chan claim.Answer, 1)}
-	go submission.run(context.WithoutCancel(r.Context()))
+	go submission.run(e.server.submits.working)
 	select {
 	case answer := <-submission.answers:
 		e.answerSubmit(w, answer)
@@ -226,6 +241,8 @@
 			return s.end(ctx, reply)
 		case <-timer.C:
 			return s.claim.Learn(ctx, claim.Woke{})
+		case <-ctx.Done():
+			return claim.Finish{}
 		}
 	}
 }
--- a/fakes/ledger.go
+++ b/fakes/ledger.go
@@ -1,6 +1,13 @@
 package fakes
 
-import "sync"
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+
+	"filberthold/model"
+)
 
 // Ledger counts what upstream endpoints really executed. All endpoints of a
 // deployment share one ledger.
@@ -8,7 +15,10 @@
 	mu           sync.Mutex
 	executions   map[string]int
 	startedCount int
-	rejected     int
+	// first holds the first requests that started, for the message of a test
+	// that counts them.
+	first    []string
+	rejected int
 	// shedCount and cancelledCount count requests that were refused by choice
 	// and executions that the caller's cancellation ended.
 	shedCount      int
@@ -20,10 +30,17 @@
 	return &Ledger{executions: make(map[string]int)}
 }
 
-func (l *Ledger) started(key string) {
+// maxFirst bounds the requests that a ledger describes.
+const maxFirst = 16
+
+func (l *Ledger) started(endpoint model.EndpointName, r *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.startedCount++
+	if len(l.first) < maxFirst {
+		l.first = append(l.first, fmt.Sprintf("%s: %s %s from %s, %v", endpoint, r.Method, r.URL.Path, r.RemoteAddr, r.Header))
+	}
+	key := r.Header.Get("Idempotency-Key")
 	if key != "" {
 		l.executions[key]++
 	}
@@ -75,6 +92,13 @@
 	return l.startedCount
 }
 
+// First returns what the first executed requests were.
+func (l *Ledger) First() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.first)
+}
+
 // Rejected returns how many requests met an endpoint without a free slot.
 func (l *Ledger) Rejected() int {
 	l.mu.Lock()
--- a/fakes/upstream.go
+++ b/fakes/upstream.go
@@ -85,7 +85,7 @@
 		<-u.slots
 		u.noteLoad()
 	}()
-	u.ledger.started(r.Header.Get("Idempotency-Key"))
+	u.ledger.started(u.endpoint.Name(), r)
 	if !u.work(r) {
 		u.ledger.cancelled()
 		return
--- a/local/cluster_test.go
+++ b/local/cluster_test.go
@@ -29,7 +29,7 @@
 			assert.NilError(t, err)
 			document, err := config.ParseDocument(test.deployment, text)
 			assert.NilError(t, err)
-			cluster, err := local.Start(local.Options{Document: document, Hosts: 3, Log: io.Discard})
+			cluster, err := local.Start(local.Options{Document: document, Hosts: 3, Log: t.Output()})
 			assert.NilError(t, err)
 			t.Cleanup(func() { assert.Check(t, cluster.Close()) })
 			assert.NilError(t, cluster.WaitReady(t.Context()))
@@ -40,7 +40,7 @@
 			body := call(t, host, http.MethodGet, test.export, "")
 			assert.Equal(t, body, string(fakes.ExportContent("/x", len(body))))
 			assert.Equal(t, cluster.Ledger().Executions("key-1"), 1)
-			assert.Equal(t, cluster.Ledger().Started(), 3)
+			assert.Equal(t, cluster.Ledger().Started(), 3, "%q", cluster.Ledger().First())
 		})
 	}
 }
