Decide in package member who reads the store

Cause: the rule stood in node, beside the code that moves bytes, and had no test of its own. Hello.OperatorVersion had no reader.

Change: member.ReadsStore and member.Sources take what is known as values; the field is removed. No change of behaviour.

--- a/member/reader.go
+++ b/member/reader.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"slices"
+	"time"
 
 	"filberthold/model"
 )
@@ -23,9 +25,56 @@
 	return chosen, found
 }
 
-// Sources returns the hosts to follow, the preferred one first: the reader of
-// the region, then the readers of the other regions.
-func Sources(hosts []Hello, region model.RegionName) []Hello {
+// acquaintance is how long a host waits for the hellos of others before it
+// reads the store itself, if all hosts start for the first time: one reader in
+// each region is enough, and no caller waits yet.
+const acquaintance = 700 * time.Millisecond
+
+// firstReading is how long the other hosts then wait for the reader.
+const firstReading = 3 * time.Second
+
+// Situation is what else decides whether a host reads the store.
+type Situation struct {
+	SinceStart time.Duration
+	// IsFirstStart is true if all hosts start for the first time.
+	IsFirstStart bool
+	// IsStale is true if what the host knows from other hosts is too old.
+	IsStale bool
+}
+
+// ReadsStore reports whether a host reads the store: it is the reader of its
+// region, the store does not answer it at the moment, or what it knows from
+// other hosts is too old.
+func ReadsStore(self Hello, others []Hello, situation Situation) bool {
+	if !self.HasStore {
+		return true
+	}
+	if situation.IsFirstStart && situation.SinceStart < acquaintance {
+		return false
+	}
+	reader, exists := Reader(append(slices.Clone(others), self), self.Region)
+	if !exists || reader.Host == self.Host {
+		return true
+	}
+	if situation.IsFirstStart && situation.SinceStart < firstReading {
+		return false
+	}
+	return situation.IsStale
+}
+
+// Sources returns the hosts that a host follows, the preferred one first: the
+// reader of its region, then the readers of the other regions. The reader of
+// the region follows none.
+func Sources(self Hello, others []Hello) []Hello {
+	chosen, exists := Reader(append(slices.Clone(others), self), self.Region)
+	if exists && chosen.Host == self.Host {
+		return nil
+	}
+	return readers(others, self.Region)
+}
+
+// readers returns the reader of each region, that of the given one first.
+func readers(hosts []Hello, region model.RegionName) []Hello {
 	var sources []Hello
 	if reader, exists := Reader(hosts, region); exists {
 		sources = append(sources, reader)
--- a/member/table.go
+++ b/member/table.go
@@ -43,9 +43,6 @@
 	HasStore bool `cbor:"10,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
-	// OperatorVersion is the version of the store at the last reading of
-	// configuration and evacuations.
-	OperatorVersion uint64 `cbor:"12,keyasint,omitempty"`
 	// Interval is how often the host says hello.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 	// Peers are addresses of other hosts that the host has heard.
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -104,9 +104,46 @@
 	assert.Assert(t, exists && other.Host != reader.Host)
 	_, exists = Reader(hosts, "west")
 	assert.Assert(t, !exists)
-	sources := Sources(hosts, "south")
+	sources := Sources(hello("d", "zc", "south"), hosts)
 	assert.Equal(t, sources[0].Host, model.HostName("c"))
 	assert.Equal(t, sources[1].Host, other.Host)
+	assert.Equal(t, len(Sources(hosts[2], hosts[:2])), 0)
+}
+
+// Guards against hosts that all read the store at once, and against hosts that
+// wait for a reader although they know nothing new.
+func TestReadsStore(t *testing.T) {
+	one, two := hello("a", "za", "north"), hello("b", "zb", "north")
+	reader, _ := Reader([]Hello{one, two}, "north")
+	follower := one
+	if reader.Host == one.Host {
+		follower = two
+	}
+	early := Situation{IsFirstStart: true, SinceStart: acquaintance - 1, IsStale: true}
+	waiting := Situation{IsFirstStart: true, SinceStart: firstReading - 1, IsStale: true}
+	turnedAway := follower
+	turnedAway.HasStore = false
+	cases := []struct {
+		name      string
+		self      Hello
+		others    []Hello
+		situation Situation
+		want      bool
+	}{
+		{"the reader", reader, []Hello{follower}, Situation{}, true},
+		{"a follower", follower, []Hello{reader}, Situation{}, false},
+		{"a follower that learns nothing", follower, []Hello{reader}, Situation{IsStale: true}, true},
+		{"a host that the store turns away", turnedAway, []Hello{reader}, Situation{}, true},
+		{"a host without others", follower, nil, Situation{}, true},
+		{"a host without others at the first moment", follower, nil, early, false},
+		{"a follower while the first reader reads", follower, []Hello{reader}, waiting, false},
+		{"the first reader", reader, []Hello{follower}, waiting, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			assert.Equal(t, ReadsStore(test.self, test.others, test.situation), test.want)
+		})
+	}
 }
 
 // With 65 hosts each says hello less often than the fixed time after which a
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -34,7 +34,7 @@
 		Host: n.settings.Host, Zone: n.settings.Zone, Region: n.settings.Region, Incarnation: n.incarnation,
 		IP: n.settings.IP, CallerAddress: n.settings.CallerAddress, ControlAddress: n.settings.ControlAddress,
 		IsReady: n.isReady(), IsLeaving: n.isLeaving.Load(),
-		HasStore: n.reader.hasStore.Load(), OperatorVersion: n.known.operator.Version(),
+		HasStore: n.reader.hasStore.Load(),
 	}
 	if config := n.core.Config(); config != nil {
 		hello.ConfigVersion = config.Version()
@@ -42,53 +42,21 @@
 	return hello
 }
 
-// readsStore reports whether this host reads the store: it is the reader of
-// its region, the store does not answer it at the moment, or what it knows from
-// other hosts is too old.
-func (n *Node) readsStore() bool {
-	if !n.reader.hasStore.Load() {
-		return true
-	}
-	sinceStart := time.Since(n.startedAt)
-	if n.settings.IsFirstStart && sinceStart < acquaintance {
-		return false
-	}
-	reader, exists := n.regionReader()
-	if !exists || reader.Host == n.settings.Host {
-		return true
-	}
-	if n.settings.IsFirstStart && sinceStart < firstReading {
-		return false
-	}
-	now := time.Now()
-	return n.known.endpoints.Age(now) > n.pace.maxAge || n.known.operator.Age(now) > maxOperatorAge
-}
-
-// acquaintance is how long a host waits for the hellos of others before it
-// reads the store itself, if all hosts start for the first time: one reader in
-// each region is enough, and no caller waits yet.
-const acquaintance = 700 * time.Millisecond
-
-// firstReading is how long the other hosts then wait for the reader.
-const firstReading = 3 * time.Second
-
 // maxOperatorAge is longer than a call of the reader waits for a change of the
 // operator's rows, because only its end confirms that nothing has changed.
 const maxOperatorAge = operatorWait + time.Second
 
-// sources returns the hosts to follow.
-func (n *Node) sources() []member.Hello {
-	reader, exists := n.regionReader()
-	if exists && reader.Host == n.settings.Host {
-		return nil
+func (n *Node) readsStore() bool {
+	now := time.Now()
+	situation := member.Situation{
+		SinceStart: now.Sub(n.startedAt), IsFirstStart: n.settings.IsFirstStart,
+		IsStale: n.known.endpoints.Age(now) > n.pace.maxAge || n.known.operator.Age(now) > maxOperatorAge,
 	}
-	return member.Sources(n.link.Alive(), n.settings.Region)
+	return member.ReadsStore(n.describe(), n.link.Alive(), situation)
 }
 
-// regionReader returns the host that reads the store for this region.
-func (n *Node) regionReader() (member.Hello, bool) {
-	return member.Reader(append(n.link.Alive(), n.describe()), n.settings.Region)
-}
+// sources returns the hosts to follow.
+func (n *Node) sources() []member.Hello { return member.Sources(n.describe(), n.link.Alive()) }
 
 // refreshHosts hands the live hosts to the decisions.
 func (n *Node) refreshHosts() {
