Take the bound of second sends from the settings

Cause: found by reading. The ratio was a constant, and every host saved up to 10 second sends, so that the sum grew with the number of hosts: 78 hosts could send 780 times at once where the platform allows 64 on top of the ratio. The settings of second sends, of the window and of shifts, and the longest life of a lookup response were decoded and not used.

Change: a host uses half of the given ratio, and all hosts together save up no more than the given number (one each at least). Lookup responses live no longer than the settings allow.

--- a/node/node.go
+++ b/node/node.go
@@ -61,7 +61,8 @@
 	lines := logs.NewWriter(out)
 	log := slog.New(slog.NewJSONHandler(lines, nil)).With("host", settings.Host)
 	registry := prometheus.NewRegistry()
-	core := proxy.NewCore(settings.Host, settings.Zone, settings.Regions)
+	core := proxy.NewCore(settings.Host, settings.Zone, settings.Regions,
+		proxy.RetryLimit{Ratio: settings.RetryRatio, Slack: settings.RetrySlack})
 	store := platform.NewStore(settings.StoreAddress, settings.IP)
 	node := &Node{
 		settings: settings, log: log, lines: lines, store: store, core: core, registry: registry,
--- a/node/pages.go
+++ b/node/pages.go
@@ -19,7 +19,8 @@
 	// pageIdle is how long a connection for pages stays open.
 	pageIdle = 30 * time.Second
 	// lookupLifetime is how long callers use a lookup response. Some use it
-	// three times as long, which must end before a stopping host does.
+	// three times as long, which must end before a stopping host does. The
+	// settings may ask for less.
 	lookupLifetime = time.Second
 	// leastNearest is the number of hosts that a lookup response should name,
 	// so that a caller has another one if one fails.
@@ -53,6 +54,13 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
+func (n *Node) lookupLifetime() time.Duration {
+	if limit := n.settings.LookupLifetime; limit > 0 {
+		return min(lookupLifetime, limit)
+	}
+	return lookupLifetime
+}
+
 type lookupDocument struct {
 	Addresses []string `json:"addresses"`
 	TTL       float64  `json:"ttlS"`
@@ -67,7 +75,7 @@
 	if n.isReady() {
 		hosts = append(hosts, n.describe())
 	}
-	document := lookupDocument{TTL: lookupLifetime.Seconds()}
+	document := lookupDocument{TTL: n.lookupLifetime().Seconds()}
 	for _, host := range member.Nearest(hosts, zone, region, leastNearest) {
 		if len(document.Addresses) < maxAddresses {
 			document.Addresses = append(document.Addresses, host.CallerAddress)
--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -26,7 +26,7 @@
 	server := httptest.NewServer(stand)
 	t.Cleanup(server.Close)
 	log := slog.New(slog.DiscardHandler)
-	core := proxy.NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"})
+	core := proxy.NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, proxy.DefaultRetryLimit())
 	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), netip.Addr{})
 	made := newReader(log, store, newKnowledge(log, core), newPace(0), heartbeat, func() bool { return true })
 	stand.Put(platform.EndpointTable, "i-1", entryOf)
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -14,10 +14,27 @@
 	"filberthold/steer"
 )
 
-// retryPercent is the part of a service's requests for which a host may send a
-// second time. It is half of what all hosts together may do, which leaves room
-// for requests that move between hosts.
-const retryPercent = 10
+// RetryLimit bounds the second sends of all hosts together to a service.
+type RetryLimit struct {
+	// Ratio is the part of the service's requests, and Slack the number on top.
+	Ratio float64
+	Slack float64
+}
+
+// DefaultRetryLimit is used if the settings give none.
+func DefaultRetryLimit() RetryLimit { return RetryLimit{Ratio: 0.2, Slack: 60} }
+
+// ownPart is the part of the ratio that a host uses of the requests that it
+// has seen itself. The rest leaves room for requests that move between hosts
+// and for what the hosts have saved up.
+const ownPart = 0.5
+
+// percent returns the percentage of its requests that a host may send a second
+// time.
+func (l RetryLimit) percent() int { return max(1, int(l.Ratio*ownPart*100)) }
+
+// savings returns the second sends that each of a number of hosts may save up.
+func (l RetryLimit) savings(hosts int) int { return int(l.Slack) / max(1, hosts) }
 
 // Core joins what a host knows with its decisions. It is safe for concurrent
 // use; nothing in it waits.
@@ -28,6 +45,9 @@
 	steerer  *steer.Steerer
 	splitter *route.Splitter
 	budgets  map[model.ServiceName]*score.Budget
+	retries  RetryLimit
+	// hosts is the number of live hosts, this one included.
+	hosts    int
 	services []model.ServiceName
 	// steered is the revision of the roster that the steerer has.
 	steered  uint64
@@ -39,12 +59,16 @@
 }
 
 // NewCore returns the core of a host that knows nothing yet.
-func NewCore(host model.HostName, zone model.ZoneName, regions map[model.ZoneName]model.RegionName) *Core {
+func NewCore(host model.HostName, zone model.ZoneName, regions map[model.ZoneName]model.RegionName, retries RetryLimit) *Core {
+	if retries.Ratio <= 0 {
+		retries = DefaultRetryLimit()
+	}
 	steerer := steer.New(host, zone, regions)
 	return &Core{
 		roster: roster.New(regions), steerer: steerer,
 		waitlist: steer.NewWaitlist(steerer, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Send),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
+		retries: retries, hosts: 1,
 	}
 }
 
@@ -60,7 +84,8 @@
 	c.services = config.Services()
 	for _, name := range c.services {
 		if c.budgets[name] == nil {
-			c.budgets[name] = score.NewBudget(retryPercent, 1)
+			c.budgets[name] = score.NewBudget(c.retries.percent(), 1)
+			c.budgets[name].LimitSavings(c.retries.savings(c.hosts))
 		}
 	}
 	c.refresh(true)
@@ -130,6 +155,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.steerer.SetHosts(hosts)
+	count := 0
+	for _, names := range hosts {
+		count += len(names)
+	}
+	if count == c.hosts {
+		return
+	}
+	c.hosts = count
+	for _, budget := range c.budgets {
+		budget.LimitSavings(c.retries.savings(count))
+	}
 }
 
 // Loads returns what other hosts have to know of this host's requests.
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -35,7 +35,7 @@
 func startSite(t *testing.T, endpoints int) *site {
 	t.Helper()
 	regions := map[model.ZoneName]model.RegionName{"za": "north"}
-	made := &site{t: t, core: NewCore("h", "za", regions)}
+	made := &site{t: t, core: NewCore("h", "za", regions, DefaultRetryLimit())}
 	made.server = NewServer(slog.New(slog.DiscardHandler), made.core, NewMetrics(prometheus.NewRegistry()), noAge)
 	made.core.SetConfig(route.NewConfig(1, []route.Route{
 		made.route("/read/", model.Read), made.route("/submit/", model.Submit), made.route("/export/", model.Export),
@@ -175,7 +175,7 @@
 
 // A host without a configuration does not know which routes exist.
 func TestHostWithoutConfigurationRefuses(t *testing.T) {
-	bare := &site{t: t, core: NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"})}
+	bare := &site{t: t, core: NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, DefaultRetryLimit())}
 	bare.server = NewServer(slog.New(slog.DiscardHandler), bare.core, NewMetrics(prometheus.NewRegistry()), noAge)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/score/budget.go
+++ b/score/budget.go
@@ -15,27 +15,35 @@
 	// price is the credit that one extra attempt costs; a request earns one for
 	// each percent.
 	price = 100
-	// maxCredit bounds what a quiet time saves up to 10 extra attempts.
-	maxCredit = 10 * price
+	// maxSavings bounds the extra attempts that a quiet time saves up.
+	maxSavings = 10
 )
 
 // Budget allows extra attempts for a part of the requests. At all times
 // spent <= reserve + percent x requests / 100.
 type Budget struct {
 	percent int
-	// credit is in 0..maxCredit.
-	credit int
+	// credit is in 0..maxCredit, which is the price of 1..maxSavings attempts.
+	credit    int
+	maxCredit int
 }
 
 // NewBudget returns a budget of extra attempts for percent of the requests. A
 // reserve of at most 10 lets a service with few requests use its budget before
 // it has earned an attempt.
 func NewBudget(percent, reserve int) *Budget {
-	return &Budget{percent: percent, credit: min(reserve*price, maxCredit)}
+	return &Budget{percent: percent, credit: min(reserve, maxSavings) * price, maxCredit: maxSavings * price}
+}
+
+// LimitSavings bounds the extra attempts that a quiet time saves up. Many hosts
+// that share a bound must each save less: all of them may spend at once.
+func (b *Budget) LimitSavings(attempts int) {
+	b.maxCredit = max(1, min(attempts, maxSavings)) * price
+	b.credit = min(b.credit, b.maxCredit)
 }
 
 // Earn counts a request.
-func (b *Budget) Earn() { b.credit = min(b.credit+b.percent, maxCredit) }
+func (b *Budget) Earn() { b.credit = min(b.credit+b.percent, b.maxCredit) }
 
 // CanSpend reports whether the budget holds an extra attempt.
 func (b *Budget) CanSpend() bool { return b.credit >= price }
