Close the unread rest of a response that is not passed on

Cause: a long response of an endpoint is read in part before it is judged. When it was not passed on, its rest was closed with the end of the caller's request, and never for a request that is not idempotent: the connection and its goroutines stayed until the endpoint closed it.

Change: a judged response that is not delivered is closed at once. TestUnusedResponseIsClosed, with an unsigned response without end to a submit, failed before (the connection was open after 10 s).

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -219,6 +219,7 @@
 		e.deliver(made)
 		return true
 	case giveUp:
+		made.close()
 		e.hasRun = true
 		e.fail(decided.status, decided.reason)
 		return true
@@ -231,13 +232,18 @@
 
 // mayNotRepeat ends the request if no further attempt is allowed or useful.
 func (e *exchange) mayNotRepeat(made attempted, decided tryAgain) bool {
+	hasLeft := e.request.Context().Err() != nil
+	mayRepeat := len(e.tried) < e.route.MaxAttempts && time.Until(e.deadline) > leastRetryTime && e.stream == nil
+	if !hasLeft && !mayRepeat && e.hasRun && made.isWhole() {
+		e.deliver(made)
+		return true
+	}
+	made.close()
 	switch {
-	case e.request.Context().Err() != nil:
+	case hasLeft:
 		e.fail(http.StatusBadGateway, "the caller has left")
-	case len(e.tried) < e.route.MaxAttempts && time.Until(e.deadline) > leastRetryTime && e.stream == nil:
+	case mayRepeat:
 		return false
-	case e.hasRun && made.reply != nil && made.err == nil && !made.answer.NotStarted && !isSpoiled(made.reply, made.answer):
-		e.deliver(made)
 	case e.hasRun:
 		e.fail(http.StatusBadGateway, decided.reason)
 	default:
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -240,3 +240,12 @@
 	_, isRejected := decision.(steer.Reject)
 	assert.Assert(t, isRejected)
 }
+
+// A long response that is not passed on must not keep its connection open.
+func TestUnusedResponseIsClosed(t *testing.T) {
+	served := startSite(t, 1)
+	served.behave(fake.UnsealedAtLength)
+	status, _, _ := served.ask(http.MethodPost, "/submit/1", "a1", "content")
+	assert.Equal(t, status, http.StatusBadGateway)
+	waitFor(t, func() bool { return served.endpoints[0].Open() == 0 })
+}
--- a/proxy/verdict.go
+++ b/proxy/verdict.go
@@ -45,6 +45,20 @@
 	result steer.Result
 }
 
+// isWhole reports whether there is a response of the endpoint's own that may
+// be passed on.
+func (m attempted) isWhole() bool {
+	return m.reply != nil && m.err == nil && !m.answer.NotStarted && !isSpoiled(m.reply, m.answer)
+}
+
+// close gives up the rest of a long response that is not passed on.
+func (m attempted) close() {
+	if m.reply != nil && m.reply.Rest != nil {
+		// Nothing of the response is used any more.
+		_ = m.reply.Rest.Close()
+	}
+}
+
 // classify names the result of an attempt for the steering.
 func classify(reply *conns.Reply, answer platform.Answer, err error, hasCallerLeft bool) attempted {
 	made := attempted{reply: reply, answer: answer, err: err}
