Bound the messages about requests and their cost

Ruled out: the requests themselves (13 a second and host) and the kernel (16 of 233 s).

Change: gossip/pace.go bounds how many hosts are told in each 100 ms, and sends none where they would be too old; such a message stands in for an unchanged hello, and a host that does not know the sender asks for its hello. steer keeps one sum for each endpoint and finds endpoints by id; the ranking is a heap, of which most choices take two entries; member keeps its hosts sorted.

The hellos at 680 hosts still exceed the byte budget.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/netip"
+	"reflect"
 	"sync"
 	"time"
 
@@ -20,23 +22,6 @@
 )
 
 const (
-	// interval is how often a host says hello to each other host.
-	interval = 300 * time.Millisecond
-	// manyHosts is the number of hosts for each of which the intervals grow by
-	// one more time, so that the messages of a host stay bounded.
-	manyHosts = 32
-	// loadInterval is how often a host tells the hosts of its region what
-	// changed in its requests. With many hosts it grows as interval does.
-	loadInterval = 100 * time.Millisecond
-	// fullEvery is the number of such messages of which one names everything,
-	// because messages may be lost.
-	fullEvery = 10
-	// farEvery is the number of such messages of which one goes to the other
-	// regions, whose hosts rarely send to the same endpoints. It names
-	// everything.
-	farEvery = 5
-	// peersEvery is the number of hellos of which one names other hosts.
-	peersEvery = 8
 	// maxPeers bounds the addresses in a hello, so that it fits a datagram.
 	maxPeers = 64
 	// maxDatagram is the size of the receive buffer.
@@ -55,10 +40,12 @@
 	TakeLoads func(host model.HostName, loads []steer.Load, isFull bool)
 }
 
-// datagram is one message between hosts; one of its fields is set.
+// datagram is one message between hosts; Hello or Loads is set.
 type datagram struct {
 	Hello *member.Hello `cbor:"1,keyasint,omitempty"`
 	Loads *loadMessage  `cbor:"2,keyasint,omitempty"`
+	// Asks is true if the receiver should say hello to the sender.
+	Asks bool `cbor:"3,keyasint,omitempty"`
 }
 
 // loadMessage says how many requests a host has at endpoints.
@@ -78,6 +65,12 @@
 	events Events
 	mu     sync.Mutex
 	table  *member.Table
+	// lastHello is the last hello without its peers; it goes to all hosts
+	// helloRepeats more times.
+	lastHello    member.Hello
+	helloRepeats int
+	// toldAt is when an address was told of requests of late.
+	toldAt map[netip.Addr]time.Time
 }
 
 // Listen opens the port for hellos on an address.
@@ -86,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
-	return &Link{log: log, port: address.Port(), conn: conn, events: events, table: table}, nil
+	return &Link{log: log, port: address.Port(), conn: conn, events: events, table: table, toldAt: make(map[netip.Addr]time.Time)}, nil
 }
 
 // Contact adds addresses at which there may be hosts.
@@ -117,43 +110,67 @@
 }
 
 func (l *Link) sendLoop(ctx context.Context) error {
-	round := 0
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			return nil
 		}
 		l.send(round%peersEvery == 0)
-		round++
-		timer.Reset(l.helloInterval())
+		timer.Reset(helloInterval(len(l.Alive())))
 	}
 }
 
-// helloInterval is how often this host says hello.
-func (l *Link) helloInterval() time.Duration {
-	return interval * time.Duration(1+len(l.Alive())/manyHosts)
-}
-
 // Send says hello to all known hosts at once.
 func (l *Link) Send() { l.send(false) }
 
 func (l *Link) send(namesPeers bool) {
+	now := time.Now()
 	hello := l.events.Describe()
-	hello.Interval = l.helloInterval()
 	l.mu.Lock()
-	for _, alive := range l.table.Alive(time.Now()) {
+	alive := l.table.Alive(now)
+	hello.Interval = helloInterval(len(alive))
+	toAll := l.mustTellAll(hello) || namesPeers
+	for _, other := range alive {
 		if namesPeers && len(hello.Peers) < maxPeers {
-			hello.Peers = append(hello.Peers, alive.IP)
+			hello.Peers = append(hello.Peers, other.IP)
+		}
+	}
+	maps.DeleteFunc(l.toldAt, func(_ netip.Addr, at time.Time) bool { return now.Sub(at) >= hello.Interval })
+	var addresses []netip.Addr
+	for _, address := range l.table.Addresses(now) {
+		// A host that was told of requests of late knows that this host is alive.
+		if _, wasTold := l.toldAt[address]; toAll || !wasTold {
+			addresses = append(addresses, address)
 		}
 	}
-	addresses := l.table.Addresses(time.Now())
 	l.mu.Unlock()
 	l.sendTo(addresses, hello.IP, datagram{Hello: &hello})
 }
 
+// sayHello says hello to one host, and may ask for its hello.
+func (l *Link) sayHello(address netip.Addr, asks bool) {
+	hello := l.events.Describe()
+	hello.Interval = helloInterval(len(l.Alive()))
+	l.sendTo([]netip.Addr{address}, hello.IP, datagram{Hello: &hello, Asks: asks})
+}
+
+// mustTellAll reports whether a hello differs from the one that all hosts know.
+func (l *Link) mustTellAll(hello member.Hello) bool {
+	hello.Peers = nil
+	if !reflect.DeepEqual(hello, l.lastHello) {
+		l.lastHello = hello
+		l.helloRepeats = helloRepeats
+	}
+	if l.helloRepeats == 0 {
+		return false
+	}
+	l.helloRepeats--
+	return true
+}
+
 func (l *Link) sendTo(addresses []netip.Addr, self netip.Addr, message datagram) {
 	content, err := cbor.Marshal(message)
 	if err != nil {
@@ -172,21 +189,19 @@
 
 // loadLoop tells the live hosts how many requests this host has where.
 func (l *Link) loadLoop(ctx context.Context) error {
-	timer := time.NewTimer(loadInterval)
-	defer timer.Stop()
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
 	for round := 0; ; round++ {
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return nil
 		}
-		reached := l.sendLoads(round)
-		timer.Reset(loadInterval * time.Duration(1+reached/manyHosts))
+		l.sendLoads(round)
 	}
 }
 
-// sendLoads returns the number of hosts in the region.
-func (l *Link) sendLoads(round int) int {
+func (l *Link) sendLoads(round int) {
 	hello := l.events.Describe()
 	var near, far []netip.Addr
 	for _, alive := range l.Alive() {
@@ -196,12 +211,13 @@
 		}
 		far = append(far, alive.IP)
 	}
-	isFull := round%fullEvery == 0
-	l.sendLoad(hello, near, l.events.Loads(isFull), isFull)
-	if round%farEvery == 0 {
+	if rounds := loadRounds(len(near), nearPerRound, 1); isDue(round, rounds) {
+		isFull := isFullDue(round, rounds)
+		l.sendLoad(hello, near, l.events.Loads(isFull), isFull)
+	}
+	if rounds := loadRounds(len(far), farPerRound, leastFarRounds); isDue(round, rounds) {
 		l.sendLoad(hello, far, l.events.Loads(true), true)
 	}
-	return len(near)
 }
 
 func (l *Link) sendLoad(hello member.Hello, addresses []netip.Addr, loads []steer.Load, isFull bool) {
@@ -214,6 +230,12 @@
 		message.Counts = append(message.Counts, load.Count)
 	}
 	l.sendTo(addresses, hello.IP, datagram{Loads: message})
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, address := range addresses {
+		l.toldAt[address] = now
+	}
 }
 
 func (l *Link) receiveLoop(ctx context.Context) error {
@@ -232,20 +254,26 @@
 			l.log.Warn("message not understood", "from", from.String(), "error", err)
 			continue
 		}
-		l.take(message)
+		l.take(message, from.Addr().Unmap())
 	}
 }
 
-func (l *Link) take(message datagram) {
+func (l *Link) take(message datagram, from netip.Addr) {
 	if message.Hello != nil {
 		l.observe(*message.Hello)
 	}
+	if message.Asks {
+		l.sayHello(from, false)
+	}
 	if message.Loads == nil {
 		return
 	}
 	l.mu.Lock()
-	l.table.Touch(message.Loads.Host, time.Now())
+	isKnown := l.table.Touch(message.Loads.Host, time.Now())
 	l.mu.Unlock()
+	if !isKnown {
+		l.sayHello(from, true)
+	}
 	loads := make([]steer.Load, len(message.Loads.Endpoints))
 	for i, endpoint := range message.Loads.Endpoints {
 		loads[i] = steer.Load{Endpoint: endpoint, Count: message.Loads.Counts[i]}
@@ -256,6 +284,10 @@
 func (l *Link) observe(hello member.Hello) {
 	l.mu.Lock()
 	hasChanged := l.table.Observe(hello, time.Now())
+	if hasChanged {
+		// A host that has just started does not know this one.
+		delete(l.toldAt, hello.IP)
+	}
 	l.mu.Unlock()
 	if !hasChanged {
 		return
--- a/member/table.go
+++ b/member/table.go
@@ -59,6 +59,8 @@
 type Table struct {
 	self  model.HostName
 	hosts map[model.HostName]*known
+	// sorted holds the hosts by name.
+	sorted []*known
 	// addresses holds until when an address is contacted.
 	addresses map[netip.Addr]time.Time
 }
@@ -91,11 +93,26 @@
 		// Datagrams may overtake each other.
 		hello.IsLeaving = true
 	}
-	t.hosts[hello.Host] = &known{hello: hello, heardAt: now}
+	hasChanged := before == nil || !before.isAlive(now) || before.hello.IsReady != hello.IsReady ||
+		before.hello.IsLeaving != hello.IsLeaving || before.hello.Incarnation != hello.Incarnation
+	t.set(hello, now)
 	t.addresses[hello.IP] = now.Add(forgetting)
 	t.Contact(hello.Peers, now)
-	return before == nil || !before.isAlive(now) || before.hello.IsReady != hello.IsReady ||
-		before.hello.IsLeaving != hello.IsLeaving || before.hello.Incarnation != hello.Incarnation
+	return hasChanged
+}
+
+// set keeps a hello in place of the host's last one.
+func (t *Table) set(hello Hello, now time.Time) {
+	if before := t.hosts[hello.Host]; before != nil {
+		before.hello, before.heardAt = hello, now
+		return
+	}
+	added := &known{hello: hello, heardAt: now}
+	t.hosts[hello.Host] = added
+	place, _ := slices.BinarySearchFunc(t.sorted, hello.Host, func(one *known, name model.HostName) int {
+		return cmp.Compare(one.hello.Host, name)
+	})
+	t.sorted = slices.Insert(t.sorted, place, added)
 }
 
 // isAlive reports whether the host was heard of late. A host that knows many
@@ -108,22 +125,25 @@
 	return now.Sub(k.heardAt) < missedHellos*interval+lateness
 }
 
-// Touch notes that any other message of a host has arrived.
-func (t *Table) Touch(host model.HostName, now time.Time) {
-	if before := t.hosts[host]; before != nil && before.isAlive(now) {
-		before.heardAt = now
+// Touch notes that any other message of a host has arrived. It reports false
+// if the host has to say hello first: it is new or was silent for too long.
+func (t *Table) Touch(host model.HostName, now time.Time) bool {
+	before := t.hosts[host]
+	if before == nil || !before.isAlive(now) {
+		return false
 	}
+	before.heardAt = now
+	return true
 }
 
 // Alive returns the hosts that were heard of late and are not leaving, by name.
 func (t *Table) Alive(now time.Time) []Hello {
-	var alive []Hello
-	for _, host := range t.hosts {
+	alive := make([]Hello, 0, len(t.sorted))
+	for _, host := range t.sorted {
 		if host.isAlive(now) && !host.hello.IsLeaving {
 			alive = append(alive, host.hello)
 		}
 	}
-	slices.SortFunc(alive, func(a, b Hello) int { return cmp.Compare(a.Host, b.Host) })
 	return alive
 }
 
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -42,8 +42,9 @@
 	inFlight int
 	// announced is the number that other hosts know.
 	announced int
-	// told holds what other hosts said of their requests at the endpoint.
-	told map[model.HostName]told
+	// told is the number of requests that other hosts have at the endpoint by
+	// their own word.
+	told int
 	// others is the number of other hosts' requests at reportedAt.
 	others     float64
 	reportedAt time.Time
@@ -80,7 +81,7 @@
 
 // load is the expected number of requests at the endpoint.
 func (e *endpoint) load(now time.Time) float64 {
-	return float64(e.inFlight) + max(e.toldLoad(now), e.others*fade(now.Sub(e.reportedAt), reportDecay))
+	return float64(e.inFlight) + max(float64(e.told), e.others*fade(now.Sub(e.reportedAt), reportDecay))
 }
 
 // report takes in a load report, which counts this host's requests too.
--- a/steer/loads.go
+++ b/steer/loads.go
@@ -20,10 +20,27 @@
 	Count    uint8
 }
 
-// told is what another host said of its requests at an endpoint.
-type told struct {
-	count uint8
-	at    time.Time
+// toldLoads is what another host said of its requests. Each endpoint's told is
+// the sum of its counts over all hosts.
+type toldLoads struct {
+	at     time.Time
+	counts map[*endpoint]uint8
+}
+
+func (t *toldLoads) set(one *endpoint, count uint8) {
+	one.told += int(count) - int(t.counts[one])
+	if count == 0 {
+		delete(t.counts, one)
+		return
+	}
+	t.counts[one] = count
+}
+
+func (t *toldLoads) clear() {
+	for one, count := range t.counts {
+		one.told -= int(count)
+	}
+	clear(t.counts)
 }
 
 func (e *endpoint) id() EndpointID { return EndpointID(e.hash >> 32) }
@@ -31,24 +48,36 @@
 // TakeLoads takes in what another host said of its requests. A full message
 // names every endpoint at which the host has any.
 func (s *Steerer) TakeLoads(host model.HostName, loads []Load, isFull bool, now time.Time) {
+	said := s.told[host]
+	if said == nil {
+		said = &toldLoads{counts: make(map[*endpoint]uint8)}
+		s.told[host] = said
+	}
+	said.at = now
 	if isFull {
-		for _, one := range s.endpoints {
-			delete(one.told, host)
-		}
+		said.clear()
 	}
-	byID := make(map[EndpointID]uint8, len(loads))
 	for _, load := range loads {
-		byID[load.Endpoint] = load.Count
-	}
-	for _, one := range s.endpoints {
-		count, isNamed := byID[one.id()]
-		if !isNamed {
-			continue
+		if one := s.byID[load.Endpoint]; one != nil {
+			said.set(one, load.Count)
 		}
-		if one.told == nil {
-			one.told = make(map[model.HostName]told)
+	}
+}
+
+// expireTold forgets what hosts said that have been silent since.
+func (s *Steerer) expireTold(now time.Time) {
+	for host, said := range s.told {
+		if now.Sub(said.at) >= loadMemory {
+			said.clear()
+			delete(s.told, host)
 		}
-		one.told[host] = told{count: count, at: now}
+	}
+}
+
+// forgetTold forgets what hosts said of an endpoint that has ended.
+func (s *Steerer) forgetTold(one *endpoint) {
+	for _, said := range s.told {
+		said.set(one, 0)
 	}
 }
 
@@ -67,15 +96,3 @@
 	}
 	return loads
 }
-
-// toldLoad is the number of requests that other hosts have at the endpoint by
-// their own word.
-func (e *endpoint) toldLoad(now time.Time) float64 {
-	sum := 0.0
-	for _, one := range e.told {
-		if now.Sub(one.at) < loadMemory {
-			sum += float64(one.count)
-		}
-	}
-	return sum
-}
--- a/steer/rank.go
+++ b/steer/rank.go
@@ -1,8 +1,8 @@
 package steer
 
 import (
+	"container/heap"
 	"math"
-	"slices"
 )
 
 // hash64 is FNV-1a with a final mix: without the mix, names that differ in
@@ -36,28 +36,55 @@
 	return -float64(candidate.slots) / math.Log(unit(mix(object^candidate.hash)))
 }
 
-// rank orders endpoints for an object, the preferred one first.
-func rank(object uint64, endpoints []*endpoint) []*endpoint {
-	type weighted struct {
-		endpoint *endpoint
-		weight   float64
+// ranking lists endpoints for an object, the preferred one first. Most choices
+// look at the first few only, so that it is a heap and not a sorted list.
+type ranking struct {
+	heap []weighted
+}
+
+type weighted struct {
+	endpoint *endpoint
+	weight   float64
+}
+
+// Len implements heap.Interface.
+func (r *ranking) Len() int { return len(r.heap) }
+
+// Less implements heap.Interface.
+func (r *ranking) Less(i, j int) bool {
+	a, b := r.heap[i], r.heap[j]
+	if a.weight == b.weight {
+		return a.endpoint.name < b.endpoint.name
 	}
-	order := make([]weighted, len(endpoints))
-	for i, candidate := range endpoints {
-		order[i] = weighted{candidate, weightOf(object, candidate)}
+	return a.weight > b.weight
+}
+
+// Swap implements heap.Interface.
+func (r *ranking) Swap(i, j int) { r.heap[i], r.heap[j] = r.heap[j], r.heap[i] }
+
+// Push implements heap.Interface.
+func (r *ranking) Push(entry any) { r.heap = append(r.heap, entry.(weighted)) }
+
+// Pop implements heap.Interface.
+func (r *ranking) Pop() any {
+	last := r.heap[len(r.heap)-1]
+	r.heap = r.heap[:len(r.heap)-1]
+	return last
+}
+
+// start begins the list of endpoints for an object.
+func (r *ranking) start(object uint64, endpoints []*endpoint) {
+	r.heap = r.heap[:0]
+	for _, candidate := range endpoints {
+		r.heap = append(r.heap, weighted{candidate, weightOf(object, candidate)})
 	}
-	slices.SortFunc(order, func(a, b weighted) int {
-		switch {
-		case a.weight > b.weight:
-			return -1
-		case a.weight < b.weight:
-			return 1
-		}
-		return byName(a.endpoint, b.endpoint)
-	})
-	ranked := make([]*endpoint, len(order))
-	for i, entry := range order {
-		ranked[i] = entry.endpoint
+	heap.Init(r)
+}
+
+// next returns the next endpoint, or nil at the end.
+func (r *ranking) next() *endpoint {
+	if len(r.heap) == 0 {
+		return nil
 	}
-	return ranked
+	return heap.Pop(r).(weighted).endpoint
 }
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -99,9 +99,14 @@
 	regions map[model.ZoneName]model.RegionName
 
 	endpoints map[model.EndpointName]*endpoint
+	byID      map[EndpointID]*endpoint
 	services  map[model.ServiceName]*service
+	// told is what other hosts said of their requests.
+	told map[model.HostName]*toldLoads
 	// hosts are the live entry hosts by region; they share cold endpoints.
 	hosts map[model.RegionName][]model.HostName
+	// ranking is used by one choice at a time.
+	ranking ranking
 	// spill is the credit for sending requests to another region than planned.
 	spill float64
 }
@@ -120,7 +125,9 @@
 	return &Steerer{
 		host: host, zone: zone, region: regions[zone], regions: regions,
 		endpoints: make(map[model.EndpointName]*endpoint),
+		byID:      make(map[EndpointID]*endpoint),
 		services:  make(map[model.ServiceName]*service),
+		told:      make(map[model.HostName]*toldLoads),
 		hosts:     map[model.RegionName][]model.HostName{regions[zone]: {host}},
 	}
 }
@@ -136,7 +143,11 @@
 	}
 	for name, one := range s.endpoints {
 		if !present[name] && one.inFlight == 0 {
+			s.forgetTold(one)
 			delete(s.endpoints, name)
+			if s.byID[one.id()] == one {
+				delete(s.byID, one.id())
+			}
 		}
 	}
 }
@@ -159,6 +170,10 @@
 		if one == nil {
 			one = newEndpoint(reported)
 			s.endpoints[reported.Name] = one
+			s.byID[one.id()] = one
+		}
+		if one.born != reported.Born {
+			s.forgetTold(one)
 		}
 		one.update(reported)
 		state.endpoints = append(state.endpoints, one)
@@ -183,6 +198,7 @@
 	if state == nil || len(state.endpoints) == 0 {
 		return Reject{Reason: "the service has no endpoint", RetryAfter: time.Second}
 	}
+	s.expireTold(now)
 	if len(query.Tried) == 0 && !query.HasWaited {
 		s.spill = min(spillMost, s.spill+spillEarned)
 	}
@@ -228,8 +244,10 @@
 		places = maxPlaces
 	}
 	available := 0
-	for place, candidate := range rank(object, endpoints) {
-		if available == places {
+	s.ranking.start(object, endpoints)
+	for place := 0; available < places; place++ {
+		candidate := s.ranking.next()
+		if candidate == nil {
 			break
 		}
 		// The objects of an endpoint that is not available move on to the next.
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -296,3 +299,55 @@
 		steerer.Done(Outcome{Endpoint: chosen.Endpoint.Name, Result: Answered, Elapsed: time.Millisecond}, start())
 	}
 }
+
+// What is summed up for each endpoint must stay what the hosts said last, while
+// messages, lost hosts and new incarnations of endpoints come in any order.
+func TestToldLoadsAddUp(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	one := newWorld(3)
+	steerer := one.steerer("self")
+	names := slices.Sorted(maps.Keys(steerer.endpoints))
+	now := start()
+	for born := int64(2); born < 400; born++ {
+		now = now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
+		var loads []Load
+		for _, name := range names {
+			if random.IntN(2) == 0 {
+				loads = append(loads, Load{Endpoint: steerer.endpoints[name].id(), Count: uint8(random.IntN(3))})
+			}
+		}
+		steerer.TakeLoads(model.HostName(fmt.Sprint("h-", random.IntN(3))), loads, random.IntN(3) == 0, now)
+		if random.IntN(10) == 0 {
+			reborn := steerer.endpoints[names[random.IntN(len(names))]]
+			one.known.Apply(roster.Entry{
+				Endpoint: reborn.name, Service: "s", Address: reborn.address, Zone: reborn.zone, Slots: 3,
+				State: roster.Ready, Sequence: 1, Born: born,
+			}, now)
+			steerer.Update(one.config, one.known, []model.ServiceName{"s"})
+			assert.Equal(t, steerer.endpoints[reborn.name].told, 0)
+		}
+		steerer.expireTold(now)
+		for _, name := range names {
+			said := 0
+			for _, host := range steerer.told {
+				said += int(host.counts[steerer.endpoints[name]])
+			}
+			assert.Equal(t, steerer.endpoints[name].told, said, "%s", name)
+		}
+	}
+}
+
+// The ranking must be the one of a full sort, or objects would move when the
+// program is upgraded host by host.
+func TestRankingIsOrdered(t *testing.T) {
+	steerer, _ := largeWorld(100, 0)
+	endpoints := steerer.services["s"].endpoints
+	steerer.ranking.start(hash64("o"), endpoints)
+	last := math.Inf(1)
+	for range endpoints {
+		weight := weightOf(hash64("o"), steerer.ranking.next())
+		assert.Assert(t, weight <= last)
+		last = weight
+	}
+	assert.Assert(t, steerer.ranking.next() == nil)
+}
