Send exports to endpoints in the own zone and region

Exports are 9% of the requests with 90 kB an answer, over half of these bytes.

Change: an export takes a free slot in its zone, else in its region, else where the plan says.

--- a/steer/steer.go
+++ b/steer/steer.go
@@ -115,9 +115,11 @@
 type service struct {
 	endpoints []*endpoint
 	byRegion  map[model.RegionName][]*endpoint
-	flows     Flows
-	times     score.Window
-	coldRate  float64
+	// inZone are the endpoints in the host's availability zone.
+	inZone   []*endpoint
+	flows    Flows
+	times    score.Window
+	coldRate float64
 }
 
 // New returns a steerer for a host.
@@ -161,7 +163,7 @@
 	if described, exists := config.Service(name); exists {
 		state.coldRate = described.ColdRate
 	}
-	state.endpoints = state.endpoints[:0]
+	state.endpoints, state.inZone = state.endpoints[:0], state.inZone[:0]
 	state.byRegion = make(map[model.RegionName][]*endpoint)
 	capacity := make(map[model.RegionName]float64)
 	for _, reported := range known {
@@ -178,6 +180,9 @@
 		one.update(reported)
 		state.endpoints = append(state.endpoints, one)
 		state.byRegion[one.region] = append(state.byRegion[one.region], one)
+		if one.zone == s.zone {
+			state.inZone = append(state.inZone, one)
+		}
 		capacity[one.region] += float64(one.slots)
 	}
 	state.flows = PlanFlows(s.demand(), capacity)
@@ -207,7 +212,13 @@
 	if !exists {
 		return Reject{Reason: "no endpoint in an allowed region", RetryAfter: time.Second}
 	}
-	best := s.best(state, state.byRegion[planned], object, query, now)
+	var best choice
+	if query.Route.Class == model.Export {
+		best = s.nearby(state, object, query, now)
+	}
+	if best.endpoint == nil {
+		best = s.best(state, state.byRegion[planned], object, query, now)
+	}
 	if best.endpoint == nil {
 		best = s.spillOver(state, planned, object, query, now)
 	}
@@ -271,6 +282,22 @@
 	return best
 }
 
+// nearby chooses an endpoint with a free slot in the own availability zone, or
+// else in the own region. Exports have long answers, whose way costs more than
+// the better use of the slots elsewhere gains.
+func (s *Steerer) nearby(state *service, object uint64, query Query, now time.Time) choice {
+	if !query.Route.AllowsRegion(s.region) {
+		return choice{}
+	}
+	for _, endpoints := range [][]*endpoint{state.inZone, state.byRegion[s.region]} {
+		best := s.best(state, endpoints, object, query, now)
+		if best.endpoint != nil && best.endpoint.load(now) < float64(best.endpoint.slots) {
+			return best
+		}
+	}
+	return choice{}
+}
+
 // spillOver chooses in the other regions for a request that its region cannot
 // take. Load moves only as many requests as there is credit for; a region
 // without an available endpoint loses all of them.
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -351,3 +351,40 @@
 	}
 	assert.Assert(t, steerer.ranking.next() == nil)
 }
+
+// Guards against long answers that cross availability zones and regions while
+// an endpoint nearby has a free slot: they were half of the bytes between zones.
+func TestExportsStayNearby(t *testing.T) {
+	zones := map[model.ZoneName]model.RegionName{"za": "north", "za2": "north", "zb": "south"}
+	one := newWorld(0)
+	one.known = roster.New(zones)
+	one.add("own", "za", 0)
+	one.add("near", "za2", 0)
+	for i := range 4 {
+		one.add(fmt.Sprint("far-", i), "zb", 0)
+	}
+	cases := []struct {
+		name  string
+		full  []model.EndpointName
+		homes []model.RegionName
+		want  model.ZoneName
+	}{
+		{"own zone", nil, nil, "za"},
+		{"own zone is full", []model.EndpointName{"own"}, nil, "za2"},
+		{"region is full", []model.EndpointName{"own", "near"}, nil, "zb"},
+		{"region is not allowed", nil, []model.RegionName{"south"}, "zb"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			steerer := New("h", "za", zones)
+			steerer.Update(one.config, one.known, []model.ServiceName{"s"})
+			steerer.spill = spillMost
+			for _, name := range test.full {
+				steerer.TakeLoads(model.HostName(name), []Load{{Endpoint: steerer.endpoints[name].id(), Count: 3 + queueRoom}}, true, start())
+			}
+			export := query("o")
+			export.Route.Class, export.Route.Homes = model.Export, test.homes
+			assert.Equal(t, sent(t, steerer.Choose(export, start())).Endpoint.Zone, test.want)
+		})
+	}
+}
