Let the hosts of a region try a store that is away in turn

Cause: found by reading. A reader that the store does not answer hands over to the next host of its region, which fails too, until all hosts call the store every 300 ms with each of two loops: about 500 calls a second with 78 hosts, growing with their number. They also read the rows of hosts every 500 ms.

Ruled out: one prober only. The store turns some hosts away and answers others, so that each has to try at times.

Change: member.ProbePause. A host waits 300 ms and 150 ms more for each host of its region that comes before it, 3 s at most. The first that succeeds becomes the reader, and the others follow it.

At 227 hosts in a region the test counts 100 calls a second at most instead of 757 in each loop.

Conclusion: the calls of an outage are bounded.

--- a/member/reader.go
+++ b/member/reader.go
@@ -62,6 +62,31 @@
 	return situation.IsStale
 }
 
+const (
+	// firstProbe is how often the first hosts of a region try a store that does
+	// not answer.
+	firstProbe = 300 * time.Millisecond
+	// probeRanks is the number of hosts of a region for each of which the others
+	// try less often by one more time.
+	probeRanks = 2
+	// longestProbe bounds the pause of a host that loses sight of all others
+	// meanwhile.
+	longestProbe = 3 * time.Second
+)
+
+// ProbePause is how long a host waits before it tries a store again that did
+// not answer. The first host that succeeds becomes the reader and keeps the
+// others of its region up to date.
+func ProbePause(self Hello, others []Hello) time.Duration {
+	rank := 0
+	for _, other := range others {
+		if other.Region == self.Region && weight(other.Host) > weight(self.Host) {
+			rank++
+		}
+	}
+	return min(longestProbe, firstProbe*time.Duration(probeRanks+rank)/probeRanks)
+}
+
 // Sources returns the hosts that a host follows, the preferred one first: the
 // reader of its region, then the readers of the other regions. The reader of
 // the region follows none.
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,3 +168,21 @@
 	table.Touch("a", start().Add(time.Minute))
 	assert.Equal(t, len(table.Alive(start().Add(time.Minute))), 0)
 }
+
+// Guards against a store that meets all hosts at once when it comes back: 78
+// hosts made about 500 calls a second while it was away.
+func TestHostsOfARegionProbeInTurn(t *testing.T) {
+	const hosts = 227
+	var all []Hello
+	for i := range hosts {
+		all = append(all, hello(fmt.Sprint("h-", i), "za", "north"))
+	}
+	calls, shortest := 0.0, time.Hour
+	for i, one := range all {
+		pause := ProbePause(one, slices.Concat(all[:i], all[i+1:], []Hello{hello("far", "zc", "south")}))
+		calls += 1 / pause.Seconds()
+		shortest = min(shortest, pause)
+	}
+	assert.Equal(t, shortest, firstProbe)
+	assert.Assert(t, calls < 100, "%.0f calls a second", calls)
+}
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -18,7 +18,7 @@
 	// registerInterval is how often any other host does. Hosts learn of each
 	// other from their hellos; the rows join groups that do not know each other.
 	registerInterval = 60 * time.Second
-	// registerRetry is the pause after a failed reading or writing.
+	// registerRetry is the least pause after a failed reading or writing.
 	registerRetry = 500 * time.Millisecond
 )
 
@@ -55,6 +55,8 @@
 	return member.ReadsStore(n.describe(), n.link.Alive(), situation)
 }
 
+func (n *Node) probePause() time.Duration { return member.ProbePause(n.describe(), n.link.Alive()) }
+
 // sources returns the hosts to follow.
 func (n *Node) sources() []member.Hello { return member.Sources(n.describe(), n.link.Alive()) }
 
@@ -82,7 +84,7 @@
 			isRegistered = n.register(ctx)
 		}
 		if !n.findHosts(ctx) || !isRegistered {
-			pause = registerRetry
+			pause = max(registerRetry, n.probePause())
 		}
 		select {
 		case <-time.After(pause):
--- a/node/node.go
+++ b/node/node.go
@@ -73,7 +73,7 @@
 	node.pace = newPace(settings.DrainTime)
 	node.known = newKnowledge(log, core)
 	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), func() time.Duration { return node.known.endpoints.Age(time.Now()) })
-	node.reader = newReader(log, store, node.known, node.pace, settings.Heartbeat, node.readsStore)
+	node.reader = newReader(log, store, node.known, node.pace, settings.Heartbeat, node.readsStore, node.probePause)
 	node.follower = newFollower(log, node.known, node.pace, node.sources)
 	return node
 }
--- a/node/reader.go
+++ b/node/reader.go
@@ -14,8 +14,9 @@
 	// operatorWait is how long one call waits for a change of the operator's
 	// rows. They change rarely, so that a long wait costs little.
 	operatorWait = 3 * time.Second
-	// storeRetry is the pause after a failed call.
-	storeRetry = 300 * time.Millisecond
+	// idlePause is how often a host that does not read the store looks whether
+	// it has to.
+	idlePause = 300 * time.Millisecond
 	// probeInterval is how often a host that the store turns away tries again
 	// while another host keeps it up to date.
 	probeInterval = time.Second
@@ -34,9 +35,11 @@
 	known *knowledge
 	pace  pace
 	// isActive reports whether this host should read the store now.
-	isActive  func() bool
-	link      dependency
-	heartbeat time.Duration
+	isActive func() bool
+	// probePause is how long to wait before the store is tried again.
+	probePause func() time.Duration
+	link       dependency
+	heartbeat  time.Duration
 	// outageEnded is when the store came back after an outage in which entries
 	// may have lapsed.
 	outageEnded time.Time
@@ -46,9 +49,10 @@
 	wake chan struct{}
 }
 
-func newReader(log *slog.Logger, store *platform.Store, known *knowledge, pace pace, heartbeat time.Duration, isActive func() bool) *reader {
+func newReader(log *slog.Logger, store *platform.Store, known *knowledge, pace pace, heartbeat time.Duration,
+	isActive func() bool, probePause func() time.Duration) *reader {
 	made := &reader{
-		log: log, store: store, known: known, pace: pace, isActive: isActive, heartbeat: heartbeat,
+		log: log, store: store, known: known, pace: pace, isActive: isActive, probePause: probePause, heartbeat: heartbeat,
 		link: dependency{log: log, name: "store"}, wake: make(chan struct{}, 1),
 	}
 	made.hasStore.Store(true)
@@ -60,7 +64,7 @@
 func (r *reader) endpointLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !r.isActive() {
-			wait(ctx, storeRetry)
+			wait(ctx, idlePause)
 			continue
 		}
 		started := time.Now()
@@ -77,9 +81,9 @@
 
 func (r *reader) retryPause() time.Duration {
 	if r.known.endpoints.Age(time.Now()) < probeInterval {
-		return probeInterval
+		return max(probeInterval, r.probePause())
 	}
-	return storeRetry
+	return r.probePause()
 }
 
 func (r *reader) lose(err error) {
@@ -146,7 +150,7 @@
 func (r *reader) operatorLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !r.isActive() {
-			wait(ctx, storeRetry)
+			wait(ctx, idlePause)
 			continue
 		}
 		if err := r.readOperatorOrWake(ctx); err != nil && ctx.Err() == nil {
--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -28,7 +28,8 @@
 	log := slog.New(slog.DiscardHandler)
 	core := proxy.NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, proxy.DefaultRetryLimit())
 	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), netip.Addr{})
-	made := newReader(log, store, newKnowledge(log, core), newPace(0), heartbeat, func() bool { return true })
+	made := newReader(log, store, newKnowledge(log, core), newPace(0), heartbeat, func() bool { return true },
+		func() time.Duration { return 0 })
 	stand.Put(platform.EndpointTable, "i-1", entryOf)
 	stand.Put(platform.EndpointTable, "i-2", entryOf)
 	assert.NilError(t, made.readEndpoints(t.Context(), time.Now()))
