Add a fault soak of the hosts as processes

Change: package soak and `filberthold soak` run hosts as processes against the stand-ins of the platform and inject faults from outside: kill, stop, pause and reload by signals, a store that refuses hosts or forgets its history, endpoints that shed, reset, truncate or answer wrongly, and loopback proxies that delay, reset, silence or cut one way. Callers check each answer: the echoed id, the body, that a success ran and a refusal did not, that a submit ran once at most, that a host which was not disturbed loses nothing and is not late, that stops end in time and every host serves again.

Ruled out: a container or a second machine; signals and loopback suffice.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -74,7 +74,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newServeCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand(),
+	root.AddCommand(newEntryCommand(), newServeCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand(), newSoakCommand(),
 		newExplainCommand(), newVerifyCommand(), newReplayCommand(), newCheckCommand(),
 		newGenerateCommand(), newPlanCommand(), newLookupCommand(), newStatusCommand(),
 		newPublishCommand(), newRevisionCommand(), newVersionCommand())
--- /dev/null
+++ b/cmds/soak.go
@@ -0,0 +1,64 @@
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"filberthold/soak"
+
+	"github.com/spf13/cobra"
+)
+
+// errBroken reports that a soak saw a promise broken.
+var errBroken = errors.New("a promise was broken")
+
+func newSoakCommand() *cobra.Command {
+	options := soak.Options{Log: io.Discard}
+	var showLog bool
+	command := &cobra.Command{
+		Use:   "soak",
+		Short: "Run hosts as processes, inject faults at random and check the promises to callers",
+		Long: "Runs this program as several hosts on loopback addresses against stand-ins, kills, pauses, stops\n" +
+			"and disturbs them at random and writes a report as JSON: outcomes and faults by name, and each\n" +
+			"promise that was broken. The exit code is 1 if one was.",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			program, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("find own program: %w", err)
+			}
+			options.Program = program
+			if options.Directory, err = os.MkdirTemp("", "soak"); err != nil {
+				return fmt.Errorf("make directory for settings: %w", err)
+			}
+			defer func() { _ = os.RemoveAll(options.Directory) }()
+			if showLog {
+				options.Log = command.ErrOrStderr()
+			}
+			report, err := soak.Run(command.Context(), options)
+			if err != nil {
+				return err
+			}
+			encoder := json.NewEncoder(command.OutOrStdout())
+			encoder.SetIndent("", "  ")
+			if err := encoder.Encode(report); err != nil {
+				return fmt.Errorf("write report: %w", err)
+			}
+			if len(report.Broken) > 0 {
+				return errBroken
+			}
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the faults and of the load")
+	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "how long faults are injected")
+	flags.IntVar(&options.Hosts, "hosts", 4, "number of hosts")
+	flags.StringVar(&options.Subnet, "subnet", "127.0.9", "first three numbers of the hosts' loopback addresses")
+	flags.BoolVar(&showLog, "log", false, "write the log of the hosts to standard error")
+	return command
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,27 @@
+package soak_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"filberthold/soak"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards the promises to callers while processes, store, endpoints and
+// connections are disturbed: one short run with a fixed seed, as processes.
+func TestPromisesUnderFaults(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "filberthold")
+	output, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	report, err := soak.Run(t.Context(), soak.Options{
+		Program: program, Directory: t.TempDir(), Seed: 1, Duration: 6 * time.Second, Hosts: 3,
+		Subnet: "127.0.10", Log: t.Output(),
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, len(report.Broken), 0, "%q", report.Broken)
+	assert.Assert(t, report.Outcomes["submit 200"] > 0 && len(report.Faults) > 2, "%+v", report)
+}
