--- a/soak/faults.go
+++ b/soak/faults.go
@@ -78,7 +78,7 @@
 }
 
 func disturbLink(link *proxy, random *rand.Rand, length time.Duration) {
-	modes := []mode{slow, silent, deaf, reset}
+	modes := []mode{slow, silent, deaf, reset, resetAnswer}
 	link.set(modes[random.IntN(len(modes))])
 	time.Sleep(length)
 	link.set(pass)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -21,6 +21,9 @@
 	deaf
 	// reset breaks connections with the next piece.
 	reset
+	// resetAnswer breaks connections with the next piece of an answer, so that
+	// the request has run.
+	resetAnswer
 )
 
 // pieceDelay is the delay of a slow proxy for each piece.
@@ -98,6 +101,10 @@
 			}
 		case reset:
 			return
+		case resetAnswer:
+			if isAnswer {
+				return
+			}
 		case pass:
 		}
 		if _, err := to.Write(piece[:count]); err != nil {
