Hear a host that restarted with its clock set back

Cause: found by reading. The incarnation of a host is the time of its start. After a restart with the clock set back it is lower than the one that the others know, so that they ignored its hellos, while its messages about requests kept the old record alive, "leaving" if it had been stopped: the host was in no lookup response until its next start.

Ruled out: a number from the store, which a host that the store turns away could not get.

Change: messages about requests carry the incarnation and only keep alive the record that they belong to; a lower incarnation is taken once the known one has fallen silent. TestHostWithItsClockSetBackIsHeard failed before.

--- a/gossip/link.go
+++ b/gossip/link.go
@@ -50,8 +50,9 @@
 
 // loadMessage says how many requests a host has at endpoints.
 type loadMessage struct {
-	Host   model.HostName `cbor:"1,keyasint"`
-	IsFull bool           `cbor:"2,keyasint,omitempty"`
+	Host        model.HostName `cbor:"1,keyasint"`
+	Incarnation int64          `cbor:"6,keyasint,omitempty"`
+	IsFull      bool           `cbor:"2,keyasint,omitempty"`
 	// Endpoints and Counts have the same length.
 	Endpoints []steer.EndpointID `cbor:"3,keyasint,omitempty"`
 	Counts    []byte             `cbor:"4,keyasint,omitempty"`
@@ -224,7 +225,7 @@
 	if len(loads) == 0 && !isFull {
 		return
 	}
-	message := &loadMessage{Host: hello.Host, IsFull: isFull}
+	message := &loadMessage{Host: hello.Host, Incarnation: hello.Incarnation, IsFull: isFull}
 	for _, load := range loads {
 		message.Endpoints = append(message.Endpoints, load.Endpoint)
 		message.Counts = append(message.Counts, load.Count)
@@ -269,7 +270,7 @@
 		return
 	}
 	l.mu.Lock()
-	isKnown := l.table.Touch(message.Loads.Host, time.Now())
+	isKnown := l.table.Touch(message.Loads.Host, message.Loads.Incarnation, time.Now())
 	l.mu.Unlock()
 	if !isKnown {
 		l.sayHello(from, true)
--- a/member/table.go
+++ b/member/table.go
@@ -28,7 +28,8 @@
 	Host   model.HostName   `cbor:"1,keyasint,omitempty"`
 	Zone   model.ZoneName   `cbor:"2,keyasint,omitempty"`
 	Region model.RegionName `cbor:"3,keyasint,omitempty"`
-	// Incarnation is higher for each start of the host.
+	// Incarnation differs for each start of the host. It is higher for a later
+	// one unless the host's clock was set back.
 	Incarnation int64      `cbor:"4,keyasint,omitempty"`
 	IP          netip.Addr `cbor:"5,keyasint,omitempty"`
 	// CallerAddress is where callers reach the host.
@@ -86,7 +87,9 @@
 		return false
 	}
 	before := t.hosts[hello.Host]
-	if before != nil && hello.Incarnation < before.hello.Incarnation {
+	if before != nil && hello.Incarnation < before.hello.Incarnation && before.isAlive(now) {
+		// A late datagram, or the host restarted with its clock set back; then the
+		// incarnation that is known falls silent.
 		return false
 	}
 	if before != nil && hello.Incarnation == before.hello.Incarnation && before.hello.IsLeaving {
@@ -127,9 +130,9 @@
 
 // Touch notes that any other message of a host has arrived. It reports false
 // if the host has to say hello first: it is new or was silent for too long.
-func (t *Table) Touch(host model.HostName, now time.Time) bool {
+func (t *Table) Touch(host model.HostName, incarnation int64, now time.Time) bool {
 	before := t.hosts[host]
-	if before == nil || !before.isAlive(now) {
+	if before == nil || before.hello.Incarnation != incarnation || !before.isAlive(now) {
 		return false
 	}
 	before.heardAt = now
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -162,10 +162,10 @@
 func TestOtherMessagesKeepAHostAlive(t *testing.T) {
 	table := NewTable("self")
 	table.Observe(hello("a", "za", "north"), start())
-	table.Touch("a", start().Add(time.Second))
+	table.Touch("a", 1, start().Add(time.Second))
 	assert.Equal(t, len(table.Alive(start().Add(2*time.Second))), 1)
 	// A host that was silent for too long has to say hello again.
-	table.Touch("a", start().Add(time.Minute))
+	table.Touch("a", 1, start().Add(time.Minute))
 	assert.Equal(t, len(table.Alive(start().Add(time.Minute))), 0)
 }
 
@@ -186,3 +186,23 @@
 	assert.Equal(t, shortest, firstProbe)
 	assert.Assert(t, calls < 100, "%.0f calls a second", calls)
 }
+
+// Guards against a host that is never heard again: it restarted with its clock
+// set back, so that its incarnation is lower than the one that others know.
+func TestHostWithItsClockSetBackIsHeard(t *testing.T) {
+	table := NewTable("self")
+	leaving := hello("a", "za", "north")
+	leaving.Incarnation, leaving.IsLeaving = 5000, true
+	table.Observe(leaving, start())
+	restarted := hello("a", "za", "north")
+	restarted.Incarnation = 4000
+	now := start()
+	for range 10 {
+		now = now.Add(200 * time.Millisecond)
+		table.Touch("a", restarted.Incarnation, now)
+		table.Observe(restarted, now)
+	}
+	alive := table.Alive(now)
+	assert.Equal(t, len(alive), 1)
+	assert.Equal(t, alive[0].Incarnation, restarted.Incarnation)
+}
