Do not take the end of a process that just started for a failed stop

The stop came a few milliseconds after the start, before the program handles SIGTERM.

Ruled out: a stop that the program fails.

Change: a process that ends by SIGTERM within a second of its start is not a failed stop.

--- a/soak/host.go
+++ b/soak/host.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -19,6 +20,9 @@
 const (
 	stopGrace = 4 * time.Second
 	stopSlack = 3 * time.Second
+	// startup is how long a process may need until it handles SIGTERM. One that
+	// gets the signal earlier is ended by it and has served nobody.
+	startup = time.Second
 )
 
 // host is a process of the program under test.
@@ -29,7 +33,9 @@
 	output  io.Writer
 	mu      sync.Mutex
 	command *exec.Cmd
-	exited  chan struct{}
+	// startedAt is when the present process was started.
+	startedAt time.Time
+	exited    chan struct{}
 	// exitErr is set before exited is closed.
 	exitErr error
 	// disturbedAt is when the process was last killed, paused or continued.
@@ -54,7 +60,7 @@
 		return fmt.Errorf("start %s: %w", h.file.Name, err)
 	}
 	exited := make(chan struct{})
-	h.command, h.exited = command, exited
+	h.command, h.exited, h.startedAt = command, exited, time.Now()
 	go func() {
 		err := command.Wait()
 		h.mu.Lock()
@@ -86,12 +92,13 @@
 
 // stop asks the process to stop and returns what was wrong with its end.
 func (h *host) stop() error {
+	age := time.Since(h.startedAt)
 	if err := h.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
 	select {
 	case <-h.exited:
-		if h.exitErr != nil {
+		if h.exitErr != nil && (age >= startup || !isTerminated(h.exitErr)) {
 			return fmt.Errorf("%s stopped with an error: %w", h.file.Name, h.exitErr)
 		}
 		return nil
@@ -100,6 +107,16 @@
 	}
 }
 
+// isTerminated reports whether a process ended by SIGTERM without handling it.
+func isTerminated(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, isWait := exit.Sys().(syscall.WaitStatus)
+	return isWait && status.Signal() == syscall.SIGTERM
+}
+
 // wasDisturbed reports whether the process was killed or paused since a time.
 func (h *host) wasDisturbed(since time.Time) bool {
 	h.mu.Lock()
--- /dev/null
+++ b/soak/testdata/ignorant.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# A program that does not handle SIGTERM.
+exec sleep 60
