Update the steering once for all changes of the endpoints

A host that reads the table applies one entry after the other, and each made the steering walk through all.

Ruled out: renewals of entries. They are not passed on and change no revision.

Change: the steering takes changes over before it is used next.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -50,8 +50,10 @@
 	hosts    int
 	services []model.ServiceName
 	// steered is the revision of the roster that the steerer has.
-	steered  uint64
-	waitlist *steer.Waitlist
+	steered uint64
+	// hasNewConfig is true if the steerer does not have the configuration.
+	hasNewConfig bool
+	waitlist     *steer.Waitlist
 	// waiters hold where a waiting request learns of its endpoint.
 	waiters map[steer.Ticket]chan steer.Send
 	// hasEndpoints is true after the first reading of the entries.
@@ -88,7 +90,7 @@
 			c.budgets[name].LimitSavings(c.retries.savings(c.hosts))
 		}
 	}
-	c.refresh(true)
+	c.hasNewConfig = true
 	return true
 }
 
@@ -110,9 +112,7 @@
 func (c *Core) SetEvacuated(zones []model.ZoneName) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := c.roster.SetEvacuated(zones)
-	c.refresh(false)
-	return changed
+	return c.roster.SetEvacuated(zones)
 }
 
 // HaveEndpoints notes that the endpoints were read.
@@ -126,9 +126,7 @@
 func (c *Core) ApplyEntry(entry roster.Entry) roster.Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	change := c.roster.Apply(entry, time.Now())
-	c.refresh(false)
-	return change
+	return c.roster.Apply(entry, time.Now())
 }
 
 // RemoveEntry takes in that an entry was removed. The endpoint stays usable
@@ -136,18 +134,14 @@
 func (c *Core) RemoveEntry(name model.EndpointName, doubtUntil time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	removed := c.roster.Remove(name, time.Now(), doubtUntil)
-	c.refresh(false)
-	return removed
+	return c.roster.Remove(name, time.Now(), doubtUntil)
 }
 
 // Expire drops endpoints whose entries did not come back, and returns them.
 func (c *Core) Expire() []model.EndpointName {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	dropped := c.roster.Expire(time.Now())
-	c.refresh(false)
-	return dropped
+	return c.roster.Expire(time.Now())
 }
 
 // SetHosts replaces the live entry hosts.
@@ -172,6 +166,7 @@
 func (c *Core) Loads(isFull bool) []steer.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.refresh()
 	return c.steerer.Loads(isFull)
 }
 
@@ -180,16 +175,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.refresh()
 	c.steerer.TakeLoads(host, loads, isFull, now)
 	c.serveWaiting(now)
 }
 
-// refresh hands changes of the roster to the steerer.
-func (c *Core) refresh(always bool) {
-	if c.config == nil || (!always && c.roster.Revision() == c.steered) {
+// refresh hands changes to the steerer before it is used. A reading of the
+// whole table changes every endpoint, and each update walks through all.
+func (c *Core) refresh() {
+	if c.config == nil || (!c.hasNewConfig && c.roster.Revision() == c.steered) {
 		return
 	}
-	c.steered = c.roster.Revision()
+	c.steered, c.hasNewConfig = c.roster.Revision(), false
 	c.steerer.Update(c.config, c.roster, c.services)
 }
 
@@ -211,6 +208,7 @@
 	if len(query.Tried) > 0 && !c.mayRetry(query) {
 		return steer.Reject{Reason: "the retry budget is used up", RetryAfter: budgetPause}
 	}
+	c.refresh()
 	decision := c.steerer.Choose(query, time.Now())
 	if _, isSent := decision.(steer.Send); isSent && len(query.Tried) > 0 {
 		c.budgets[query.Service].Spend()
@@ -234,7 +232,7 @@
 	c.steerer.Done(outcome, now)
 	if isGone {
 		c.roster.MarkGone(outcome.Endpoint, now)
-		c.refresh(false)
 	}
+	c.refresh()
 	c.serveWaiting(now)
 }
--- /dev/null
+++ b/proxy/core_test.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"filberthold/model"
+	"filberthold/roster"
+	"filberthold/route"
+	"filberthold/steer"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a start whose cost grows with the square of the number of
+// endpoints: each entry of the table made the steering walk through all.
+func TestReadingAWholeTableUpdatesOnce(t *testing.T) {
+	core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, DefaultRetryLimit())
+	core.SetConfig(route.NewConfig(1, nil, []route.Service{{Name: "s"}}, route.Limits{}))
+	for i := range 1000 {
+		core.ApplyEntry(roster.Entry{
+			Endpoint: model.EndpointName(fmt.Sprint("e-", i)), Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+			Zone: "za", Slots: 3, State: roster.Ready, Sequence: 1, Born: 1,
+		})
+	}
+	assert.Equal(t, core.steered, uint64(0))
+	decision := core.choose(steer.Query{Service: "s", Attempt: "a1"})
+	_, isSent := decision.(steer.Send)
+	assert.Assert(t, isSent, "%+v", decision)
+	assert.Equal(t, core.steered, core.roster.Revision())
+}
