--- a/gossip/link.go
+++ b/gossip/link.go
@@ -66,11 +66,12 @@
 	events Events
 	mu     sync.Mutex
 	table  *member.Table
-	// lastHello is the last hello without its peers; it goes to all hosts
-	// helloRepeats more times.
-	lastHello    member.Hello
+	// lastHello is the last hello without its peers.
+	lastHello member.Hello
+	// helloRepeats is in how many more rounds lastHello goes to all hosts.
 	helloRepeats int
-	// toldAt is when an address was told of requests of late.
+	// toldAt is when an address was last told of requests. Entries older than
+	// the hello interval are dropped.
 	toldAt map[netip.Addr]time.Time
 }
 
@@ -142,7 +143,7 @@
 	maps.DeleteFunc(l.toldAt, func(_ netip.Addr, at time.Time) bool { return now.Sub(at) >= hello.Interval })
 	var addresses []netip.Addr
 	for _, address := range l.table.Addresses(now) {
-		// A host that was told of requests of late knows that this host is alive.
+		// A message about requests shows that this host is alive.
 		if _, wasTold := l.toldAt[address]; toAll || !wasTold {
 			addresses = append(addresses, address)
 		}
