Use one configuration document in the stand-ins and shorten the soak

Cause: found when the whole change was read again. The tests of node wrote the configuration document that platform/fake writes too; the soak's proxy kept its mode behind a mutex and two methods, newHost took a directory that its options hold, waitServing a limit that is always the same, and heal only called Wait.

Change: fake.VersionedConfig serves the tests of node.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -37,11 +37,6 @@
 	done chan error
 }
 
-// config is a configuration with one route; its prefix tells its version.
-func config(version int) string {
-	return fmt.Sprintf(`{"version":"%08x","routes":[{"name":"r","host":"a.example","prefix":"/v%d/","routeType":"unsafe","timeoutMs":2000,"targetLatencyMs":600,"priority":1,"service":"s","maxAttempts":2,"sessionAffinity":true,"homeRegions":[]}],"services":[{"name":"s","healthPath":"/health","maxConnections":9,"coldStartS":3.0,"coldPerS":2.6}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, version)
-}
-
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
 	made := &cluster{t: t, store: fake.NewStore()}
@@ -53,7 +48,7 @@
 	go endpoint.Run()
 	t.Cleanup(func() { _ = endpoint.Close() })
 	made.endpoint = endpoint
-	made.store.Put(platform.OperatorTable, platform.ConfigKey, config(1))
+	made.store.Put(platform.OperatorTable, platform.ConfigKey, fake.VersionedConfig(1))
 	made.store.Put(platform.EndpointTable, "i-1", endpoint.Entry("s", "za", "ready", 1))
 	return made
 }
@@ -106,7 +101,7 @@
 	c.t.Helper()
 	request, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://"+host.node.settings.CallerAddress+path, nil)
 	assert.NilError(c.t, err)
-	request.Host = "a.example"
+	request.Host = fake.Domain
 	request.Header.Set("Attempt-Id", "a1")
 	response, err := http.DefaultTransport.RoundTrip(request)
 	assert.NilError(c.t, err)
@@ -124,7 +119,7 @@
 		made.store.Refuse(fmt.Sprintf("127.0.8.%d", digit+1), true)
 		made.wait("store is lost", func() bool { return !host.node.reader.hasStore.Load() || !host.node.readsStore() })
 		version := digit + 2
-		made.store.Put(platform.OperatorTable, platform.ConfigKey, config(version))
+		made.store.Put(platform.OperatorTable, platform.ConfigKey, fake.VersionedConfig(version))
 		made.wait("configuration arrives", func() bool { return made.status(host, fmt.Sprintf("/v%d/x", version)) == http.StatusOK })
 		made.store.Refuse(fmt.Sprintf("127.0.8.%d", digit+1), false)
 	}
@@ -157,7 +152,7 @@
 	made.start(6)
 	made.store.Put(platform.EndpointTable, "i-9", `{"broken":`)
 	made.store.Remove(platform.EndpointTable, "i-1")
-	made.store.Put(platform.OperatorTable, platform.ConfigKey, config(7))
+	made.store.Put(platform.OperatorTable, platform.ConfigKey, fake.VersionedConfig(7))
 	made.store.ForgetHistory()
 	made.wait("endpoint is left", func() bool { return made.status(made.hosts[0], "/v7/x") == http.StatusServiceUnavailable })
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -124,6 +124,3 @@
 	}
 	return name
 }
-
-// heal waits until every fault is undone.
-func (w *world) heal() { w.faulting.Wait() }
--- a/soak/host.go
+++ b/soak/host.go
@@ -42,8 +42,8 @@
 	disturbedAt time.Time
 }
 
-func newHost(options Options, directory string, file fake.HostFile) (*host, error) {
-	path := filepath.Join(directory, file.Name+".toml")
+func newHost(options Options, file fake.HostFile) (*host, error) {
+	path := filepath.Join(options.Directory, file.Name+".toml")
 	if err := os.WriteFile(path, []byte(file.Text()), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings of %s: %w", file.Name, err)
 	}
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -15,8 +15,8 @@
 // start the host again. A host that has run for longer must handle the signal.
 func TestStopDuringStart(t *testing.T) {
 	// This program never handles SIGTERM.
-	options := Options{Program: "testdata/ignorant.sh", Log: io.Discard}
-	made, err := newHost(options, t.TempDir(), fake.HostFile{Name: "h", IP: "127.0.0.1"})
+	options := Options{Program: "testdata/ignorant.sh", Directory: t.TempDir(), Log: io.Discard}
+	made, err := newHost(options, fake.HostFile{Name: "h", IP: "127.0.0.1"})
 	assert.NilError(t, err)
 	assert.NilError(t, made.start())
 	assert.NilError(t, made.stop())
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,12 +4,12 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // mode is how a proxy treats the bytes of its connections.
-type mode int
+type mode int32
 
 const (
 	pass mode = iota
@@ -33,8 +33,8 @@
 type proxy struct {
 	listener net.Listener
 	target   string
-	mu       sync.Mutex
-	mode     mode
+	// mode holds a mode.
+	mode atomic.Int32
 }
 
 func startProxy(target string) (*proxy, error) {
@@ -47,17 +47,7 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-func (p *proxy) set(next mode) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mode = next
-}
-
-func (p *proxy) present() mode {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.mode
-}
+func (p *proxy) set(next mode) { p.mode.Store(int32(next)) }
 
 func (p *proxy) run() {
 	for {
@@ -90,7 +80,7 @@
 		if err != nil {
 			return
 		}
-		switch p.present() {
+		switch mode(p.mode.Load()) {
 		case slow:
 			time.Sleep(pieceDelay)
 		case silent:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,9 +62,10 @@
 	links     []*proxy
 	endpoints []*fake.Endpoint
 	hosts     []*host
-	faulting  sync.WaitGroup
-	mu        sync.Mutex
-	report    Report
+	// faulting counts the faults that are not undone yet.
+	faulting sync.WaitGroup
+	mu       sync.Mutex
+	report   Report
 }
 
 // Run runs a soak to its end. A broken promise is in the report; an error means
@@ -79,7 +80,7 @@
 	if err := w.start(strings.TrimPrefix(server.URL, "http://")); err != nil {
 		return Report{}, fmt.Errorf("start soak: %w", err)
 	}
-	if !w.waitServing(ctx, recovery) {
+	if !w.waitServing(ctx) {
 		return Report{}, errors.New("start soak: the hosts do not serve")
 	}
 	callers := newCallers(w)
@@ -87,8 +88,8 @@
 	var running sync.WaitGroup
 	running.Go(func() { callers.run(calling) })
 	w.disturb(ctx)
-	w.heal()
-	if !w.waitServing(ctx, recovery) {
+	w.faulting.Wait()
+	if !w.waitServing(ctx) {
 		w.breaks("a host does not serve %s after the last fault", recovery)
 	}
 	stopCalling()
@@ -122,7 +123,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s.%d", w.options.Subnet, i+1))
 	}
 	for i, ip := range seeds {
-		made, err := newHost(w.options, w.options.Directory, fake.HostFile{
+		made, err := newHost(w.options, fake.HostFile{
 			Name: fmt.Sprint("host-", i), IP: ip, Zone: "za", Region: "north", Seeds: seeds, Store: link.address(), StopGrace: stopGrace,
 		})
 		if err != nil {
@@ -196,9 +197,9 @@
 	return sum
 }
 
-// waitServing waits until every host serves a read.
-func (w *world) waitServing(ctx context.Context, limit time.Duration) bool {
-	until := time.Now().Add(limit)
+// waitServing waits until every host serves a read, for the time of recovery.
+func (w *world) waitServing(ctx context.Context) bool {
+	until := time.Now().Add(recovery)
 	waiting := slices.Clone(w.hosts)
 	for round := 0; len(waiting) > 0 && time.Now().Before(until) && ctx.Err() == nil; round++ {
 		waiting = slices.DeleteFunc(waiting, func(one *host) bool {
