Log the source and the age of the operator's rows

The logs could not tell whether a late configuration came from a reader whose own call for the operator's rows hung, or from a host that had no reader to follow.

'configuration in force' and 'evacuations changed' state the source and the age of the rows before the update, 'following a host' and 'request ended' the age of the operator's rows, and a failed call for these rows is a lost dependency of its own (it was a debug line, which is not written).

--- a/node/follower.go
+++ b/node/follower.go
@@ -70,13 +70,13 @@
 	}
 	if source.Host != f.currentSource {
 		f.currentSource = source.Host
-		f.log.Info("following a host", "peer", source.Host, "age", update.Endpoints.Age)
+		f.log.Info("following a host", "peer", source.Host, "age", update.Endpoints.Age, "operatorAge", update.Operator.Age)
 	}
 	if update.Endpoints.Version == 0 {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 		return
 	}
-	f.replica.applyUpdate(update, now)
+	f.replica.applyUpdate(update, now, source.Host)
 	if update.Endpoints.Age > f.intervals.maxAge {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -75,7 +75,10 @@
 	node.registerMetrics()
 	node.intervals = newIntervals(settings.DrainTime)
 	node.replica = newStoreReplica(log, core)
-	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), func() time.Duration { return node.replica.endpoints.Age(time.Now()) })
+	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), proxy.ReplicaAge{
+		Operator:  func() time.Duration { return node.replica.operator.Age(time.Now()) },
+		Endpoints: func() time.Duration { return node.replica.endpoints.Age(time.Now()) },
+	})
 	node.reader = newReader(log, store, node.replica, node.intervals, settings.HeartbeatInterval, node.shouldReadStore, node.probeInterval)
 	node.follower = newFollower(log, node.replica, node.intervals, node.sources)
 	return node
--- a/node/reader.go
+++ b/node/reader.go
@@ -40,8 +40,11 @@
 	isActive func() bool
 	// probeInterval returns the pause before an unreachable store is probed
 	// again.
-	probeInterval     func() time.Duration
-	dependency        dependency
+	probeInterval func() time.Duration
+	dependency    dependency
+	// operatorRows logs when the operator's rows cannot be read. The store may be
+	// reachable meanwhile.
+	operatorRows      dependency
 	heartbeatInterval time.Duration
 	// outageEndedAt is the end of the last store outage in which entries may
 	// have expired. graceUntil sets it at the first successful read after the
@@ -57,7 +60,7 @@
 	isActive func() bool, probeInterval func() time.Duration) *reader {
 	r := &reader{
 		log: log, store: store, replica: replica, intervals: intervals, isActive: isActive, probeInterval: probeInterval, heartbeatInterval: heartbeatInterval,
-		dependency: dependency{log: log, name: "store"}, wake: make(chan struct{}, 1),
+		dependency: dependency{log: log, name: "store"}, operatorRows: dependency{log: log, name: "operatorRows"}, wake: make(chan struct{}, 1),
 	}
 	r.isStoreReachable.Store(true)
 	return r
@@ -165,10 +168,16 @@
 			sleep(ctx, activeCheckInterval)
 			continue
 		}
-		if err := r.readOperatorUntilWake(ctx); err != nil && ctx.Err() == nil {
-			r.log.Debug("operator rows not read", "error", err)
+		err := r.readOperatorUntilWake(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			r.operatorRows.markLost(err)
 			sleep(ctx, r.retryPause())
+			continue
 		}
+		r.operatorRows.markRegained()
 	}
 	return nil
 }
@@ -201,7 +210,7 @@
 		}
 		rows, err := r.store.Watch(ctx, platform.OperatorTable, after, pollWait)
 		if err == nil {
-			r.replica.applyOperatorRows(rows.Rows, rows.Version, time.Now())
+			r.replica.applyOperatorRows(rows.Rows, rows.Version, time.Now(), storeSource)
 			return nil
 		}
 		if !r.isHistoryLost(err, platform.OperatorTable, after) {
--- a/node/replica.go
+++ b/node/replica.go
@@ -37,17 +37,22 @@
 	}
 }
 
-// applyOperatorRows applies changed rows of the operator's table. The replica is
-// then complete up to the given version as of confirmedAt.
-func (r *storeReplica) applyOperatorRows(rows []platform.Row, version uint64, confirmedAt time.Time) {
+// storeSource is the source of rows that a host read from the store itself, in
+// log lines. Otherwise the source is the name of another host.
+const storeSource = "store"
+
+// applyOperatorRows applies changed rows of the operator's table, which came from
+// a source. The replica is then complete up to the given version as of
+// confirmedAt.
+func (r *storeReplica) applyOperatorRows(rows []platform.Row, version uint64, confirmedAt time.Time, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
-		r.applyOperatorRow(row)
+		r.applyOperatorRow(row, source)
 	}
 	zones := slices.Sorted(maps.Keys(r.evacuated))
 	if r.core.SetEvacuated(zones) {
-		r.log.Info("evacuations changed", "zones", zones, "storeVersion", version)
+		r.log.Info("evacuations changed", "zones", zones, "storeVersion", version, "source", source, "operatorAge", r.operator.Age(time.Now()))
 	}
 	for _, row := range rows {
 		r.operator.Put(row, true)
@@ -57,7 +62,7 @@
 
 // applyOperatorRow applies an evacuation or the configuration. If the row of the
 // configuration is removed, the configuration stays in force.
-func (r *storeReplica) applyOperatorRow(row platform.Row) {
+func (r *storeReplica) applyOperatorRow(row platform.Row, source string) {
 	if zone, isEvacuation := platform.EvacuatedZone(row); isEvacuation {
 		if row.IsRemoved {
 			delete(r.evacuated, zone)
@@ -75,13 +80,14 @@
 		return
 	}
 	if r.core.SetConfig(config) {
-		r.log.Info("configuration in force", "configVersion", config.Version(), "rowVersion", row.Version)
+		r.log.Info("configuration in force", "configVersion", config.Version(), "rowVersion", row.Version,
+			"source", source, "operatorAge", r.operator.Age(time.Now()))
 	}
 }
 
 // applyOperatorTable applies all rows of the operator's table.
 func (r *storeReplica) applyOperatorTable(rows platform.Rows, confirmedAt time.Time) {
-	r.applyOperatorRows(append(rows.Rows, removedRows(r.operator.Missing(rows.Rows), rows.Version)...), rows.Version, confirmedAt)
+	r.applyOperatorRows(append(rows.Rows, removedRows(r.operator.Missing(rows.Rows), rows.Version)...), rows.Version, confirmedAt, storeSource)
 }
 
 // removedRows returns rows that mark keys as removed.
@@ -167,9 +173,9 @@
 	}
 }
 
-// applyUpdate applies an update from another host. Removals apply at once, because
+// applyUpdate applies an update from another host, the source. Removals apply at once, because
 // that host sends them only after its grace period.
-func (r *storeReplica) applyUpdate(update relay.Update, now time.Time) {
-	r.applyOperatorRows(update.Operator.Rows, update.Operator.Version, now.Add(-update.Operator.Age))
+func (r *storeReplica) applyUpdate(update relay.Update, now time.Time, source model.HostName) {
+	r.applyOperatorRows(update.Operator.Rows, update.Operator.Version, now.Add(-update.Operator.Age), string(source))
 	r.applyEndpointRows(update.Endpoints.Rows, update.Endpoints.Version, now.Add(-update.Endpoints.Age), time.Time{})
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -321,7 +321,7 @@
 	}
 	e.server.log.Info("request ended", "request", e.header.AttemptID, "object", e.header.Object, "class", class,
 		"route", e.route.Name, "configVersion", version,
-		"knowledgeAge", e.server.endpointsAge(), "service", e.service, "attempts", len(e.tried), "endpoint", e.lastSend.Endpoint.Name,
+		"knowledgeAge", e.server.replicaAge.Endpoints(), "operatorAge", e.server.replicaAge.Operator(), "service", e.service, "attempts", len(e.tried), "endpoint", e.lastSend.Endpoint.Name,
 		"place", e.lastSend.Rank, "load", e.lastSend.Load, "candidates", e.lastSend.Candidates,
 		"patience", e.header.Timeout, "elapsed", elapsed, "status", status, "outcome", reason, "error", errorText(err))
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -29,14 +29,12 @@
 
 // Server serves callers' requests. It is safe for concurrent use.
 type Server struct {
-	log     *slog.Logger
-	core    *Core
-	pool    *conns.Pool
-	http    *http.Server
-	metrics *Metrics
-	// endpointsAge returns the time since the host's list of endpoints was last
-	// known to be complete.
-	endpointsAge func() time.Duration
+	log        *slog.Logger
+	core       *Core
+	pool       *conns.Pool
+	http       *http.Server
+	metrics    *Metrics
+	replicaAge ReplicaAge
 	// keepAlivesDisabled is true from the start of a graceful shutdown. Each
 	// response then has the header "Connection: close".
 	keepAlivesDisabled atomic.Bool
@@ -44,9 +42,19 @@
 	isRefusing atomic.Bool
 }
 
+// ReplicaAge returns how old the host's data from the store is, for log lines.
+type ReplicaAge struct {
+	// Operator returns the time since the configuration and the evacuations were
+	// last known to be complete.
+	Operator func() time.Duration
+	// Endpoints returns the time since the list of endpoints was last known to be
+	// complete.
+	Endpoints func() time.Duration
+}
+
 // NewServer returns a server that is not yet listening.
-func NewServer(log *slog.Logger, core *Core, metrics *Metrics, endpointsAge func() time.Duration) *Server {
-	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics, endpointsAge: endpointsAge}
+func NewServer(log *slog.Logger, core *Core, metrics *Metrics, replicaAge ReplicaAge) *Server {
+	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics, replicaAge: replicaAge}
 	server.http = &http.Server{
 		Handler: http.HandlerFunc(server.handleRequest), IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
