Bound a store reader's poll by the time to apply a configuration

Cause: the reader's long poll for the operator's rows hung on a connection that went silent. It ended after 3 s of waiting and 1.5 s of call timeout, whatever the deployment promises, and the next one began 1 s later, because the pause looked at the age of the endpoints, which the store still served. Evidence: the lines of the lost dependency operatorRows at two readers, 3.5 s after the connections went silent (the polls were older), and regained 1.1 s later. Ruled out: a store that serves nobody (calls for endpoints succeed meanwhile); a full link (lags do not grow in a storm).

Change: the intervals of the operator's rows follow configApplyMs and evacuationMs of the settings, as those of endpoints follow drainMs. A poll waits a quarter of that time for a change and the same for its answer; the wait for an answer doubles after each call without one, so that a slow store is still read. The pause after a failed read looks at the age of the same table and counts from the start of the call. The wake-up after an outage and its goroutine go: the bound makes them needless. A poll no longer repeats without a pause while the other loop holds the store for unreachable.

--- a/node/dependency.go
+++ b/node/dependency.go
@@ -24,13 +24,10 @@
 	d.log.Warn("dependency lost", "dependency", d.name, "error", err)
 }
 
-// markRegained returns how long the dependency was lost, or 0 if it was not.
-func (d *dependency) markRegained() time.Duration {
+func (d *dependency) markRegained() {
 	if !d.isLost {
-		return 0
+		return
 	}
 	d.isLost = false
-	outage := time.Since(d.lostAt)
-	d.log.Info("dependency regained", "dependency", d.name, "away", outage)
-	return outage
+	d.log.Info("dependency regained", "dependency", d.name, "away", time.Since(d.lostAt))
 }
--- a/node/follower.go
+++ b/node/follower.go
@@ -77,7 +77,7 @@
 		return
 	}
 	f.replica.applyUpdate(update, now, source.Host)
-	if update.Endpoints.Age > f.intervals.maxAge {
+	if update.Endpoints.Age > f.intervals.endpoints.maxAge {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 	}
 }
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -45,16 +45,14 @@
 	return heartbeat
 }
 
-// maxOperatorAge is the age from which the operator's rows are too old. It is
-// longer than a reader's call waits for a change, because only the end of the
-// call confirms that the rows have not changed.
-const maxOperatorAge = operatorPollWait + time.Second
+// maxOperatorAge is the age from which the operator's rows are too old.
+const maxOperatorAge = 4 * time.Second
 
 func (n *Node) shouldReadStore() bool {
 	now := time.Now()
 	conditions := member.ReadConditions{
 		SinceStart: now.Sub(n.startedAt), IsFirstStart: n.settings.IsFirstStart,
-		IsStale: n.replica.endpoints.Age(now) > n.intervals.maxAge || n.replica.operator.Age(now) > maxOperatorAge,
+		IsStale: n.replica.endpoints.Age(now) > n.intervals.endpoints.maxAge || n.replica.operator.Age(now) > maxOperatorAge,
 	}
 	return member.ShouldReadStore(n.heartbeat(), n.transport.Alive(), conditions)
 }
--- a/node/intervals.go
+++ b/node/intervals.go
@@ -1,27 +1,66 @@
 package node
 
-import "time"
+import (
+	"time"
 
-// intervals determines how often the replica is updated. All values are
-// fractions of the time within which a host must stop using a draining
-// endpoint.
+	"filberthold/platform"
+)
+
+// intervals determines how often the replica is updated.
 type intervals struct {
-	// entryInterval is how often a store reader reads the changed entries.
-	entryInterval time.Duration
+	operator  tableIntervals
+	endpoints tableIntervals
 	// pollWait is how long a host waits for a change before it responds to the
 	// poll of a follower.
 	pollWait time.Duration
-	// maxAge is the age from which a follower's replica is too old. It is longer
-	// than the two others together and leaves time to read the store.
+}
+
+// tableIntervals determines how often one table of the replica is updated. All
+// values are fractions of the time within which a change must take effect at
+// every host.
+type tableIntervals struct {
+	// readInterval is the longest time between two confirmations of a store reader
+	// that its rows are complete.
+	readInterval time.Duration
+	// answerTimeout is the time in which the store should answer a call. The next
+	// call after it still gets the rows in time.
+	answerTimeout time.Duration
+	// maxAge is the age from which the rows are too old. It is longer than
+	// readInterval and the wait of a follower's poll together, and leaves time to
+	// read the store.
 	maxAge time.Duration
 }
 
-// defaultDrainTime is used if the settings contain no drain time.
-const defaultDrainTime = 2 * time.Second
+// defaultEffectTime is used where the settings contain no time.
+const defaultEffectTime = 2 * time.Second
 
-func newIntervals(drainTime time.Duration) intervals {
-	if drainTime <= 0 {
-		drainTime = defaultDrainTime
+// newIntervals returns the intervals for the times within which hosts must apply
+// a configuration, leave an evacuated availability zone and stop using a draining
+// endpoint.
+func newIntervals(settings platform.Settings) intervals {
+	operatorTime := shortest(settings.ConfigApplyTime, settings.EvacuationTime)
+	endpointTime := shortest(settings.DrainTime)
+	return intervals{
+		operator: newTableIntervals(operatorTime), endpoints: newTableIntervals(endpointTime),
+		pollWait: min(operatorTime, endpointTime) / 8,
+	}
+}
+
+func newTableIntervals(effectTime time.Duration) tableIntervals {
+	return tableIntervals{readInterval: effectTime / 4, answerTimeout: effectTime / 4, maxAge: effectTime * 6 / 10}
+}
+
+// shortest returns the shortest of the times that are set, or defaultEffectTime if
+// none is.
+func shortest(times ...time.Duration) time.Duration {
+	result := time.Duration(0)
+	for _, candidate := range times {
+		if candidate > 0 && (result == 0 || candidate < result) {
+			result = candidate
+		}
+	}
+	if result == 0 {
+		return defaultEffectTime
 	}
-	return intervals{entryInterval: drainTime / 4, pollWait: drainTime / 8, maxAge: drainTime * 6 / 10}
+	return result
 }
--- a/node/node.go
+++ b/node/node.go
@@ -73,7 +73,7 @@
 		startedAt:   time.Now(),
 	}
 	node.registerMetrics()
-	node.intervals = newIntervals(settings.DrainTime)
+	node.intervals = newIntervals(settings)
 	node.replica = newStoreReplica(log, core)
 	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), proxy.ReplicaAge{
 		Operator:  func() time.Duration { return node.replica.operator.Age(time.Now()) },
--- a/node/reader.go
+++ b/node/reader.go
@@ -8,12 +8,10 @@
 	"time"
 
 	"filberthold/platform"
+	"filberthold/relay"
 )
 
 const (
-	// operatorPollWait is how long one call waits for a change of the operator's
-	// rows. They change rarely, so a long wait costs little.
-	operatorPollWait = 3 * time.Second
 	// activeCheckInterval is how often a host that does not read the store
 	// checks whether it should.
 	activeCheckInterval = 300 * time.Millisecond
@@ -21,6 +19,9 @@
 	// the store refuses while another host keeps its replica up to date. The replica
 	// counts as up to date while it is younger than this interval.
 	followerProbeInterval = time.Second
+	// maxAnswerTimeout bounds the time in which the store must answer a call for the
+	// operator's rows, in addition to the wait for a change.
+	maxAnswerTimeout = 1500 * time.Millisecond
 	// renewalGrace is the grace period after a store outage in which endpoints
 	// write entries again that expired during the outage.
 	renewalGrace = 2 * time.Second
@@ -50,19 +51,23 @@
 	// have expired. graceUntil sets it at the first successful read after the
 	// outage.
 	outageEndedAt time.Time
+	// answerTimeout is the time in which the store must answer a call for the
+	// operator's rows, in addition to the wait for a change. It doubles after each
+	// call without an answer, so that the answers of a slow store arrive too, and is
+	// reset by an answer. Only operatorLoop uses it.
+	answerTimeout time.Duration
 	// isStoreReachable is false while the store does not serve this host.
 	isStoreReachable atomic.Bool
-	// wake ends the current wait for a change of the operator's rows.
-	wake chan struct{}
 }
 
 func newReader(log *slog.Logger, store *platform.Store, replica *storeReplica, intervals intervals, heartbeatInterval time.Duration,
 	isActive func() bool, probeInterval func() time.Duration) *reader {
 	r := &reader{
 		log: log, store: store, replica: replica, intervals: intervals, isActive: isActive, probeInterval: probeInterval, heartbeatInterval: heartbeatInterval,
-		dependency: dependency{log: log, name: "store"}, operatorRows: dependency{log: log, name: "operatorRows"}, wake: make(chan struct{}, 1),
+		dependency: dependency{log: log, name: "store"}, operatorRows: dependency{log: log, name: "operatorRows"},
 	}
 	r.isStoreReachable.Store(true)
+	r.answerTimeout = intervals.operator.answerTimeout
 	return r
 }
 
@@ -77,19 +82,19 @@
 		startedAt := time.Now()
 		if err := r.readEndpoints(ctx, startedAt); err != nil {
 			r.markStoreLost(err)
-			sleep(ctx, r.retryPause())
+			sleep(ctx, r.retryPause(r.replica.endpoints))
 			continue
 		}
 		r.markStoreRegained()
-		sleep(ctx, r.intervals.entryInterval-time.Since(startedAt))
+		sleep(ctx, r.intervals.endpoints.readInterval-time.Since(startedAt))
 	}
 	return nil
 }
 
-// retryPause returns the pause after a failed read of the store. It is at least
-// followerProbeInterval while another host keeps the replica up to date.
-func (r *reader) retryPause() time.Duration {
-	if r.replica.endpoints.Age(time.Now()) < followerProbeInterval {
+// retryPause returns the pause after a failed read of a table. It is at least
+// followerProbeInterval while another host keeps the table up to date.
+func (r *reader) retryPause(table *relay.Cache) time.Duration {
+	if table.Age(time.Now()) < followerProbeInterval {
 		return max(followerProbeInterval, r.probeInterval())
 	}
 	return r.probeInterval()
@@ -100,19 +105,9 @@
 	r.dependency.markLost(err)
 }
 
-// markStoreRegained records that the store serves this host. After an outage it
-// has the operator's rows read at once, because the current call may hang on a
-// connection that broke during the outage.
 func (r *reader) markStoreRegained() {
-	outage := r.dependency.markRegained()
+	r.dependency.markRegained()
 	r.isStoreReachable.Store(true)
-	if outage == 0 {
-		return
-	}
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
 }
 
 // graceUntil returns the end of the grace period, in which an entry may be
@@ -168,47 +163,32 @@
 			sleep(ctx, activeCheckInterval)
 			continue
 		}
-		err := r.readOperatorUntilWake(ctx)
+		startedAt := time.Now()
+		err := r.readOperator(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			r.operatorRows.markLost(err)
-			sleep(ctx, r.retryPause())
+			if errors.Is(err, context.DeadlineExceeded) {
+				r.answerTimeout = min(2*r.answerTimeout, maxAnswerTimeout)
+			}
+			// A call that hung has already taken the time of the pause.
+			sleep(ctx, r.retryPause(r.replica.operator)-time.Since(startedAt))
 			continue
 		}
 		r.operatorRows.markRegained()
+		r.answerTimeout = r.intervals.operator.answerTimeout
 	}
 	return nil
 }
 
-// readOperatorUntilWake reads the operator's rows. It returns early when the
-// store is reachable again after an outage.
-func (r *reader) readOperatorUntilWake(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan error, 1)
-	go func() { done <- r.readOperator(ctx) }()
-	select {
-	case err := <-done:
-		return err
-	case <-r.wake:
-		cancel()
-		<-done
-		return nil
-	}
-}
-
+// readOperator reads the operator's rows. It returns at their next change, or
+// after the read interval if there is none.
 func (r *reader) readOperator(ctx context.Context) error {
 	after := r.replica.operator.Version()
 	if after > 0 {
-		// While the store is unreachable, a call with a wait would hang for the
-		// whole wait.
-		pollWait := operatorPollWait
-		if !r.isStoreReachable.Load() {
-			pollWait = 0
-		}
-		rows, err := r.store.Watch(ctx, platform.OperatorTable, after, pollWait)
+		rows, err := r.watchOperator(ctx, after)
 		if err == nil {
 			r.replica.applyOperatorRows(rows.Rows, rows.Version, time.Now(), storeSource)
 			return nil
@@ -226,6 +206,19 @@
 	return nil
 }
 
+// watchOperator waits for changes of the operator's rows, unless the rows are older
+// than the read interval. The wait for an answer is short, because a call can hang
+// on a connection that went silent while the store answers on others.
+func (r *reader) watchOperator(ctx context.Context, after uint64) (platform.Rows, error) {
+	wait := r.intervals.operator.readInterval
+	if r.replica.operator.Age(time.Now()) > wait {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+r.answerTimeout)
+	defer cancel()
+	return r.store.Watch(ctx, platform.OperatorTable, after, wait)
+}
+
 // sleep pauses for a duration, or until ctx ends if that is earlier.
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
