Leave a reader whose operator's rows are outdated

Cause: a follower backed off from a host by the age of its endpoints only. Change: it backs off if either table is older than its own limit.

The test fails before the change: the follower keeps version 1. The polling function is now passed to the follower, so that the test needs no network.

--- a/node/follower.go
+++ b/node/follower.go
@@ -15,16 +15,20 @@
 	// follow.
 	noSourcePause = 100 * time.Millisecond
 	// sourceBackoff is how long a host is not polled after a poll failed or
-	// returned outdated endpoints or none.
+	// returned outdated rows or no endpoints.
 	sourceBackoff = time.Second
 )
 
+// pollFunc polls the host at an address for the rows that changed after the given
+// versions.
+type pollFunc func(ctx context.Context, address string, operatorAfter, endpointsAfter uint64) (relay.Update, error)
+
 // follower keeps the replica up to date by polling another host.
 type follower struct {
 	log       *slog.Logger
 	replica   *storeReplica
 	intervals intervals
-	client    *relay.Client
+	poll      pollFunc
 	// sources returns the hosts to follow in order of preference. It returns
 	// none if this host reads the store.
 	sources func() []member.Heartbeat
@@ -34,8 +38,8 @@
 	currentSource model.HostName
 }
 
-func newFollower(log *slog.Logger, replica *storeReplica, intervals intervals, sources func() []member.Heartbeat) *follower {
-	return &follower{log: log, replica: replica, intervals: intervals, client: relay.NewClient(intervals.pollWait), sources: sources, retryAt: make(map[model.HostName]time.Time)}
+func newFollower(log *slog.Logger, replica *storeReplica, intervals intervals, sources func() []member.Heartbeat, poll pollFunc) *follower {
+	return &follower{log: log, replica: replica, intervals: intervals, poll: poll, sources: sources, retryAt: make(map[model.HostName]time.Time)}
 }
 
 // loop polls other hosts until ctx ends.
@@ -61,7 +65,7 @@
 }
 
 func (f *follower) pollSource(ctx context.Context, source member.Heartbeat) {
-	update, err := f.client.Poll(ctx, source.ControlAddress, f.replica.operator.Version(), f.replica.endpoints.Version())
+	update, err := f.poll(ctx, source.ControlAddress, f.replica.operator.Version(), f.replica.endpoints.Version())
 	now := time.Now()
 	if err != nil {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
@@ -77,7 +81,7 @@
 		return
 	}
 	f.replica.applyUpdate(update, now, source.Host)
-	if update.Endpoints.Age > f.intervals.endpoints.maxAge {
+	if update.Operator.Age > f.intervals.operator.maxAge || update.Endpoints.Age > f.intervals.endpoints.maxAge {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -80,7 +80,7 @@
 		Endpoints: func() time.Duration { return node.replica.endpoints.Age(time.Now()) },
 	})
 	node.reader = newReader(log, store, node.replica, node.intervals, settings.HeartbeatInterval, node.shouldReadStore, node.probeInterval)
-	node.follower = newFollower(log, node.replica, node.intervals, node.sources)
+	node.follower = newFollower(log, node.replica, node.intervals, node.sources, relay.NewClient(node.intervals.pollWait).Poll)
 	return node
 }
 
