Ignore rows that are older than the replica's

A host that reads a whole table from the store while it also follows another host could apply the older table last: an evacuation that it had learnt ended, and an endpoint that it had learnt was dropped until its entry changed, at a follower for good. The configuration itself is compared by version and did not go back.

Cause: the cache of the replica refused older rows, but the core was changed all the same. Change: rows older than the cached ones are not applied.

--- a/node/replica.go
+++ b/node/replica.go
@@ -51,13 +51,16 @@
 const storeSource = "store"
 
 // applyOperatorRows applies changed rows of the operator's table, which came from
-// a source. The replica is then complete up to the given version as of
-// confirmedAt.
+// a source. It ignores rows older than the replica's, which a call that took longer
+// than another one returns. The replica is then complete up to the given version as
+// of confirmedAt.
 func (r *storeReplica) applyOperatorRows(rows []platform.Row, version uint64, confirmedAt time.Time, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
-		r.applyOperatorRow(row, source)
+		if !r.operator.HasNewer(row) {
+			r.applyOperatorRow(row, source)
+		}
 	}
 	zones := slices.Sorted(maps.Keys(r.evacuated))
 	if r.core.SetEvacuated(zones) {
@@ -108,18 +111,21 @@
 	return rows
 }
 
-// applyEndpointRows applies changed entries of endpoints. An endpoint whose
+// applyEndpointRows applies changed entries of endpoints and ignores older ones than
+// the replica's. An endpoint whose
 // entry was removed stays usable until graceUntil, because it may write the
 // entry again after a store outage.
 func (r *storeReplica) applyEndpointRows(rows []platform.Row, version uint64, confirmedAt, graceUntil time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
-		if row.IsRemoved {
+		switch {
+		case r.endpoints.HasNewer(row):
+		case row.IsRemoved:
 			r.applyRemoval(row, graceUntil)
-			continue
+		default:
+			r.applyEntry(row)
 		}
-		r.applyEntry(row)
 	}
 	r.endpoints.Confirm(version, confirmedAt)
 	r.core.MarkEndpointsLoaded()
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -63,6 +63,13 @@
 	c.evictRemovals()
 }
 
+// HasNewer reports whether the cache has a newer version of a row.
+func (c *Cache) HasNewer(row platform.Row) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows[row.Key].row.Version > row.Version
+}
+
 // evictRemovals drops all removals if the cache holds more than maxCachedRows
 // rows.
 func (c *Cache) evictRemovals() {
