Bound what an endpoint may send in place of a response

Of 13 kinds of endless bytes, seven were read until the deadline of the request, with memory that grew by all that came: a status line, a header field, header fields, folded fields, interim responses with and without fields, and the body of a response to another request.

Cause: http.ReadResponse reads a head of any length, readHead skips any number of interim responses, and a response to another request was skipped whatever its length.

Change: a head with its interim responses takes at most 64 KiB, and a response to another request with a body over 1 MiB is not skipped. The attempt then ends at once as one without a whole response: an idempotent request may go to another endpoint, another one is answered 502.

Bodies that belong to the request were bounded before: 1 MiB is buffered, a signed rest is streamed to the caller until the deadline.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -26,6 +26,12 @@
 	// maxMismatches is the number of responses to other requests that are
 	// skipped before the connection is closed.
 	maxMismatches = 2
+	// maxHeadBytes bounds the head of a response, with the interim responses
+	// before it. A faulty endpoint may send bytes that never become a response.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBody bounds the body of a response to another request, in bytes.
+	// Reading a longer one costs more than a new connection.
+	maxSkippedBody = 1 << 20
 )
 
 // Request is one request to an endpoint.
@@ -200,7 +206,7 @@
 			return nil, err
 		}
 		if !request.MatchesResponse(parsed.StatusCode, parsed.Header) {
-			if parsed.ContentLength < 0 {
+			if parsed.ContentLength < 0 || parsed.ContentLength > maxSkippedBody {
 				return nil, errors.New("response belongs to another request")
 			}
 			if _, err := io.CopyN(io.Discard, parsed.Body, parsed.ContentLength); err != nil {
@@ -214,7 +220,10 @@
 	return nil, errors.New("only responses to other requests came")
 }
 
+// readHead reads the head of a response and skips interim responses.
 func readHead(conn *connection, method string) (*http.Response, error) {
+	conn.limit.set(maxHeadBytes)
+	defer conn.limit.lift()
 	for {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if err != nil {
--- a/conns/fuzz_test.go
+++ b/conns/fuzz_test.go
@@ -18,7 +18,8 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nuntil the end"))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		conn := &connection{reader: bufio.NewReader(bytes.NewReader(content))}
+		limit := &limitedReader{source: bytes.NewReader(content)}
+		conn := &connection{limit: limit, reader: bufio.NewReader(limit)}
 		request := Request{Method: http.MethodGet, MatchesResponse: func(_ int, header http.Header) bool {
 			return strings.TrimSpace(header.Get("Attempt-Id")) == "a"
 		}}
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -42,6 +42,8 @@
 // time.
 type connection struct {
 	net.Conn
+	// limit reads from Conn, and reader from limit.
+	limit  *limitedReader
 	reader *bufio.Reader
 	// idleSince is the time of the last response.
 	idleSince time.Time
@@ -88,7 +90,12 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readerBytes)}, nil
+	return newConnection(opened), nil
+}
+
+func newConnection(conn net.Conn) *connection {
+	limit := &limitedReader{source: conn}
+	return &connection{Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readerBytes)}
 }
 
 func (p *Pool) popIdle(address netip.AddrPort) *connection {
