Read and log the rate limits that endpoints name

The header with the limit was read nowhere, so the logs could not show which endpoint was limited when. It is decoded in the adapter, kept with the endpoint, and each change is one log line with the request whose response showed it. No request goes another way.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -238,15 +238,17 @@
 }
 
 // recordOutcome records the end of an attempt and admits waiting requests. If
-// the endpoint has stopped, it is evicted from the roster.
-func (c *Core) recordOutcome(outcome steer.Outcome, isEndpointGone bool) {
+// the endpoint has stopped, it is evicted from the roster. It reports whether the
+// endpoint's limit changed.
+func (c *Core) recordOutcome(outcome steer.Outcome, isEndpointGone bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.selector.Done(outcome, now)
+	limitChanged := c.selector.Done(outcome, now)
 	if isEndpointGone {
 		c.roster.Evict(outcome.Endpoint, now)
 	}
 	c.updateSelector()
 	c.admitWaiting(now)
+	return limitChanged
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -192,10 +192,15 @@
 		responseHeader = platform.ParseResponseHeader(response.Status, response.Header)
 	}
 	outcome := classify(response, responseHeader, err, ctx.Err() != nil)
-	e.server.core.recordOutcome(steer.Outcome{
+	limitChanged := e.server.core.recordOutcome(steer.Outcome{
 		Endpoint: decision.Endpoint.Name, Result: outcome.result, Elapsed: time.Since(startedAt),
 		HasLoad: responseHeader.HasLoad, Busy: responseHeader.Load.Running + responseHeader.Load.Waiting,
+		Limit: steer.RateLimit{IsSet: responseHeader.HasLimit, PerSecond: responseHeader.RateLimit},
 	}, outcome.isEndpointGone)
+	if limitChanged {
+		e.server.log.Info("endpoint limit changed", "endpoint", decision.Endpoint.Name, "service", e.service, "request", e.header.AttemptID,
+			"isLimited", responseHeader.HasLimit, "perSecond", responseHeader.RateLimit)
+	}
 	if outcome.result == steer.Unreachable {
 		// Other idle connections to the endpoint may be broken too.
 		e.server.pool.CloseIdle(decision.Endpoint.Address)
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -38,6 +38,8 @@
 	hash        uint64
 	coldUntil   time.Time
 	pacer       pacer
+	// limit is the limit that the endpoint's last response named.
+	limit RateLimit
 
 	// inFlight is the number of this host's requests at the endpoint.
 	inFlight int
--- a/steer/result.go
+++ b/steer/result.go
@@ -57,18 +57,21 @@
 	// Busy is the number of requests at the endpoint by its own report, without
 	// the one that ended.
 	Busy int
+	// Limit is the limit that the endpoint named in its response.
+	Limit RateLimit
 }
 
-// Done records the end of a request that Choose decided to send.
-func (s *Selector) Done(outcome Outcome, now time.Time) {
+// Done records the end of a request that Choose decided to send. It reports whether
+// the endpoint's limit changed.
+func (s *Selector) Done(outcome Outcome, now time.Time) bool {
 	target := s.endpoints[outcome.Endpoint]
 	if target == nil {
-		return
+		return false
 	}
 	target.inFlight = max(0, target.inFlight-1)
 	state := s.services[target.service]
 	if state == nil {
-		return
+		return false
 	}
 	switch outcome.Result {
 	case Answered:
@@ -92,6 +95,7 @@
 	if outcome.HasLoad {
 		target.applyLoadReport(outcome.Busy, now)
 	}
+	return target.applyLimit(outcome)
 }
 
 func (s *Selector) recordResponse(state *serviceState, target *endpoint, elapsed time.Duration, now time.Time) {
