Keep the limit that an endpoint names over all hosts

Cause: the limit was read by no decision; each host sent what its callers asked for.

Change: the owner of an endpoint, which already is the only host that sends to it while it is cold, issues a permit for each request while the endpoint names a limit, at the rate of the limit and two at once at most. Another host asks it by a datagram before it sends. Without a permit the request goes to another endpoint, or is rejected at once when the time for waiting has passed; if all endpoints wait for permits, Retry-After is the time until the next one. A host that gets no answer from the owner sends nothing there. Knowledge of the limit travels with the requests and their age; a success without a limit ends it at the host and, by one message, at the owner. A region whose endpoints wait for permits does not count as down.

--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -41,15 +41,21 @@
 	Loads func(isFull bool) []steer.Load
 	// ApplyLoads applies the load report of another host.
 	ApplyLoads func(host model.HostName, loads []steer.Load, isFull bool)
+	// IssuePermit answers another host's request for a permit.
+	IssuePermit func(request steer.PermitRequest) steer.Permit
+	// ApplyLimitNews applies what another host knows of an endpoint's limit.
+	ApplyLimitNews func(news steer.PermitRequest)
 }
 
-// datagram is one message between hosts. Heartbeat or Loads is set.
+// datagram is one message between hosts. One of the pointers is set.
 type datagram struct {
 	Heartbeat *member.Heartbeat `cbor:"1,keyasint,omitempty"`
 	Loads     *loadReport       `cbor:"2,keyasint,omitempty"`
 	// RequestsHeartbeat is true if the receiver should send its heartbeat to the
 	// sender.
-	RequestsHeartbeat bool `cbor:"3,keyasint,omitempty"`
+	RequestsHeartbeat bool           `cbor:"3,keyasint,omitempty"`
+	PermitRequest     *permitRequest `cbor:"4,keyasint,omitempty"`
+	PermitAnswer      *permitAnswer  `cbor:"5,keyasint,omitempty"`
 }
 
 // loadReport holds the number of requests that a host has in flight at
@@ -83,6 +89,10 @@
 	// loadSentAt holds the time of the last load report to an address. Entries
 	// older than the heartbeat interval are dropped.
 	loadSentAt map[netip.Addr]time.Time
+	// pendingPermits holds the channel for the answer to each permit request that
+	// waits for it, by the request's ID.
+	pendingPermits map[uint64]chan steer.Permit
+	lastPermitID   uint64
 }
 
 // Listen opens the UDP port on an address. The transport sends to the same port
@@ -92,7 +102,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
-	return &Transport{log: log, port: address.Port(), conn: conn, callbacks: callbacks, table: table, loadSentAt: make(map[netip.Addr]time.Time)}, nil
+	return &Transport{log: log, port: address.Port(), conn: conn, callbacks: callbacks, table: table, loadSentAt: make(map[netip.Addr]time.Time), pendingPermits: make(map[uint64]chan steer.Permit)}, nil
 }
 
 // AddAddresses adds addresses of possible hosts, to which heartbeats are sent.
@@ -281,20 +291,29 @@
 	if message.RequestsHeartbeat {
 		t.sendHeartbeatTo(from, false)
 	}
-	if message.Loads == nil {
-		return
+	if message.PermitRequest != nil {
+		t.answerPermit(*message.PermitRequest, from)
+	}
+	if message.PermitAnswer != nil {
+		t.deliverPermit(*message.PermitAnswer)
+	}
+	if message.Loads != nil {
+		t.applyLoads(*message.Loads, from)
 	}
+}
+
+func (t *Transport) applyLoads(report loadReport, from netip.Addr) {
 	t.mu.Lock()
-	isAlive := t.table.Touch(message.Loads.Host, message.Loads.Incarnation, time.Now())
+	isAlive := t.table.Touch(report.Host, report.Incarnation, time.Now())
 	t.mu.Unlock()
 	if !isAlive {
 		t.sendHeartbeatTo(from, true)
 	}
-	loads := make([]steer.Load, len(message.Loads.Endpoints))
-	for i, endpoint := range message.Loads.Endpoints {
-		loads[i] = steer.Load{Endpoint: endpoint, Count: message.Loads.Counts[i]}
+	loads := make([]steer.Load, len(report.Endpoints))
+	for i, endpoint := range report.Endpoints {
+		loads[i] = steer.Load{Endpoint: endpoint, Count: report.Counts[i]}
 	}
-	t.callbacks.ApplyLoads(message.Loads.Host, loads, message.Loads.IsFull)
+	t.callbacks.ApplyLoads(report.Host, loads, report.IsFull)
 }
 
 func (t *Transport) applyHeartbeat(heartbeat member.Heartbeat) {
@@ -325,5 +344,15 @@
 	if message.Loads != nil && len(message.Loads.Endpoints) != len(message.Loads.Counts) {
 		return datagram{}, errors.New("decode load report: endpoints and counts differ in number")
 	}
+	if message.PermitRequest != nil {
+		if err := message.PermitRequest.Request.Check(); err != nil {
+			return datagram{}, fmt.Errorf("decode permit request: %w", err)
+		}
+	}
+	if message.PermitAnswer != nil {
+		if err := message.PermitAnswer.Permit.Check(); err != nil {
+			return datagram{}, fmt.Errorf("decode permit: %w", err)
+		}
+	}
 	return message, nil
 }
--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/netip"
 	"sync"
 	"testing"
@@ -22,7 +23,9 @@
 	heartbeat member.Heartbeat
 	transport *Transport
 	mu        sync.Mutex
-	loads     map[model.HostName][]steer.Load
+	// news holds what other hosts told of limits.
+	news  []steer.PermitRequest
+	loads map[model.HostName][]steer.Load
 }
 
 const peerPort = 17540
@@ -46,6 +49,14 @@
 			defer h.mu.Unlock()
 			h.loads[host] = loads
 		},
+		IssuePermit: func(request steer.PermitRequest) steer.Permit {
+			return steer.Permit{RetryAfter: time.Second, Limit: request.Limit, Age: request.Age}
+		},
+		ApplyLimitNews: func(news steer.PermitRequest) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.news = append(h.news, news)
+		},
 	})
 	assert.NilError(t, err)
 	h.transport = transport
@@ -86,6 +97,9 @@
 	messages := map[string]datagram{
 		"heartbeat without a host":     {Heartbeat: &member.Heartbeat{IP: netip.MustParseAddr("127.0.0.1")}},
 		"heartbeat without an address": {Heartbeat: &member.Heartbeat{Host: "h"}},
+		"limit is negative":            {PermitRequest: &permitRequest{ID: 1, Request: steer.PermitRequest{Limit: steer.RateLimit{IsSet: true, PerSecond: -1}}}},
+		"limit is not a number":        {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{Limit: steer.RateLimit{IsSet: true, PerSecond: math.NaN()}}}},
+		"permit is due in the past":    {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{RetryAfter: -1}}},
 		"counts are missing":           {Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}}},
 	}
 	for name, message := range messages {
--- a/node/node.go
+++ b/node/node.go
@@ -107,11 +107,13 @@
 	table.AddAddresses(n.settings.Seeds, time.Now())
 	transport, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, gossip.Callbacks{
 		Heartbeat: n.heartbeat, HostsChanged: n.updateHosts, Loads: n.core.Loads, ApplyLoads: n.core.ApplyLoads,
+		IssuePermit: n.core.IssuePermit, ApplyLimitNews: n.core.ApplyLimitNews,
 	})
 	if err != nil {
 		return fmt.Errorf("start host: %w", err)
 	}
 	n.transport = transport
+	n.core.SetPermits(transport)
 	// The loops continue after ctx ends: requests in flight need them.
 	runCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -62,6 +62,9 @@
 	waiters map[steer.Ticket]chan steer.Send
 	// endpointsLoaded is true after the entries were read for the first time.
 	endpointsLoaded bool
+	// permits connects this host with the owners of limited endpoints. It is set
+	// before the first request.
+	permits Permits
 }
 
 // NewCore returns the core of a host without configuration and endpoints. A
@@ -222,12 +225,19 @@
 	}
 	c.updateSelector()
 	decision := c.selector.Choose(query, time.Now())
-	if _, isSend := decision.(steer.Send); isSend && len(query.Tried) > 0 {
-		c.budgets[query.Service].Spend()
+	if send, isSend := decision.(steer.Send); isSend && !send.Permit.IsNeeded() {
+		c.spendRetry(query)
 	}
 	return decision
 }
 
+// spendRetry spends retry budget if the query is a retry.
+func (c *Core) spendRetry(query steer.Query) {
+	if len(query.Tried) > 0 {
+		c.budgets[query.Service].Spend()
+	}
+}
+
 // budgetRetryAfter is the Retry-After of a request that needs a retry while the
 // budget is used up.
 const budgetRetryAfter = 500 * time.Millisecond
@@ -239,16 +249,27 @@
 
 // recordOutcome records the end of an attempt and admits waiting requests. If
 // the endpoint has stopped, it is evicted from the roster. It reports whether the
-// endpoint's limit changed.
+// endpoint's limit changed, and tells the endpoint's owner of the change.
 func (c *Core) recordOutcome(outcome steer.Outcome, isEndpointGone bool) bool {
+	limitChanged, news, isNews := c.applyOutcome(outcome, isEndpointGone)
+	if isNews {
+		c.permits.SendLimitNews(news)
+	}
+	return limitChanged
+}
+
+func (c *Core) applyOutcome(outcome steer.Outcome, isEndpointGone bool) (limitChanged bool, news steer.PermitRequest, isNews bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	limitChanged := c.selector.Done(outcome, now)
+	limitChanged = c.selector.Done(outcome, now)
+	if limitChanged {
+		news, isNews = c.selector.LimitNews(outcome.Endpoint, now)
+	}
 	if isEndpointGone {
 		c.roster.Evict(outcome.Endpoint, now)
 	}
 	c.updateSelector()
 	c.admitWaiting(now)
-	return limitChanged
+	return limitChanged, news, isNews
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -59,6 +59,8 @@
 	mayHaveRun bool
 	// lastSend is the selection of the latest attempt, for the log.
 	lastSend steer.Send
+	// hasWaited is true once a permit for a limited endpoint was not granted.
+	hasWaited bool
 }
 
 func (s *Server) handleRequest(writer http.ResponseWriter, request *http.Request) {
@@ -141,14 +143,19 @@
 // attempt sends the request to an endpoint. It reports whether the exchange has
 // ended; otherwise serve calls it again.
 func (e *exchange) attempt() bool {
-	decision := e.server.core.chooseOrWait(e.request.Context(), steer.Query{
-		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried,
-	}, e.waitDeadline())
-	switch decision := decision.(type) {
+	query := steer.Query{
+		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, HasWaited: e.hasWaited,
+	}
+	switch decision := e.server.core.chooseOrWait(e.request.Context(), query, e.waitDeadline()).(type) {
 	case steer.Reject:
 		e.handleReject(decision)
 		return true
 	case steer.Send:
+		if decision.Permit.IsNeeded() {
+			if permit := e.obtainPermit(query, decision); !permit.IsGranted {
+				return e.rejectIfLate(permit)
+			}
+		}
 		e.lastSend = decision
 		e.tried = append(e.tried, decision.Endpoint.Name)
 		return e.handleOutcome(e.send(decision))
@@ -156,6 +163,30 @@
 	return true
 }
 
+// obtainPermit asks for the permit that a send needs.
+func (e *exchange) obtainPermit(query steer.Query, decision steer.Send) steer.Permit {
+	startedAt := time.Now()
+	permit, err := e.server.core.obtainPermit(e.request.Context(), query, decision)
+	if permit.IsGranted {
+		return permit
+	}
+	e.hasWaited = true
+	e.server.log.Info("permit not granted", "request", e.header.AttemptID, "endpoint", decision.Endpoint.Name, "service", e.service,
+		"owner", decision.Permit.Owner, "limit", decision.Permit.Limit.PerSecond, "elapsed", time.Since(startedAt),
+		"retryAfter", permit.RetryAfter, "error", errorText(err))
+	return permit
+}
+
+// rejectIfLate rejects a request that got no permit if it has waited as long as
+// requests wait for a slot. It returns false if another endpoint may be chosen.
+func (e *exchange) rejectIfLate(permit steer.Permit) bool {
+	if time.Now().Before(e.waitDeadline()) {
+		return false
+	}
+	e.handleReject(steer.Reject{Reason: "no permit for a limited endpoint", RetryAfter: permit.RetryAfter})
+	return true
+}
+
 // waitDeadline returns the time until which the request waits for a slot.
 func (e *exchange) waitDeadline() time.Time {
 	maxWait := time.Duration(float64(e.route.LatencyObjective) * waitFraction)
--- /dev/null
+++ b/proxy/permit.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"filberthold/steer"
+)
+
+// Permits connects a host with the hosts that issue permits for limited endpoints.
+type Permits interface {
+	// AskPermit asks the owner of an endpoint for a permit.
+	AskPermit(ctx context.Context, request steer.PermitRequest) (steer.Permit, error)
+	// SendLimitNews tells the owner what this host knows of the endpoint's limit. It
+	// does not wait.
+	SendLimitNews(news steer.PermitRequest)
+}
+
+// SetPermits sets the connection to the owners of limited endpoints. It must be
+// called before the first request.
+func (c *Core) SetPermits(permits Permits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.permits = permits
+}
+
+// IssuePermit answers another host's request for a permit.
+func (c *Core) IssuePermit(request steer.PermitRequest) steer.Permit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateSelector()
+	return c.selector.IssuePermit(request, time.Now())
+}
+
+// ApplyLimitNews applies what another host knows of an endpoint's limit.
+func (c *Core) ApplyLimitNews(news steer.PermitRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateSelector()
+	c.selector.ApplyLimitNews(news, time.Now())
+}
+
+// obtainPermit asks for the permit that a send needs. If it is not granted, the
+// request must not be sent, and the endpoint is not chosen until the next permit is
+// due. Without an answer the request does not go to the endpoint either: the owner
+// may have issued all permits to others.
+func (c *Core) obtainPermit(ctx context.Context, query steer.Query, send steer.Send) (steer.Permit, error) {
+	permit, err := c.permits.AskPermit(ctx, send.Permit)
+	if err != nil {
+		permit = send.Permit.Refusal()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.selector.ApplyPermit(send, permit, time.Now())
+	if permit.IsGranted {
+		c.spendRetry(query)
+	}
+	return permit, err
+}
--- /dev/null
+++ b/proxy/permit_test.go
@@ -0,0 +1,100 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"filberthold/model"
+	"filberthold/steer"
+
+	"gotest.tools/v3/assert"
+)
+
+// fakePermits answers permit requests as another host would.
+type fakePermits struct {
+	isGranted bool
+	err       error
+	asked     int
+	news      []steer.PermitRequest
+}
+
+func (p *fakePermits) AskPermit(_ context.Context, request steer.PermitRequest) (steer.Permit, error) {
+	p.asked++
+	permit := request.Refusal()
+	permit.IsGranted = p.isGranted
+	return permit, p.err
+}
+
+func (p *fakePermits) SendLimitNews(news steer.PermitRequest) { p.news = append(p.news, news) }
+
+// startLimitedServer returns a server whose endpoints name a limit and are owned by
+// another host.
+func startLimitedServer(t *testing.T, endpoints int, permits *fakePermits) *testServer {
+	t.Helper()
+	ts := startTestServer(t, endpoints)
+	ts.core.SetPermits(permits)
+	ts.core.SetHosts(map[model.RegionName][]model.HostName{"north": {"owner"}})
+	for _, endpoint := range ts.endpoints {
+		endpoint.SetRateLimit("2.5")
+	}
+	return ts
+}
+
+// Guards against a request that is sent to a limited endpoint without a permit, and
+// against one that is not refused as not run, with a Retry-After, if no endpoint may
+// get it.
+func TestNothingIsSentWithoutPermit(t *testing.T) {
+	for name, err := range map[string]error{"the owner refuses": nil, "the owner does not answer": errors.New("no answer")} {
+		t.Run(name, func(t *testing.T) {
+			permits := &fakePermits{err: err}
+			ts := startLimitedServer(t, 1, permits)
+			status, _, _ := ts.send(http.MethodPost, "/submit/1", "a1", "content")
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, len(permits.news), 1)
+			status, _, header := ts.send(http.MethodPost, "/submit/1", "a2", "content")
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			assert.Equal(t, ts.runs("a2"), 0)
+			assert.Assert(t, permits.asked > 0)
+			retryAfter, parseErr := strconv.ParseFloat(header.Get("Retry-After"), 64)
+			assert.NilError(t, parseErr)
+			assert.Assert(t, retryAfter > 0)
+		})
+	}
+}
+
+// Guards against a request that fails although an endpoint without a limit can
+// serve it.
+func TestRequestWithoutPermitUsesOtherEndpoint(t *testing.T) {
+	permits := &fakePermits{}
+	ts := startLimitedServer(t, 2, permits)
+	ts.endpoints[0].SetRateLimit("")
+	for _, attempt := range []string{"a1", "a2", "a3", "a4"} {
+		status, _, _ := ts.send(http.MethodPost, "/submit/1", attempt, "content")
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Assert(t, ts.endpoints[1].RequestCount() <= 1)
+}
+
+// Guards against a limited endpoint that gets no request although the owner grants
+// the permit, and against a limit that stays in force at this host and unknown at
+// the owner after a response without one.
+func TestGrantedPermitIsUsed(t *testing.T) {
+	permits := &fakePermits{isGranted: true}
+	ts := startLimitedServer(t, 1, permits)
+	for _, attempt := range []string{"a1", "a2"} {
+		status, _, _ := ts.send(http.MethodPost, "/submit/1", attempt, "content")
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, permits.asked, 1)
+	ts.endpoints[0].SetRateLimit("")
+	for _, attempt := range []string{"a3", "a4"} {
+		status, _, _ := ts.send(http.MethodPost, "/submit/1", attempt, "content")
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, permits.asked, 2)
+	assert.Equal(t, len(permits.news), 2)
+	assert.Assert(t, !permits.news[1].Limit.IsSet)
+}
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -38,8 +38,7 @@
 	hash        uint64
 	coldUntil   time.Time
 	pacer       pacer
-	// limit is the limit that the endpoint's last response named.
-	limit RateLimit
+	rate        rateState
 
 	// inFlight is the number of this host's requests at the endpoint.
 	inFlight int
@@ -141,8 +140,12 @@
 
 func (e *endpoint) isCold(now time.Time) bool { return now.Before(e.coldUntil) }
 
-// isAvailable reports whether the endpoint accepts requests at its full rate.
-func (e *endpoint) isAvailable(now time.Time) bool { return !e.isSuspect(now) && !e.isCold(now) }
+// isUp reports whether the endpoint is reachable and warm.
+func (e *endpoint) isUp(now time.Time) bool { return !e.isSuspect(now) && !e.isCold(now) }
+
+// isAvailable reports whether the endpoint accepts requests now, unless its slots
+// are taken.
+func (e *endpoint) isAvailable(now time.Time) bool { return e.isUp(now) && !e.rate.isDeferred(now) }
 
 func (e *endpoint) isSuspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -1,22 +1,226 @@
 package steer
 
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"filberthold/model"
+)
+
+const (
+	// permitBurst is the number of requests that a limited endpoint may get at once
+	// after a pause. Requests do not arrive evenly, so with less the endpoint would
+	// get fewer than it accepts.
+	permitBurst = 2
+	// minLimit is the least rate at which a limited endpoint gets requests, in
+	// requests a second. Only a response shows that a limit has ended.
+	minLimit = 0.1
+	// permitRetryDelay is how long a host does not ask for a permit again after it
+	// got no answer, or one from a host that does not issue them.
+	permitRetryDelay = 300 * time.Millisecond
+)
+
 // RateLimit is the limit that an endpoint names in a response. It applies from then
 // on until a response names none.
 type RateLimit struct {
-	IsSet bool
+	IsSet bool `cbor:"1,keyasint,omitempty"`
 	// PerSecond is the number of requests a second that the endpoint accepts from
 	// all hosts together. It is not negative.
-	PerSecond float64
+	PerSecond float64 `cbor:"2,keyasint,omitempty"`
+}
+
+// PermitRequest asks the owner of a limited endpoint for a permit to send one
+// request to it. One host issues the permits of an endpoint, so the limit holds
+// over all hosts whichever of them have requests for it.
+type PermitRequest struct {
+	// Owner is the host that issues the permits, or empty if none is needed.
+	Owner    model.HostName `cbor:"-"`
+	Endpoint EndpointID     `cbor:"1,keyasint"`
+	// Limit is what the sender knows of the limit, from a response that arrived Age
+	// ago.
+	Limit RateLimit     `cbor:"2,keyasint"`
+	Age   time.Duration `cbor:"3,keyasint"`
+}
+
+// IsNeeded reports whether a request may be sent only with a permit.
+func (r PermitRequest) IsNeeded() bool { return r.Owner != "" }
+
+// Refusal returns the answer without a permit, for a host that got none from the
+// owner or asked a host that is not the owner. It tells nothing new of the limit.
+func (r PermitRequest) Refusal() Permit {
+	return Permit{RetryAfter: permitRetryDelay, Limit: r.Limit, Age: r.Age}
+}
+
+// Check returns an error if the fields are out of range.
+func (r PermitRequest) Check() error { return checkLimit(r.Limit, r.Age) }
+
+// Permit is the answer to a PermitRequest.
+type Permit struct {
+	IsGranted bool `cbor:"1,keyasint,omitempty"`
+	// RetryAfter is the time until the next permit if this one is not granted.
+	RetryAfter time.Duration `cbor:"2,keyasint,omitempty"`
+	// Limit is what the owner knows of the limit, from a response that arrived Age
+	// ago.
+	Limit RateLimit     `cbor:"3,keyasint"`
+	Age   time.Duration `cbor:"4,keyasint"`
+}
+
+// Check returns an error if the fields are out of range.
+func (p Permit) Check() error {
+	if p.RetryAfter < 0 {
+		return errors.New("the time until the next permit is negative")
+	}
+	return checkLimit(p.Limit, p.Age)
+}
+
+func checkLimit(limit RateLimit, age time.Duration) error {
+	if math.IsNaN(limit.PerSecond) || math.IsInf(limit.PerSecond, 0) || limit.PerSecond < 0 || age < 0 {
+		return fmt.Errorf("limit %v or its age %s is out of range", limit.PerSecond, age)
+	}
+	return nil
+}
+
+// rateState is what a host knows of an endpoint's limit.
+type rateState struct {
+	limit RateLimit
+	// seenAt is when the response arrived, here or at another host, from which the
+	// limit is known.
+	seenAt time.Time
+	// deferredUntil is the time until which this host sends no request, because the
+	// next permit is not due before.
+	deferredUntil time.Time
+	// nextAt is the time at which the next request would be due if all came evenly.
+	// Only the owner uses it.
+	nextAt time.Time
+}
+
+// apply records a limit that was seen at a time. It ignores older knowledge and
+// reports whether the limit changed.
+func (r *rateState) apply(limit RateLimit, seenAt time.Time) bool {
+	if seenAt.Before(r.seenAt) {
+		return false
+	}
+	hasChanged := r.limit != limit
+	r.limit, r.seenAt = limit, seenAt
+	if !limit.IsSet {
+		r.deferredUntil, r.nextAt = time.Time{}, time.Time{}
+	}
+	return hasChanged
+}
+
+// isDeferred reports whether this host must not send a request now.
+func (r *rateState) isDeferred(now time.Time) bool { return now.Before(r.deferredUntil) }
+
+// take uses a permit if one is due, and sets when the next one is.
+func (r *rateState) take(now time.Time) bool {
+	interval := time.Duration(float64(time.Second) / max(r.limit.PerSecond, minLimit))
+	burst := (permitBurst - 1) * interval
+	if r.nextAt.IsZero() {
+		// The limit, or this owner, is new: permits start one at a time.
+		r.nextAt = now.Add(burst)
+	}
+	isDue := !now.Before(r.nextAt.Add(-burst))
+	if isDue {
+		r.nextAt = maxTime(r.nextAt, now).Add(interval)
+	}
+	r.deferredUntil = r.nextAt.Add(-burst)
+	return isDue
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // applyLimit records the limit that a response names and reports whether it
 // changed. Only a success shows that there is no limit any more: refusals of an
 // endpoint may leave it out.
-func (e *endpoint) applyLimit(outcome Outcome) bool {
+func (e *endpoint) applyLimit(outcome Outcome, now time.Time) bool {
 	if !outcome.Limit.IsSet && outcome.Result != Answered {
 		return false
 	}
-	hasChanged := e.limit != outcome.Limit
-	e.limit = outcome.Limit
-	return hasChanged
+	return e.rate.apply(outcome.Limit, now)
+}
+
+// takePermit counts a request to a limited endpoint if this host is the owner.
+// Otherwise it returns the request for a permit.
+func (s *Selector) takePermit(chosen *endpoint, now time.Time) PermitRequest {
+	if !chosen.rate.limit.IsSet {
+		return PermitRequest{}
+	}
+	owner := s.owner(chosen)
+	if owner == s.host {
+		chosen.rate.take(now)
+		return PermitRequest{}
+	}
+	return PermitRequest{Owner: owner, Endpoint: chosen.id(), Limit: chosen.rate.limit, Age: now.Sub(chosen.rate.seenAt)}
+}
+
+// ApplyLimitNews applies what another host knows of an endpoint's limit.
+func (s *Selector) ApplyLimitNews(news PermitRequest, now time.Time) {
+	if target := s.byID[news.Endpoint]; target != nil {
+		target.rate.apply(news.Limit, now.Add(-news.Age))
+	}
+}
+
+// IssuePermit answers another host's request for a permit.
+func (s *Selector) IssuePermit(request PermitRequest, now time.Time) Permit {
+	target := s.byID[request.Endpoint]
+	if target == nil || s.owner(target) != s.host {
+		return request.Refusal()
+	}
+	target.rate.apply(request.Limit, now.Add(-request.Age))
+	permit := Permit{IsGranted: true, Limit: target.rate.limit, Age: now.Sub(target.rate.seenAt)}
+	if permit.Limit.IsSet && !target.rate.take(now) {
+		permit.IsGranted, permit.RetryAfter = false, target.rate.deferredUntil.Sub(now)
+	}
+	return permit
+}
+
+// ApplyPermit applies the answer to the permit request of a Send. Without a permit
+// the request is not sent and no longer counts as in flight.
+func (s *Selector) ApplyPermit(send Send, permit Permit, now time.Time) {
+	target := s.endpoints[send.Endpoint.Name]
+	if target == nil {
+		return
+	}
+	target.rate.apply(permit.Limit, now.Add(-permit.Age))
+	if permit.IsGranted {
+		return
+	}
+	target.inFlight = max(0, target.inFlight-1)
+	if target.rate.limit.IsSet {
+		target.rate.deferredUntil = now.Add(permit.RetryAfter)
+	}
+}
+
+// LimitNews returns what to tell the owner of an endpoint whose limit changed. It
+// returns false if this host is the owner. The owner needs the end of a limit from
+// others if it sends no request itself.
+func (s *Selector) LimitNews(name model.EndpointName, now time.Time) (PermitRequest, bool) {
+	target := s.endpoints[name]
+	if target == nil {
+		return PermitRequest{}, false
+	}
+	owner := s.owner(target)
+	return PermitRequest{Owner: owner, Endpoint: target.id(), Limit: target.rate.limit, Age: now.Sub(target.rate.seenAt)}, owner != s.host
+}
+
+// fullRetryAfter returns the Retry-After of a request for which every endpoint is
+// full: a slot becomes free soon, unless all endpoints wait for their next permit.
+func (s *serviceState) fullRetryAfter(now time.Time) time.Duration {
+	earliest := time.Time{}
+	for _, candidate := range s.endpoints {
+		if !candidate.rate.isDeferred(now) {
+			return minRetryAfter
+		}
+		if earliest.IsZero() || candidate.rate.deferredUntil.Before(earliest) {
+			earliest = candidate.rate.deferredUntil
+		}
+	}
+	return max(minRetryAfter, earliest.Sub(now))
 }
--- a/steer/result.go
+++ b/steer/result.go
@@ -95,7 +95,7 @@
 	if outcome.HasLoad {
 		target.applyLoadReport(outcome.Busy, now)
 	}
-	return target.applyLimit(outcome)
+	return target.applyLimit(outcome, now)
 }
 
 func (s *Selector) recordResponse(state *serviceState, target *endpoint, elapsed time.Duration, now time.Time) {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -29,9 +29,9 @@
 	// idleFraction is the load, as a fraction of its slots, from which an endpoint
 	// gets no more requests for objects that prefer another available endpoint.
 	idleFraction = 0.5
-	// fullRetryAfter is the Retry-After of a request that is rejected because every
-	// endpoint is full. A slot becomes free in about this time.
-	fullRetryAfter = 300 * time.Millisecond
+	// minRetryAfter is the least Retry-After of a request that is rejected because
+	// every endpoint is full. A slot becomes free in about this time.
+	minRetryAfter = 300 * time.Millisecond
 	// spillCreditPerRequest is the spillover credit that each new request adds; a
 	// request sent to another region than planned costs 1. maxSpillCredit bounds
 	// the credit. Both keep small how much the fraction of a region's requests that
@@ -81,6 +81,9 @@
 	Load float64
 	// Candidates is the number of endpoints that could have been chosen.
 	Candidates int
+	// Permit is the request for the permit without which the request must not be
+	// sent.
+	Permit PermitRequest
 }
 
 // Reject means that no endpoint can accept the request now.
@@ -107,8 +110,8 @@
 	services  map[model.ServiceName]*serviceState
 	// loadsByHost holds the request counts that other hosts reported.
 	loadsByHost map[model.HostName]*hostLoads
-	// hosts are the entry hosts that are alive, by region. Each cold endpoint is
-	// assigned to one of them.
+	// hosts are the entry hosts that are alive, by region. One of them owns each
+	// endpoint.
 	hosts map[model.RegionName][]model.HostName
 	// ranking is reused by each choice to save allocations.
 	ranking ranking
@@ -233,7 +236,7 @@
 		best = s.bestSpillover(state, plannedRegion, object, query, now)
 	}
 	if best.endpoint == nil {
-		return Reject{Reason: "every endpoint is full or not reachable", RetryAfter: fullRetryAfter, IsFull: true}
+		return Reject{Reason: "every endpoint is full or not reachable", RetryAfter: state.fullRetryAfter(now), IsFull: true}
 	}
 	return s.send(state, best, now)
 }
@@ -310,10 +313,10 @@
 
 // bestSpillover chooses an endpoint in another region for a request that the
 // planned region cannot take. If that region is only overloaded, each such
-// request costs credit. If it has no available endpoint, all of its requests
+// request costs credit. If none of its endpoints is up, all of its requests
 // spill over.
 func (s *Selector) bestSpillover(state *serviceState, plannedRegion model.RegionName, object uint64, query Query, now time.Time) choice {
-	isDown := !slices.ContainsFunc(state.byRegion[plannedRegion], func(candidate *endpoint) bool { return candidate.isAvailable(now) })
+	isDown := !slices.ContainsFunc(state.byRegion[plannedRegion], func(candidate *endpoint) bool { return candidate.isUp(now) })
 	if s.spillCredit < 1 && !isDown {
 		return choice{}
 	}
@@ -336,19 +339,19 @@
 }
 
 func (s *Selector) mayUse(candidate *endpoint, query Query, now time.Time) bool {
-	if slices.Contains(query.Tried, candidate.name) || candidate.isSuspect(now) {
+	if slices.Contains(query.Tried, candidate.name) || candidate.isSuspect(now) || candidate.rate.isDeferred(now) {
 		return false
 	}
 	if candidate.isCold(now) {
-		return s.isColdOwner(candidate) && candidate.pacer.canSend(now)
+		return s.owner(candidate) == s.host && candidate.pacer.canSend(now)
 	}
 	return candidate.load(now) < float64(candidate.slots+maxEndpointQueue)
 }
 
-// isColdOwner reports whether this host is the only one that may send to an
-// endpoint while it is cold. A single host can keep within the rate limit of a
-// cold endpoint; several hosts would have to coordinate.
-func (s *Selector) isColdOwner(candidate *endpoint) bool {
+// owner returns the host that keeps an endpoint within its rate: the only one that
+// sends to it while it is cold, and the one that issues permits while it names a
+// limit. Hosts with the same list of hosts return the same one.
+func (s *Selector) owner(candidate *endpoint) model.HostName {
 	hosts := s.hosts[candidate.region]
 	if len(hosts) == 0 {
 		for _, others := range s.hosts {
@@ -362,7 +365,7 @@
 			owner, highest = host, weight
 		}
 	}
-	return owner == s.host
+	return owner
 }
 
 // expectedTime is the expected response time of one more request to the
@@ -410,6 +413,6 @@
 			Name: chosen.name, Service: chosen.service, Address: chosen.address, Zone: chosen.zone,
 			Region: chosen.region, Slots: chosen.slots, Incarnation: chosen.incarnation, ColdUntil: chosen.coldUntil,
 		},
-		Rank: best.rank, Load: load, Candidates: best.candidates,
+		Rank: best.rank, Load: load, Candidates: best.candidates, Permit: s.takePermit(chosen, now),
 	}
 }
