Return from the transport only after its socket is closed

Cause: Run returned when its loops had ended, and the goroutine that closes the socket might not have closed it yet. Change: Run waits for it. An error of a loop is now returned; before, the cancelled context of the group hid it.

--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -119,14 +119,22 @@
 	return t.table.Alive(time.Now())
 }
 
-// Run sends and receives messages until ctx ends.
+// Run sends and receives messages until ctx ends. The address is free when it
+// returns.
 func (t *Transport) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	context.AfterFunc(ctx, func() { _ = t.conn.Close() })
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = t.conn.Close()
+	})
 	group.Go(func() error { return t.heartbeatLoop(ctx) })
 	group.Go(func() error { return t.receiveLoop(ctx) })
 	group.Go(func() error { return t.loadReportLoop(ctx) })
-	if err := group.Wait(); err != nil && ctx.Err() == nil {
+	err := group.Wait()
+	// Wait has cancelled ctx.
+	<-closed
+	if err != nil {
 		return fmt.Errorf("exchange heartbeats: %w", err)
 	}
 	return nil
