Let the peer confirm the revision before the test asks

Cause: the test sleeps to the instant of simulated time at which the fake peer confirms the revision, and its request ran first in some runs. A host that has no confirmation yet refuses rightly. Change: the test waits until the other goroutines of that instant have run. It still asks at the same instant, so it is as strict.

--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -164,6 +164,8 @@
 		}
 		host.isIsolated.Store(false)
 		time.Sleep(time.Second)
+		// The peer confirms the revision at this instant, in another goroutine.
+		synctest.Wait()
 		assert.Equal(t, host.post("callers:1/s/specbook/x").Status, http.StatusOK, "a peer confirms the revision again")
 		assert.Equal(t, host.post("callers:1/v1/keys").Status, http.StatusOK)
 		assert.Assert(t, <-export == string(fakes.ExportContent("/x", size)))
