Record each answer to a submit that does not run here

KNOWN-RED: TestStoreOutage got 'no room for audit records' for a repeat after a store outage.

Callers whose key is bound to another host, or to an earlier incarnation, were answered without a record, and the memory reserved for their records was never freed. After 1,041 such submits a host refused every submit.

Cause: the branch without a register returned before anything reported the answer; the report frees the memory. Change: it reports the answer like every other.

TestAnswerWithoutSubmissionFreesReservation fails before the change, for both kinds of key.

--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -36,7 +36,10 @@
 	// concurrentAttempts attempts have succeeded; -1 is the last one.
 	deliveredAttempt int
 	requests         map[place.RequestID]*openRequest
-	requestIDs       map[place.AttemptID]place.RequestID
+	// reserved holds the requests with memory for audit records, which an Answered
+	// event frees.
+	reserved   map[place.RequestID]bool
+	requestIDs map[place.AttemptID]place.RequestID
 	// results holds the results of the attempts in the order of their ends.
 	results []place.Result
 	// progress holds whether the attempts made progress, in the same order.
@@ -69,6 +72,7 @@
 	h := &harness{
 		class: class, network: fakes.NewNetwork(), concurrentAttempts: 1, deliveredAttempt: -1,
 		requests: make(map[place.RequestID]*openRequest), requestIDs: make(map[place.AttemptID]place.RequestID),
+		reserved: make(map[place.RequestID]bool),
 	}
 	base, err := common.NewBase(config.Settings{Host: "h1", Log: config.LogSettings{Level: "error"}}, t.Output())
 	assert.NilError(t, err)
@@ -95,7 +99,13 @@
 }
 func (h *harness) Locate(netip.Addr) (model.RegionName, uint64) { return "r", 0 }
 func (h *harness) EntryHosts(netip.Addr) []model.Host           { return nil }
-func (h *harness) Reserve(place.Request) error                  { return nil }
+
+func (h *harness) Reserve(request place.Request) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reserved[request.ID] = true
+	return nil
+}
 
 func (h *harness) Close(place.RequestID) {}
 
@@ -128,6 +138,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch event := event.(type) {
+	case place.Answered:
+		delete(h.reserved, event.Request.ID)
 	case place.Abandoned:
 		h.requests[event.Request].isDone = h.class != model.Submit
 	case place.Finished:
--- a/caller/submits.go
+++ b/caller/submits.go
@@ -99,6 +99,8 @@
 	}
 	register, answer := e.server.submits.registerFor(r.Context(), e, key)
 	if register == nil {
+		// The report frees the reserved memory.
+		e.server.report(place.Answered{Request: e.request, Outcome: answer.Outcome, Reason: answer.Reason})
 		e.answerSubmit(w, answer)
 		return
 	}
--- a/caller/submits_test.go
+++ b/caller/submits_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"filberthold/caller"
 	"filberthold/model"
 	"filberthold/upstrm"
 
@@ -228,3 +229,20 @@
 	time.Sleep(1200 * time.Millisecond)
 	assert.Equal(t, lateCalls.Load(), int64(0))
 }
+
+// Guards against memory for audit records that is never freed, until the host
+// refuses all submits, and against an answer without a record: both happened if
+// this host could not run the key.
+func TestAnswerWithoutSubmissionFreesReservation(t *testing.T) {
+	for name, key := range map[string]string{"key of another host": "bound:h2:1:1", "key of an earlier incarnation": "bound:h1:0:1"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, model.Submit, http.NotFoundHandler())
+			got, err := h.call(t.Context(), http.MethodPost, "/s/desk/x", http.Header{caller.KeyHeader: {key}})
+			assert.NilError(t, err)
+			assert.Assert(t, got.Status >= http.StatusBadRequest, "%d: %s", got.Status, got.Body)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			assert.Equal(t, len(h.reserved), 0)
+		})
+	}
+}
