Bound the heads of responses of all peers

The connections to the product's own upstreams, its probes, both clients of the stores and the polls between hosts read a head of up to 10 MB, the default of net/http; with 184 MB on a host a few such peers take most of it. Bodies were bounded already (1 to 8 MB).

Change: all of them read at most 64 KiB of a head, as package conns does.

--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -43,7 +43,7 @@
 // Guards against memory and time without a bound while an endpoint sends bytes
 // that are no response, or belong to no request, until the connection closes.
 func TestEndlessBytesEndAttempt(t *testing.T) {
-	const bound = (maxMismatches+1)*(maxHeadBytes+readerBytes) + maxMismatches*maxSkippedBody
+	const bound = (maxMismatches+1)*(MaxHeadBytes+readerBytes) + maxMismatches*maxSkippedBody
 	const header = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n"
 	tests := map[string]struct{ beginning, bytes string }{
 		"status line":                   {"", "x"},
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -26,9 +26,9 @@
 	// maxMismatches is the number of responses to other requests that are
 	// skipped before the connection is closed.
 	maxMismatches = 2
-	// maxHeadBytes bounds the head of a response, with the interim responses
-	// before it. A faulty endpoint may send bytes that never become a response.
-	maxHeadBytes = 64 << 10
+	// MaxHeadBytes bounds the head of a response, with the interim responses
+	// before it. A faulty peer may send bytes that never become a response.
+	MaxHeadBytes = 64 << 10
 	// maxSkippedBody bounds the body of a response to another request, in bytes.
 	// Reading a longer one costs more than a new connection.
 	maxSkippedBody = 1 << 20
@@ -222,7 +222,7 @@
 
 // readHead reads the head of a response and skips interim responses.
 func readHead(conn *connection, method string) (*http.Response, error) {
-	conn.limit.set(maxHeadBytes)
+	conn.limit.set(MaxHeadBytes)
 	defer conn.limit.lift()
 	for {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
--- a/entry/prober.go
+++ b/entry/prober.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"filberthold/conns"
 	"filberthold/model"
 	"filberthold/upstrm"
 
@@ -49,7 +50,7 @@
 func newProber(host model.HostName, directory *Directory, membership *Membership, upstreams *upstrm.Client) *Prober {
 	return &Prober{
 		host: host, directory: directory, membership: membership, probeLoad: upstreams.ProbeLoad,
-		client: &http.Client{Timeout: membershipInterval, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Timeout: membershipInterval, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: conns.MaxHeadBytes}},
 	}
 }
 
--- a/relay/http.go
+++ b/relay/http.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"filberthold/conns"
 	"filberthold/platform"
 
 	"github.com/fxamacker/cbor/v2"
@@ -112,7 +113,7 @@
 // time.
 func NewClient(wait time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: pollTimeout}
-	return &Client{wait: wait, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}}
+	return &Client{wait: wait, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: conns.MaxHeadBytes}}}
 }
 
 // Poll requests the rows that changed after the given versions from a host. The
--- a/store/client.go
+++ b/store/client.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"filberthold/conns"
 )
 
 // maxResponseBytes bounds how much of a response is read. The rest is ignored.
@@ -34,7 +36,7 @@
 
 // NewClientWithDial returns a client that opens its connections with dial.
 func NewClientWithDial(address string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: conns.MaxHeadBytes}
 	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
 }
 
--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"filberthold/conns"
 	"filberthold/model"
 )
 
@@ -105,7 +106,7 @@
 // NewClientWithOptions returns a client with the given options.
 func NewClientWithOptions(options Options) *Client {
 	client := &Client{options: options, transports: make(map[model.Class]*http.Transport), pacer: newPacer()}
-	client.probes = &http.Transport{DialContext: options.Dial, DisableKeepAlives: true}
+	client.probes = &http.Transport{DialContext: options.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: conns.MaxHeadBytes}
 	for _, class := range model.Classes() {
 		client.transports[class] = &http.Transport{
 			DialContext:           dialFunc(options.Dial).wrap(headerTimeout(class, options.ProgressTimeout)),
@@ -113,6 +114,8 @@
 			IdleConnTimeout:       options.IdleTimeout,
 			ResponseHeaderTimeout: headerTimeout(class, options.ProgressTimeout),
 			DisableCompression:    true,
+			// Without a limit, net/http reads a head of up to 10 MB.
+			MaxResponseHeaderBytes: conns.MaxHeadBytes,
 			// net/http sends a replayable request again when a reused connection
 			// fails, and an Idempotency-Key header makes a POST replayable.
 			// Without reuse, a submit is written to at most one connection.
