Count unanswered calls in place of a stored timeout

The reader kept the time to wait for an answer as a field that it doubled; the house style stores no durations. It counts the calls without an answer and computes the time. Behaviour is unchanged: go test ./node passes, among it the tests of a hung and of a slow store.

--- a/node/reader.go
+++ b/node/reader.go
@@ -51,11 +51,9 @@
 	// have expired. graceUntil sets it at the first successful read after the
 	// outage.
 	outageEndedAt time.Time
-	// answerTimeout is the time in which the store must answer a call for the
-	// operator's rows, in addition to the wait for a change. It doubles after each
-	// call without an answer, so that the answers of a slow store arrive too, and is
-	// reset by an answer. Only operatorLoop uses it.
-	answerTimeout time.Duration
+	// unansweredCalls counts the calls for the operator's rows that ended without an
+	// answer since the last answer. Only operatorLoop uses it.
+	unansweredCalls int
 	// isStoreReachable is false while the store does not serve this host.
 	isStoreReachable atomic.Bool
 }
@@ -67,7 +65,6 @@
 		dependency: dependency{log: log, name: "store"}, operatorRows: dependency{log: log, name: "operatorRows"},
 	}
 	r.isStoreReachable.Store(true)
-	r.answerTimeout = intervals.operator.answerTimeout
 	return r
 }
 
@@ -171,14 +168,14 @@
 		if err != nil {
 			r.operatorRows.markLost(err)
 			if errors.Is(err, context.DeadlineExceeded) {
-				r.answerTimeout = min(2*r.answerTimeout, maxAnswerTimeout)
+				r.unansweredCalls++
 			}
 			// A call that hung has already taken the time of the pause.
 			sleep(ctx, r.retryPause(r.replica.operator)-time.Since(startedAt))
 			continue
 		}
 		r.operatorRows.markRegained()
-		r.answerTimeout = r.intervals.operator.answerTimeout
+		r.unansweredCalls = 0
 	}
 	return nil
 }
@@ -214,11 +211,25 @@
 	if r.replica.operator.Age(time.Now()) > wait {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+r.answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+r.answerTimeout())
 	defer cancel()
 	return r.store.Watch(ctx, platform.OperatorTable, after, wait)
 }
 
+// answerTimeout returns the time in which the store must answer a call for the
+// operator's rows, in addition to the wait for a change. It doubles with each call
+// without an answer, so that the answers of a slow store arrive too.
+func (r *reader) answerTimeout() time.Duration {
+	timeout := r.intervals.operator.answerTimeout
+	for range r.unansweredCalls {
+		if timeout >= maxAnswerTimeout {
+			break
+		}
+		timeout *= 2
+	}
+	return min(timeout, maxAnswerTimeout)
+}
+
 // sleep pauses for a duration, or until ctx ends if that is earlier.
 func sleep(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
