--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -153,7 +153,7 @@
 	case steer.Send:
 		if decision.Permit.IsNeeded() {
 			if permit := e.obtainPermit(query, decision); !permit.IsGranted {
-				return e.rejectIfLate(permit)
+				return e.endWithoutPermit(permit)
 			}
 		}
 		e.lastSend = decision
@@ -177,9 +177,14 @@
 	return permit
 }
 
-// rejectIfLate rejects a request that got no permit if it has waited as long as
-// requests wait for a slot. It returns false if another endpoint may be chosen.
-func (e *exchange) rejectIfLate(permit steer.Permit) bool {
+// endWithoutPermit ends a request that got no permit if its caller has left or if it
+// has waited as long as requests wait for a slot. It returns false if another
+// endpoint may be chosen.
+func (e *exchange) endWithoutPermit(permit steer.Permit) bool {
+	if e.request.Context().Err() != nil {
+		e.fail(http.StatusBadGateway, "the caller has left")
+		return true
+	}
 	if time.Now().Before(e.waitDeadline()) {
 		return false
 	}
--- a/proxy/permit_test.go
+++ b/proxy/permit_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 
 	"filberthold/model"
@@ -18,11 +20,16 @@
 	isGranted bool
 	err       error
 	asked     int
-	news      []steer.PermitRequest
+	// onAsk is called at each request for a permit, if it is set.
+	onAsk func()
+	news  []steer.PermitRequest
 }
 
 func (p *fakePermits) AskPermit(_ context.Context, request steer.PermitRequest) (steer.Permit, error) {
 	p.asked++
+	if p.onAsk != nil {
+		p.onAsk()
+	}
 	permit := request.Refusal()
 	permit.IsGranted = p.isGranted
 	return permit, p.err
@@ -98,3 +105,20 @@
 	assert.Equal(t, len(permits.news), 2)
 	assert.Assert(t, !permits.news[1].Limit.IsSet)
 }
+
+// Guards against a submit that is sent to another endpoint after its caller has
+// left while the host asked for a permit.
+func TestNothingIsSentAfterCallerLeftWithoutPermit(t *testing.T) {
+	permits := &fakePermits{}
+	ts := startLimitedServer(t, 2, permits)
+	ts.send(http.MethodPost, "/submit/1", "a1", "content")
+	ctx, cancel := context.WithCancel(t.Context())
+	permits.onAsk = cancel
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, "/submit/1", strings.NewReader("content"))
+	request.Host = "a.example"
+	request.Header.Set("Attempt-Id", "a2")
+	request.Header.Set("Affinity-Key", "7")
+	ts.server.handleRequest(httptest.NewRecorder(), request)
+	assert.Equal(t, permits.asked, 1)
+	assert.Equal(t, ts.runs("a2"), 0)
+}
