--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -112,16 +112,26 @@
 	}
 }
 
-// FuzzDecode guards against a panic and against accepting a load report whose
-// endpoints and counts differ in number.
+// FuzzDecode guards against a panic, against accepting a load report whose
+// endpoints and counts differ in number, and against a limit out of range.
 func FuzzDecode(f *testing.F) {
 	content, err := cbor.Marshal(datagram{Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}, Counts: []byte{2}}})
 	assert.NilError(f, err)
 	f.Add(content)
+	permit := permitAnswer{ID: 1, Permit: steer.Permit{IsGranted: true, Limit: steer.RateLimit{IsSet: true, PerSecond: 2}}}
+	content, err = cbor.Marshal(datagram{PermitRequest: &permitRequest{ID: 1}, PermitAnswer: &permit})
+	assert.NilError(f, err)
+	f.Add(content)
 	f.Fuzz(func(t *testing.T, content []byte) {
 		message, err := decode(content)
 		if err == nil && message.Loads != nil && len(message.Loads.Endpoints) != len(message.Loads.Counts) {
 			t.Fatal("invalid message accepted")
 		}
+		if err == nil && message.PermitRequest != nil && message.PermitRequest.Request.Check() != nil {
+			t.Fatal("invalid permit request accepted")
+		}
+		if err == nil && message.PermitAnswer != nil && message.PermitAnswer.Permit.Check() != nil {
+			t.Fatal("invalid permit accepted")
+		}
 	})
 }
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -38,7 +38,8 @@
 	hash        uint64
 	coldUntil   time.Time
 	pacer       pacer
-	rate        rateState
+	// rate is what this host knows of the limit that the endpoint names.
+	rate rateState
 
 	// inFlight is the number of this host's requests at the endpoint.
 	inFlight int
