Let the owners of endpoints tell of limits in their load reports

With each host learning a limit from its own responses only, every host sends a request without a permit each time an endpoint names a limit. When it does so a second time, all hosts have been told before and count.

Change: the owner repeats a changed limit in its load reports for 3 s, at most 64 of them in a report. News of a limit is a type of its own, which permit requests carry too.

--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -23,8 +23,8 @@
 type permitRequest struct {
 	// ID is repeated in the answer. It is 0 if the sender needs no permit and only
 	// tells what it knows of the limit.
-	ID      uint64              `cbor:"1,keyasint,omitempty"`
-	Request steer.PermitRequest `cbor:"2,keyasint"`
+	ID   uint64          `cbor:"1,keyasint,omitempty"`
+	News steer.LimitNews `cbor:"2,keyasint"`
 }
 
 // permitAnswer is the answer to the permitRequest with the same ID.
@@ -45,7 +45,7 @@
 	answer := make(chan steer.Permit, 1)
 	id := t.addPending(answer)
 	defer t.removePending(id)
-	t.sendTo([]netip.Addr{address}, netip.Addr{}, datagram{PermitRequest: &permitRequest{ID: id, Request: request}})
+	t.sendTo([]netip.Addr{address}, netip.Addr{}, datagram{PermitRequest: &permitRequest{ID: id, News: request.News}})
 	select {
 	case permit := <-answer:
 		return permit, nil
@@ -56,13 +56,13 @@
 
 // SendLimitNews tells the owner of an endpoint what this host knows of its limit.
 // The message may be lost.
-func (t *Transport) SendLimitNews(news steer.PermitRequest) {
-	address, err := t.addressOf(news.Owner)
+func (t *Transport) SendLimitNews(owner model.HostName, news steer.LimitNews) {
+	address, err := t.addressOf(owner)
 	if err != nil {
 		// Another host becomes the owner, which learns the limit from requests.
 		return
 	}
-	t.sendTo([]netip.Addr{address}, netip.Addr{}, datagram{PermitRequest: &permitRequest{Request: news}})
+	t.sendTo([]netip.Addr{address}, netip.Addr{}, datagram{PermitRequest: &permitRequest{News: news}})
 }
 
 func (t *Transport) addressOf(name model.HostName) (netip.Addr, error) {
@@ -91,10 +91,10 @@
 // answerPermit issues the permit that another host asked for.
 func (t *Transport) answerPermit(request permitRequest, from netip.Addr) {
 	if request.ID == 0 {
-		t.callbacks.ApplyLimitNews(request.Request)
+		t.callbacks.ApplyLimitNews(request.News)
 		return
 	}
-	permit := t.callbacks.IssuePermit(request.Request)
+	permit := t.callbacks.IssuePermit(steer.PermitRequest{News: request.News})
 	t.sendTo([]netip.Addr{from}, netip.Addr{}, datagram{PermitAnswer: &permitAnswer{ID: request.ID, Permit: permit}})
 }
 
--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -44,7 +44,9 @@
 	// IssuePermit answers another host's request for a permit.
 	IssuePermit func(request steer.PermitRequest) steer.Permit
 	// ApplyLimitNews applies what another host knows of an endpoint's limit.
-	ApplyLimitNews func(news steer.PermitRequest)
+	ApplyLimitNews func(news steer.LimitNews)
+	// LimitNews returns the limits for this host's load reports.
+	LimitNews func() []steer.LimitNews
 }
 
 // datagram is one message between hosts. One of the pointers is set.
@@ -70,6 +72,8 @@
 	// Endpoints.
 	Endpoints []steer.EndpointID `cbor:"3,keyasint,omitempty"`
 	Counts    []byte             `cbor:"4,keyasint,omitempty"`
+	// Limits holds recent changes of the limits of endpoints that the host owns.
+	Limits []steer.LimitNews `cbor:"7,keyasint,omitempty"`
 }
 
 // Transport sends and receives heartbeats and load reports. It is safe for
@@ -255,10 +259,11 @@
 }
 
 func (t *Transport) sendLoadReport(heartbeat member.Heartbeat, addresses []netip.Addr, loads []steer.Load, isFull bool) {
-	if len(loads) == 0 && !isFull {
+	limits := t.callbacks.LimitNews()
+	if len(loads) == 0 && len(limits) == 0 && !isFull {
 		return
 	}
-	report := &loadReport{Host: heartbeat.Host, Incarnation: heartbeat.Incarnation, IsFull: isFull}
+	report := &loadReport{Host: heartbeat.Host, Incarnation: heartbeat.Incarnation, IsFull: isFull, Limits: limits}
 	for _, load := range loads {
 		report.Endpoints = append(report.Endpoints, load.Endpoint)
 		report.Counts = append(report.Counts, load.Count)
@@ -322,6 +327,9 @@
 		loads[i] = steer.Load{Endpoint: endpoint, Count: report.Counts[i]}
 	}
 	t.callbacks.ApplyLoads(report.Host, loads, report.IsFull)
+	for _, news := range report.Limits {
+		t.callbacks.ApplyLimitNews(news)
+	}
 }
 
 func (t *Transport) applyHeartbeat(heartbeat member.Heartbeat) {
@@ -352,8 +360,15 @@
 	if message.Loads != nil && len(message.Loads.Endpoints) != len(message.Loads.Counts) {
 		return datagram{}, errors.New("decode load report: endpoints and counts differ in number")
 	}
+	if message.Loads != nil {
+		for _, news := range message.Loads.Limits {
+			if err := news.Check(); err != nil {
+				return datagram{}, fmt.Errorf("decode limit in load report: %w", err)
+			}
+		}
+	}
 	if message.PermitRequest != nil {
-		if err := message.PermitRequest.Request.Check(); err != nil {
+		if err := message.PermitRequest.News.Check(); err != nil {
 			return datagram{}, fmt.Errorf("decode permit request: %w", err)
 		}
 	}
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -251,25 +251,22 @@
 // the endpoint has stopped, it is evicted from the roster. It reports whether the
 // endpoint's limit changed, and tells the endpoint's owner of the change.
 func (c *Core) recordOutcome(outcome steer.Outcome, isEndpointGone bool) bool {
-	limitChanged, news, isNews := c.applyOutcome(outcome, isEndpointGone)
-	if isNews {
-		c.permits.SendLimitNews(news)
+	limitChanged := c.applyOutcome(outcome, isEndpointGone)
+	if limitChanged {
+		c.tellOwner(outcome.Endpoint)
 	}
 	return limitChanged
 }
 
-func (c *Core) applyOutcome(outcome steer.Outcome, isEndpointGone bool) (limitChanged bool, news steer.PermitRequest, isNews bool) {
+func (c *Core) applyOutcome(outcome steer.Outcome, isEndpointGone bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	limitChanged = c.selector.Done(outcome, now)
-	if limitChanged {
-		news, isNews = c.selector.LimitNews(outcome.Endpoint, now)
-	}
+	limitChanged := c.selector.Done(outcome, now)
 	if isEndpointGone {
 		c.roster.Evict(outcome.Endpoint, now)
 	}
 	c.updateSelector()
 	c.admitWaiting(now)
-	return limitChanged, news, isNews
+	return limitChanged
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -172,7 +172,7 @@
 	}
 	e.hasWaited = true
 	e.server.log.Info("permit not granted", "request", e.header.AttemptID, "endpoint", decision.Endpoint.Name, "service", e.service,
-		"owner", decision.Permit.Owner, "limit", decision.Permit.Limit.PerSecond, "elapsed", time.Since(startedAt),
+		"owner", decision.Permit.Owner, "limit", decision.Permit.News.Limit.PerSecond, "elapsed", time.Since(startedAt),
 		"retryAfter", permit.RetryAfter, "error", errorText(err))
 	return permit
 }
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"filberthold/model"
 	"filberthold/steer"
 )
 
@@ -13,7 +14,7 @@
 	AskPermit(ctx context.Context, request steer.PermitRequest) (steer.Permit, error)
 	// SendLimitNews tells the owner what this host knows of the endpoint's limit. It
 	// does not wait.
-	SendLimitNews(news steer.PermitRequest)
+	SendLimitNews(owner model.HostName, news steer.LimitNews)
 }
 
 // SetPermits sets the connection to the owners of limited endpoints. It must be
@@ -32,14 +33,32 @@
 	return c.selector.IssuePermit(request, time.Now())
 }
 
+// LimitNews returns what the other hosts should learn of the endpoints that this
+// host owns.
+func (c *Core) LimitNews() []steer.LimitNews {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.selector.OwnedLimitNews(time.Now())
+}
+
 // ApplyLimitNews applies what another host knows of an endpoint's limit.
-func (c *Core) ApplyLimitNews(news steer.PermitRequest) {
+func (c *Core) ApplyLimitNews(news steer.LimitNews) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateSelector()
 	c.selector.ApplyLimitNews(news, time.Now())
 }
 
+// tellOwner tells the owner of an endpoint that its limit changed.
+func (c *Core) tellOwner(name model.EndpointName) {
+	c.mu.Lock()
+	owner, news, isNews := c.selector.NewsForOwner(name, time.Now())
+	c.mu.Unlock()
+	if isNews {
+		c.permits.SendLimitNews(owner, news)
+	}
+}
+
 // obtainPermit asks for the permit that a send needs. If it is not granted, the
 // request must not be sent, and the endpoint is not chosen until the next permit is
 // due. Without an answer the request does not go to the endpoint either: the owner
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -20,6 +20,11 @@
 	// permitRetryDelay is how long a host does not ask for a permit again after it
 	// got no answer, or one from a host that does not issue them.
 	permitRetryDelay = 300 * time.Millisecond
+	// limitNewsTime is how long the owner of an endpoint repeats a change of its
+	// limit in its load reports, because messages may be lost.
+	limitNewsTime = 3 * time.Second
+	// maxLimitNews bounds the changes in one load report, which must fit a datagram.
+	maxLimitNews = 64
 )
 
 // RateLimit is the limit that an endpoint names in a response. It applies from then
@@ -31,17 +36,24 @@
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 }
 
+// LimitNews is what a host knows of an endpoint's limit, from a response that
+// arrived Age ago, there or at another host.
+type LimitNews struct {
+	Endpoint EndpointID    `cbor:"1,keyasint"`
+	Limit    RateLimit     `cbor:"2,keyasint"`
+	Age      time.Duration `cbor:"3,keyasint"`
+}
+
+// Check returns an error if the fields are out of range.
+func (n LimitNews) Check() error { return checkLimit(n.Limit, n.Age) }
+
 // PermitRequest asks the owner of a limited endpoint for a permit to send one
 // request to it. One host issues the permits of an endpoint, so the limit holds
 // over all hosts whichever of them have requests for it.
 type PermitRequest struct {
 	// Owner is the host that issues the permits, or empty if none is needed.
-	Owner    model.HostName `cbor:"-"`
-	Endpoint EndpointID     `cbor:"1,keyasint"`
-	// Limit is what the sender knows of the limit, from a response that arrived Age
-	// ago.
-	Limit RateLimit     `cbor:"2,keyasint"`
-	Age   time.Duration `cbor:"3,keyasint"`
+	Owner model.HostName
+	News  LimitNews
 }
 
 // IsNeeded reports whether a request may be sent only with a permit.
@@ -50,12 +62,9 @@
 // Refusal returns the answer without a permit, for a host that got none from the
 // owner or asked a host that is not the owner. It tells nothing new of the limit.
 func (r PermitRequest) Refusal() Permit {
-	return Permit{RetryAfter: permitRetryDelay, Limit: r.Limit, Age: r.Age}
+	return Permit{RetryAfter: permitRetryDelay, Limit: r.News.Limit, Age: r.News.Age}
 }
 
-// Check returns an error if the fields are out of range.
-func (r PermitRequest) Check() error { return checkLimit(r.Limit, r.Age) }
-
 // Permit is the answer to a PermitRequest.
 type Permit struct {
 	IsGranted bool `cbor:"1,keyasint,omitempty"`
@@ -88,6 +97,8 @@
 	// seenAt is when the response arrived, here or at another host, from which the
 	// limit is known.
 	seenAt time.Time
+	// changedAt is when this host learnt that the limit changed.
+	changedAt time.Time
 	// deferredUntil is the time until which this host sends no request, because the
 	// next permit is not due before.
 	deferredUntil time.Time
@@ -96,14 +107,18 @@
 	nextAt time.Time
 }
 
-// apply records a limit that was seen at a time. It ignores older knowledge and
-// reports whether the limit changed.
-func (r *rateState) apply(limit RateLimit, seenAt time.Time) bool {
+// apply records a limit from a response that arrived some time ago. It ignores older
+// knowledge and reports whether the limit changed.
+func (r *rateState) apply(limit RateLimit, age time.Duration, now time.Time) bool {
+	seenAt := now.Add(-age)
 	if seenAt.Before(r.seenAt) {
 		return false
 	}
 	hasChanged := r.limit != limit
 	r.limit, r.seenAt = limit, seenAt
+	if hasChanged {
+		r.changedAt = now
+	}
 	if !limit.IsSet {
 		r.deferredUntil, r.nextAt = time.Time{}, time.Time{}
 	}
@@ -143,7 +158,7 @@
 	if !outcome.Limit.IsSet && outcome.Result != Answered {
 		return false
 	}
-	return e.rate.apply(outcome.Limit, now)
+	return e.rate.apply(outcome.Limit, 0, now)
 }
 
 // takePermit counts a request to a limited endpoint if this host is the owner.
@@ -157,23 +172,23 @@
 		chosen.rate.take(now)
 		return PermitRequest{}
 	}
-	return PermitRequest{Owner: owner, Endpoint: chosen.id(), Limit: chosen.rate.limit, Age: now.Sub(chosen.rate.seenAt)}
+	return PermitRequest{Owner: owner, News: chosen.limitNews(now)}
 }
 
 // ApplyLimitNews applies what another host knows of an endpoint's limit.
-func (s *Selector) ApplyLimitNews(news PermitRequest, now time.Time) {
+func (s *Selector) ApplyLimitNews(news LimitNews, now time.Time) {
 	if target := s.byID[news.Endpoint]; target != nil {
-		target.rate.apply(news.Limit, now.Add(-news.Age))
+		target.rate.apply(news.Limit, news.Age, now)
 	}
 }
 
 // IssuePermit answers another host's request for a permit.
 func (s *Selector) IssuePermit(request PermitRequest, now time.Time) Permit {
-	target := s.byID[request.Endpoint]
+	target := s.byID[request.News.Endpoint]
 	if target == nil || s.owner(target) != s.host {
 		return request.Refusal()
 	}
-	target.rate.apply(request.Limit, now.Add(-request.Age))
+	target.rate.apply(request.News.Limit, request.News.Age, now)
 	permit := Permit{IsGranted: true, Limit: target.rate.limit, Age: now.Sub(target.rate.seenAt)}
 	if permit.Limit.IsSet && !target.rate.take(now) {
 		permit.IsGranted, permit.RetryAfter = false, target.rate.deferredUntil.Sub(now)
@@ -188,7 +203,7 @@
 	if target == nil {
 		return
 	}
-	target.rate.apply(permit.Limit, now.Add(-permit.Age))
+	target.rate.apply(permit.Limit, permit.Age, now)
 	if permit.IsGranted {
 		return
 	}
@@ -198,16 +213,33 @@
 	}
 }
 
-// LimitNews returns what to tell the owner of an endpoint whose limit changed. It
-// returns false if this host is the owner. The owner needs the end of a limit from
-// others if it sends no request itself.
-func (s *Selector) LimitNews(name model.EndpointName, now time.Time) (PermitRequest, bool) {
+// NewsForOwner returns what to tell the owner of an endpoint whose limit changed. It
+// returns false if this host is the owner. The owner may send no request itself, and
+// tells the other hosts.
+func (s *Selector) NewsForOwner(name model.EndpointName, now time.Time) (owner model.HostName, news LimitNews, isNews bool) {
 	target := s.endpoints[name]
 	if target == nil {
-		return PermitRequest{}, false
+		return "", LimitNews{}, false
 	}
-	owner := s.owner(target)
-	return PermitRequest{Owner: owner, Endpoint: target.id(), Limit: target.rate.limit, Age: now.Sub(target.rate.seenAt)}, owner != s.host
+	owner = s.owner(target)
+	return owner, target.limitNews(now), owner != s.host
+}
+
+// OwnedLimitNews returns the limits that changed within limitNewsTime at the
+// endpoints that this host owns, for its load reports. Hosts thus learn of a limit
+// before they send to the endpoint.
+func (s *Selector) OwnedLimitNews(now time.Time) []LimitNews {
+	var news []LimitNews
+	for _, target := range s.endpoints {
+		if len(news) < maxLimitNews && now.Sub(target.rate.changedAt) < limitNewsTime && s.owner(target) == s.host {
+			news = append(news, target.limitNews(now))
+		}
+	}
+	return news
+}
+
+func (e *endpoint) limitNews(now time.Time) LimitNews {
+	return LimitNews{Endpoint: e.id(), Limit: e.rate.limit, Age: now.Sub(e.rate.seenAt)}
 }
 
 // fullRetryAfter returns the Retry-After of a request for which every endpoint is
