Issue permits by a raised limit at once

After a limit of 0 that is up to 20 s, in which the endpoint got nothing.

Change: at a change of the limit, the time of the next permit moves to what the new limit allows, if that is sooner. It is not reset, because an endpoint that names another limit in each response would then get a permit with each of them.

TestRaisedLimitAppliesAtOnce fails before the change (0 requests in 4 s where 16 or more are due) and passes after it; TestVaryingLimitIssuesNoFurtherPermits holds the other side.

--- a/steer/limit.go
+++ b/steer/limit.go
@@ -116,13 +116,23 @@
 	}
 	hasChanged := r.limit != limit
 	r.limit, r.seenAt = limit, seenAt
-	if hasChanged {
-		r.changedAt = now
+	if !hasChanged {
+		return false
 	}
+	r.changedAt = now
 	if !limit.IsSet {
 		r.deferredUntil, r.nextAt = time.Time{}, time.Time{}
+		return true
 	}
-	return hasChanged
+	// By a higher limit, the next permit is due sooner.
+	r.deferredUntil = earlier(r.deferredUntil, now.Add(r.interval()))
+	r.nextAt = earlier(r.nextAt, now.Add(permitBurst*r.interval()))
+	return true
+}
+
+// interval returns the time between two permits.
+func (r *rateState) interval() time.Duration {
+	return time.Duration(float64(time.Second) / max(r.limit.PerSecond, minLimit))
 }
 
 // isDeferred reports whether this host must not send a request now.
@@ -130,27 +140,33 @@
 
 // take uses a permit if one is due, and sets when the next one is.
 func (r *rateState) take(now time.Time) bool {
-	interval := time.Duration(float64(time.Second) / max(r.limit.PerSecond, minLimit))
-	burst := (permitBurst - 1) * interval
+	burst := (permitBurst - 1) * r.interval()
 	if r.nextAt.IsZero() {
 		// The limit, or this owner, is new: permits start one at a time.
 		r.nextAt = now.Add(burst)
 	}
 	isDue := !now.Before(r.nextAt.Add(-burst))
 	if isDue {
-		r.nextAt = maxTime(r.nextAt, now).Add(interval)
+		r.nextAt = later(r.nextAt, now).Add(r.interval())
 	}
 	r.deferredUntil = r.nextAt.Add(-burst)
 	return isDue
 }
 
-func maxTime(a, b time.Time) time.Time {
+func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // applyLimit records the limit that a response names and reports whether it
 // changed. Only a success shows that there is no limit any more: refusals of an
 // endpoint may leave it out.
--- a/steer/limit_test.go
+++ b/steer/limit_test.go
@@ -250,6 +250,36 @@
 	assert.Assert(t, lt.mostInWindow(limitedAt) <= allowedInWindow(lt.limit), "%d requests in %s", lt.mostInWindow(limitedAt), limitWindow)
 }
 
+// Guards against an endpoint that stays unused for seconds after it has raised its
+// limit, because the next permit was due by the old one.
+func TestRaisedLimitAppliesAtOnce(t *testing.T) {
+	lt := newLimitTest(t, 10)
+	lt.limit = RateLimit{IsSet: true}
+	lt.run(30, 20*time.Second)
+	lt.limit = RateLimit{IsSet: true, PerSecond: 5}
+	for _, selector := range lt.selectors {
+		selector.ApplyLimitNews(LimitNews{Endpoint: selector.endpoints["limited"].id(), Limit: lt.limit}, lt.now)
+	}
+	raisedAt, before := lt.now, len(lt.all)
+	lt.run(30, 4*time.Second)
+	assert.Assert(t, len(lt.all)-before >= 16, "%d requests in 4 s", len(lt.all)-before)
+	assert.Assert(t, lt.mostInWindow(raisedAt) <= allowedInWindow(lt.limit))
+}
+
+// Guards against permits beyond the rate of an endpoint that names another limit in
+// each response.
+func TestVaryingLimitIssuesNoFurtherPermits(t *testing.T) {
+	lt := newLimitTest(t, 10)
+	lt.limit = RateLimit{IsSet: true, PerSecond: 2}
+	lt.run(30, 5*time.Second)
+	limitedAt := lt.now
+	for range 500 {
+		lt.limit.PerSecond = 2 + lt.random.Float64()/10
+		lt.run(30, 40*time.Millisecond)
+	}
+	assert.Assert(t, lt.mostInWindow(limitedAt) <= allowedInWindow(RateLimit{PerSecond: 2}), "%d requests", lt.mostInWindow(limitedAt))
+}
+
 // Guards against a Retry-After that is shorter than the time until the next permit.
 func TestRetryAfterOfLimitedEndpointIsTrue(t *testing.T) {
 	lt := newLimitTest(t, 1)
