--- a/steer/steer.go
+++ b/steer/steer.go
@@ -32,12 +32,6 @@
 	// minRetryAfter is the least Retry-After of a request that is rejected because
 	// every endpoint is full. A slot becomes free in about this time.
 	minRetryAfter = 300 * time.Millisecond
-	// spillCreditPerRequest is the spillover credit that each new request adds; a
-	// request sent to another region than planned costs 1. maxSpillCredit bounds
-	// the credit. Both keep small how much the fraction of a region's requests that
-	// is sent elsewhere changes from one time window to the next.
-	spillCreditPerRequest = 0.08
-	maxSpillCredit        = 2.0
 	// crossRegionDelay and crossZoneDelay are the network delays that are added to
 	// the expected time of an endpoint in another region or availability zone.
 	crossRegionDelay = 60 * time.Millisecond
@@ -295,49 +289,6 @@
 	return best
 }
 
-// bestNearby chooses an endpoint with a free slot in the host's availability
-// zone, or else in its region. Exports have long responses: transferring one
-// from elsewhere costs more than better use of the slots there gains.
-func (s *Selector) bestNearby(state *serviceState, object uint64, query Query, now time.Time) choice {
-	if !query.Route.AllowsRegion(s.region) {
-		return choice{}
-	}
-	for _, endpoints := range [][]*endpoint{state.inZone, state.byRegion[s.region]} {
-		best := s.best(state, endpoints, object, query, now)
-		if best.endpoint != nil && best.endpoint.load(now) < float64(best.endpoint.slots) {
-			return best
-		}
-	}
-	return choice{}
-}
-
-// bestSpillover chooses an endpoint in another region for a request that the
-// planned region cannot take. If that region is only overloaded, each such
-// request costs credit. If none of its endpoints is up, all of its requests
-// spill over.
-func (s *Selector) bestSpillover(state *serviceState, plannedRegion model.RegionName, object uint64, query Query, now time.Time) choice {
-	isDown := !slices.ContainsFunc(state.byRegion[plannedRegion], func(candidate *endpoint) bool { return candidate.isUp(now) })
-	if s.spillCredit < 1 && !isDown {
-		return choice{}
-	}
-	best := s.bestElsewhere(state, plannedRegion, object, query, now)
-	if best.endpoint != nil && !isDown {
-		s.spillCredit--
-	}
-	return best
-}
-
-func (s *Selector) bestElsewhere(state *serviceState, plannedRegion model.RegionName, object uint64, query Query, now time.Time) choice {
-	var others []*endpoint
-	for region, endpoints := range state.byRegion {
-		if region != plannedRegion && query.Route.AllowsRegion(region) {
-			others = append(others, endpoints...)
-		}
-	}
-	slices.SortFunc(others, compareNames)
-	return s.best(state, others, object, query, now)
-}
-
 func (s *Selector) mayUse(candidate *endpoint, query Query, now time.Time) bool {
 	if slices.Contains(query.Tried, candidate.name) || candidate.isSuspect(now) || candidate.rate.isDeferred(now) {
 		return false
