Try other endpoints after a late refusal of a permit

Change: it is rejected only after three refused permits; each refusal defers its endpoint, so the choice moves on. TestLateRefusalOfPermitUsesOtherEndpoint fails before the change and passes after it.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -30,6 +30,10 @@
 	// deadline that it sends to the endpoint. An endpoint that reaches its
 	// deadline sends a timeout response, which must still arrive.
 	responseMargin = 130 * time.Millisecond
+	// maxRefusedPermits is the number of refused permits after which a request that
+	// has waited long enough is rejected. Fewer could mean that only a few endpoints
+	// are limited.
+	maxRefusedPermits = 3
 	// unavailableRetryAfter is the Retry-After of a host that is not ready, is
 	// shutting down or has no further attempt for a request that has not run. It
 	// is short because another host can serve the request.
@@ -59,8 +63,8 @@
 	mayHaveRun bool
 	// lastSend is the selection of the latest attempt, for the log.
 	lastSend steer.Send
-	// hasWaited is true once a permit for a limited endpoint was not granted.
-	hasWaited bool
+	// refusedPermits counts the permits for limited endpoints that were not granted.
+	refusedPermits int
 }
 
 func (s *Server) handleRequest(writer http.ResponseWriter, request *http.Request) {
@@ -144,7 +148,7 @@
 // ended; otherwise serve calls it again.
 func (e *exchange) attempt() bool {
 	query := steer.Query{
-		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, HasWaited: e.hasWaited,
+		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, HasWaited: e.refusedPermits > 0,
 	}
 	switch decision := e.server.core.chooseOrWait(e.request.Context(), query, e.waitDeadline()).(type) {
 	case steer.Reject:
@@ -170,22 +174,22 @@
 	if permit.IsGranted {
 		return permit
 	}
-	e.hasWaited = true
+	e.refusedPermits++
 	e.server.log.Info("permit not granted", "request", e.header.AttemptID, "endpoint", decision.Endpoint.Name, "service", e.service,
 		"owner", decision.Permit.Owner, "limit", decision.Permit.News.Limit.PerSecond, "elapsed", time.Since(startedAt),
 		"retryAfter", permit.RetryAfter, "error", errorText(err))
 	return permit
 }
 
-// endWithoutPermit ends a request that got no permit if its caller has left or if it
-// has waited as long as requests wait for a slot. It returns false if another
-// endpoint may be chosen.
+// endWithoutPermit ends a request that got no permit if its caller has left, or if it
+// has waited as long as requests wait for a slot and several permits were refused. It
+// returns false if another endpoint may be chosen.
 func (e *exchange) endWithoutPermit(permit steer.Permit) bool {
 	if e.request.Context().Err() != nil {
 		e.fail(http.StatusBadGateway, "the caller has left")
 		return true
 	}
-	if time.Now().Before(e.waitDeadline()) {
+	if time.Now().Before(e.waitDeadline()) || e.refusedPermits < maxRefusedPermits {
 		return false
 	}
 	e.handleReject(steer.Reject{Reason: "no permit for a limited endpoint", RetryAfter: permit.RetryAfter})
--- a/proxy/permit_test.go
+++ b/proxy/permit_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"filberthold/model"
 	"filberthold/steer"
@@ -124,3 +125,16 @@
 	assert.Equal(t, permits.asked, 1)
 	assert.Equal(t, ts.runs("a2"), 0)
 }
+
+// Guards against a request that is rejected because the refusal of a permit came
+// late, although an endpoint without a limit can serve it.
+func TestLateRefusalOfPermitUsesOtherEndpoint(t *testing.T) {
+	permits := &fakePermits{}
+	ts := startLimitedServer(t, 2, permits)
+	ts.send(http.MethodPost, "/submit/1", "a1", "content")
+	// The answer comes after the time for which a request waits for a slot.
+	permits.onAsk = func() { time.Sleep(600 * time.Millisecond) }
+	status, _, _ := ts.send(http.MethodPost, "/submit/1", "a2", "content")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, permits.asked, 1)
+}
