Reject permits that are due in the far future

A message with more than 20 s is rejected, as other values out of range are; at the least rate the time between two permits is 10 s. The case of TestDecodeRejectsInvalidMessages fails before the change.

--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -103,6 +103,7 @@
 		"limit is negative":             {PermitRequest: &permitRequest{ID: 1, News: steer.LimitNews{Limit: steer.RateLimit{IsSet: true, PerSecond: -1}}}},
 		"limit of a report is negative": {Loads: &loadReport{Host: "h", Limits: []steer.LimitNews{{Age: -1}}}},
 		"limit is not a number":         {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{Limit: steer.RateLimit{IsSet: true, PerSecond: math.NaN()}}}},
+		"permit is due in a year":       {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{RetryAfter: 365 * 24 * time.Hour}}},
 		"permit is due in the past":     {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{RetryAfter: -1}}},
 		"counts are missing":            {Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}}},
 	}
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -1,7 +1,6 @@
 package steer
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"time"
@@ -17,6 +16,9 @@
 	// minLimit is the least rate at which a limited endpoint gets requests, in
 	// requests a second. Only a response shows that a limit has ended.
 	minLimit = 0.1
+	// maxPermitDelay bounds the time until the next permit in a message. It exceeds
+	// the time between two permits at minLimit.
+	maxPermitDelay = 20 * time.Second
 	// permitRetryDelay is how long a host does not ask for a permit again after it
 	// got no answer, or one from a host that does not issue them.
 	permitRetryDelay = 300 * time.Millisecond
@@ -78,8 +80,8 @@
 
 // Check returns an error if the fields are out of range.
 func (p Permit) Check() error {
-	if p.RetryAfter < 0 {
-		return errors.New("the time until the next permit is negative")
+	if p.RetryAfter < 0 || p.RetryAfter > maxPermitDelay {
+		return fmt.Errorf("the time until the next permit, %s, is out of range", p.RetryAfter)
 	}
 	return checkLimit(p.Limit, p.Age)
 }
