--- a/node/freshness_test.go
+++ b/node/freshness_test.go
@@ -114,20 +114,34 @@
 // late.
 func TestHostWithoutReaderReadsOperatorRowsInTime(t *testing.T) {
 	for latency := 20 * time.Millisecond; latency < applyTime/10; latency += 40 * time.Millisecond {
-		for offset := time.Duration(0); offset < applyTime; offset += 70 * time.Millisecond {
-			t.Run(fmt.Sprint(latency, offset), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					rt := newReplicaTest(t)
-					rt.transport.SetLatency(latency)
-					rt.startReader(func(table platform.Table) bool {
-						return rt.replica.isOutdated(table, rt.intervals, time.Now())
-					})
-					time.Sleep(5*applyTime + offset)
-					rt.store.Put(platform.OperatorTable, platform.ConfigKey, fake.VersionedConfig(2))
-					time.Sleep(applyTime)
-					assert.Equal(t, rt.configVersion(), uint64(2))
+		testHostWithoutReader(t, latency)
+	}
+}
+
+// Guards against the same where a call to the store takes longer, up to 300 ms.
+func TestHostWithoutReaderReadsOperatorRowsInTimeBySlowCalls(t *testing.T) {
+	for latency := 220 * time.Millisecond; latency < 300*time.Millisecond; latency += 40 * time.Millisecond {
+		testHostWithoutReader(t, latency)
+	}
+}
+
+// testHostWithoutReader changes the configuration at different moments and requires
+// it to be in force within applyTime.
+func testHostWithoutReader(t *testing.T, latency time.Duration) {
+	t.Helper()
+	for offset := time.Duration(0); offset < applyTime; offset += 70 * time.Millisecond {
+		t.Run(fmt.Sprint(latency, offset), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := newReplicaTest(t)
+				rt.transport.SetLatency(latency)
+				rt.startReader(func(table platform.Table) bool {
+					return rt.replica.isOutdated(table, rt.intervals, time.Now())
 				})
+				time.Sleep(5*applyTime + offset)
+				rt.store.Put(platform.OperatorTable, platform.ConfigKey, fake.VersionedConfig(2))
+				time.Sleep(applyTime)
+				assert.Equal(t, rt.configVersion(), uint64(2))
 			})
-		}
+		})
 	}
 }
