Log how much of a poll's response arrived and how long it took

The logs of the recorded incident show that polls between hosts end at their time limit while a large configuration is in transit, and cannot tell a full link from a hung connection: they have neither the size of the configuration nor the bytes that had arrived.

--- a/node/follower.go
+++ b/node/follower.go
@@ -65,11 +65,12 @@
 }
 
 func (f *follower) pollSource(ctx context.Context, source member.Heartbeat) {
+	startedAt := time.Now()
 	update, err := f.poll(ctx, source.ControlAddress, f.replica.operator.Version(), f.replica.endpoints.Version())
 	now := time.Now()
 	if err != nil {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
-		f.log.Warn("host not followed", "peer", source.Host, "error", err)
+		f.log.Warn("host not followed", "peer", source.Host, "elapsed", now.Sub(startedAt), "error", err)
 		return
 	}
 	if source.Host != f.currentSource {
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,7 @@
 	replica     *storeReplica
 	reader      *reader
 	follower    *follower
+	relay       *relay.Handler
 }
 
 // New returns a node that is not yet running. It logs to out.
@@ -72,9 +73,10 @@
 		incarnation: time.Now().UnixMilli(),
 		startedAt:   time.Now(),
 	}
-	node.registerMetrics()
 	node.intervals = newIntervals(settings)
 	node.replica = newStoreReplica(log, core)
+	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, node.intervals.pollWait)
+	node.registerMetrics()
 	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), proxy.ReplicaAge{
 		Operator:  func() time.Duration { return node.replica.operator.Age(time.Now()) },
 		Endpoints: func() time.Duration { return node.replica.endpoints.Age(time.Now()) },
@@ -158,7 +160,7 @@
 	}{
 		{n.settings.ReadyAddress, "GET /ready", http.HandlerFunc(n.handleReady)},
 		{n.settings.DirectoryAddress, "GET /resolve", http.HandlerFunc(n.handleLookup)},
-		{n.settings.ControlAddress, "GET " + relay.ChangesPath, relay.NewHandler(n.log, n.replica.operator, n.replica.endpoints, n.intervals.pollWait)},
+		{n.settings.ControlAddress, "GET " + relay.ChangesPath, n.relay},
 		{net.JoinHostPort(n.settings.IP.String(), metricsPort), "GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})},
 	}
 	for _, route := range routes {
--- a/node/replica.go
+++ b/node/replica.go
@@ -92,7 +92,7 @@
 		return
 	}
 	if r.core.SetConfig(config) {
-		r.log.Info("configuration in force", "configVersion", config.Version(), "rowVersion", row.Version,
+		r.log.Info("configuration in force", "configVersion", config.Version(), "rowVersion", row.Version, "bytes", len(row.Value),
 			"source", source, "operatorAge", r.operator.Age(time.Now()))
 	}
 }
--- a/relay/http.go
+++ b/relay/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"filberthold/conns"
@@ -51,8 +52,13 @@
 	// wait is how long a poll waits for a change. It bounds how outdated the age
 	// at the polling host is.
 	wait time.Duration
+	// sentBytes counts the bytes of the responses.
+	sentBytes atomic.Uint64
 }
 
+// SentBytes returns the number of bytes sent to other hosts so far.
+func (h *Handler) SentBytes() uint64 { return h.sentBytes.Load() }
+
 // NewHandler returns a handler for two caches. A poll waits for a change for the
 // given time.
 func NewHandler(log *slog.Logger, operator, endpoints *Cache, wait time.Duration) *Handler {
@@ -88,7 +94,9 @@
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	if _, err := writer.Write(content); err != nil {
+	written, err := writer.Write(content)
+	h.sentBytes.Add(uint64(written))
+	if err != nil {
 		h.log.Debug("changes not written", "error", err)
 	}
 }
@@ -136,7 +144,7 @@
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxChangesBytes))
 	if err != nil {
-		return Update{}, fmt.Errorf("read changes: %w", err)
+		return Update{}, fmt.Errorf("read changes, %d bytes arrived: %w", len(content), err)
 	}
 	if response.StatusCode != http.StatusOK {
 		return Update{}, fmt.Errorf("poll changes: status %d", response.StatusCode)
