--- a/relay/http.go
+++ b/relay/http.go
@@ -117,11 +117,19 @@
 	wait time.Duration
 }
 
+// DialFunc opens a connection to a host.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a client for hosts that wait for a change for the given
 // time.
 func NewClient(wait time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: pollTimeout}
-	return &Client{wait: wait, http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxResponseHeaderBytes: conns.MaxHeadBytes}}}
+	return NewClientOver(wait, dialer.DialContext)
+}
+
+// NewClientOver returns a client that opens its connections by dial.
+func NewClientOver(wait time.Duration, dial DialFunc) *Client {
+	return &Client{wait: wait, http: &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: conns.MaxHeadBytes}}}
 }
 
 // Poll requests the rows that changed after the given versions from a host. The
