--- a/node/large_test.go
+++ b/node/large_test.go
@@ -73,3 +73,24 @@
 		})
 	}
 }
+
+// Guards against a configuration that a host never gets from the store because each
+// call for it ends while its response arrives.
+func TestLargeConfigurationArrivesFromStoreOverSmallLink(t *testing.T) {
+	for _, transfer := range []time.Duration{applyTime / 2, applyTime * 7 / 10} {
+		t.Run(transfer.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := newReplicaTest(t)
+				rt.startReader(func(platform.Table) bool { return true })
+				time.Sleep(applyTime)
+				config := fake.LargeConfig(2, 1400)
+				// The store returns the value in base64.
+				encodedBytes := len(config) * 4 / 3
+				rt.transport.SetBandwidth(int(float64(encodedBytes) / transfer.Seconds()))
+				rt.store.Put(platform.OperatorTable, platform.ConfigKey, config)
+				time.Sleep(applyTime)
+				assert.Equal(t, rt.configVersion(), uint64(2))
+			})
+		})
+	}
+}
--- a/node/reader.go
+++ b/node/reader.go
@@ -19,8 +19,8 @@
 	// the store refuses while another host keeps its replica up to date. The replica
 	// counts as up to date while it is younger than this interval.
 	followerProbeInterval = time.Second
-	// maxAnswerTimeout bounds the time in which the store must answer a call for the
-	// operator's rows, in addition to the wait for a change.
+	// maxAnswerTimeout bounds the time in which the store must begin to answer a call
+	// for the operator's rows, in addition to the wait for a change.
 	maxAnswerTimeout = 1500 * time.Millisecond
 	// renewalGrace is the grace period after a store outage in which endpoints
 	// write entries again that expired during the outage.
@@ -125,7 +125,7 @@
 func (r *reader) readEndpoints(ctx context.Context, startedAt time.Time) error {
 	after := r.replica.endpoints.Version()
 	if after > 0 {
-		rows, err := r.store.Watch(ctx, platform.EndpointTable, after, 0)
+		rows, err := r.store.Watch(ctx, platform.EndpointTable, after, 0, 0)
 		if err == nil {
 			r.replica.applyEndpointRows(rows.Rows, rows.Version, startedAt, r.graceUntil(time.Now()))
 			return nil
@@ -211,13 +211,11 @@
 	if r.replica.operator.Age(time.Now()) > wait {
 		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+r.answerTimeout())
-	defer cancel()
-	return r.store.Watch(ctx, platform.OperatorTable, after, wait)
+	return r.store.Watch(ctx, platform.OperatorTable, after, wait, r.answerTimeout())
 }
 
-// answerTimeout returns the time in which the store must answer a call for the
-// operator's rows, in addition to the wait for a change. It doubles with each call
+// answerTimeout returns the time in which the store must begin to answer a call for
+// the operator's rows, in addition to the wait for a change. It doubles with each call
 // without an answer, so that the answers of a slow store arrive too.
 func (r *reader) answerTimeout() time.Duration {
 	timeout := r.intervals.operator.answerTimeout
