Answer 503 while a configuration that denies a request may be outdated

Seen by callers: 404 for proper requests (DENIED), after which they do not try again. Cause: a host gave a final answer from whatever configuration it had. In the recorded incident both hosts that answered 404 had operator's rows of 6.2 and 6.8 s, where a configuration must be in force after 4 s, and other hosts had the newer version in force.

Now a request that the configuration in force does not allow (404, and 413 for a body over its limit) gets the final status only if the rows were confirmed within the time to apply a change and no heartbeat names a newer configuration. Otherwise it gets 503 and Retry-After 0.5 s: it has not run, and another host or a later attempt can serve it. In an outage of the store, callers of unknown paths retry in vain; callers of known routes are served as before.

--- a/node/handlers.go
+++ b/node/handlers.go
@@ -11,6 +11,7 @@
 
 	"filberthold/member"
 	"filberthold/model"
+	"filberthold/proxy"
 )
 
 const (
@@ -47,6 +48,25 @@
 // isReady reports whether callers should use this host.
 func (n *Node) isReady() bool { return n.core.IsReady() && !n.isLeaving.Load() }
 
+// freshness returns how current the data from the store is.
+func (n *Node) freshness() proxy.Freshness {
+	return proxy.Freshness{
+		OperatorAge:  func() time.Duration { return n.replica.operator.Age(time.Now()) },
+		EndpointAge:  func() time.Duration { return n.replica.endpoints.Age(time.Now()) },
+		NewestConfig: n.newestConfig, ApplyTime: operatorEffectTime(n.settings),
+	}
+}
+
+// newestConfig returns the version of the newest configuration that another host has
+// in force, or 0.
+func (n *Node) newestConfig() uint64 {
+	newest := uint64(0)
+	for _, alive := range n.transport.Alive() {
+		newest = max(newest, alive.ConfigVersion)
+	}
+	return newest
+}
+
 func (n *Node) handleReady(writer http.ResponseWriter, _ *http.Request) {
 	if !n.isReady() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/node/intervals.go
+++ b/node/intervals.go
@@ -38,7 +38,7 @@
 // a configuration, leave an evacuated availability zone and stop using a draining
 // endpoint.
 func newIntervals(settings platform.Settings) intervals {
-	operatorTime := shortest(settings.ConfigApplyTime, settings.EvacuationTime)
+	operatorTime := operatorEffectTime(settings)
 	endpointTime := shortest(settings.DrainTime)
 	return intervals{
 		operator: newTableIntervals(operatorTime), endpoints: newTableIntervals(endpointTime),
@@ -46,6 +46,12 @@
 	}
 }
 
+// operatorEffectTime returns the time within which a change of the operator's rows
+// must take effect.
+func operatorEffectTime(settings platform.Settings) time.Duration {
+	return shortest(settings.ConfigApplyTime, settings.EvacuationTime)
+}
+
 func newTableIntervals(effectTime time.Duration) tableIntervals {
 	return tableIntervals{readInterval: effectTime / 4, answerTimeout: effectTime / 4, maxAge: effectTime * 6 / 10}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -77,10 +77,7 @@
 	node.replica = newStoreReplica(log, core)
 	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, node.intervals.pollWait)
 	node.registerMetrics()
-	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), proxy.ReplicaAge{
-		Operator:  func() time.Duration { return node.replica.operator.Age(time.Now()) },
-		Endpoints: func() time.Duration { return node.replica.endpoints.Age(time.Now()) },
-	})
+	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), node.freshness())
 	node.reader = newReader(log, store, node.replica, node.intervals, settings.HeartbeatInterval, node.shouldReadStore, node.probeInterval)
 	node.follower = newFollower(log, node.replica, node.intervals, node.sources, relay.NewClient(node.intervals.pollWait).Poll)
 	return node
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -87,7 +87,7 @@
 	path, _, _ := strings.Cut(e.requestTarget(), "?")
 	matchedRoute, exists := e.config.Match(request.Host, path)
 	if !exists {
-		e.fail(http.StatusNotFound, "no route matches")
+		e.failByConfig(http.StatusNotFound, "no route matches")
 		return
 	}
 	e.route = matchedRoute
@@ -124,7 +124,7 @@
 func (e *exchange) readBody() bool {
 	limit := e.config.Limits().MaxBodyBytes
 	if limit > 0 && e.request.ContentLength > limit {
-		e.fail(http.StatusRequestEntityTooLarge, "the body is too long")
+		e.failByConfig(http.StatusRequestEntityTooLarge, "the body is too long")
 		return false
 	}
 	if e.request.ContentLength > maxBufferedBody {
@@ -366,7 +366,7 @@
 	}
 	e.server.log.Info("request ended", "request", e.header.AttemptID, "object", e.header.Object, "class", class,
 		"route", e.route.Name, "configVersion", version,
-		"knowledgeAge", e.server.replicaAge.Endpoints(), "operatorAge", e.server.replicaAge.Operator(), "service", e.service, "attempts", len(e.tried), "endpoint", e.lastSend.Endpoint.Name,
+		"knowledgeAge", e.server.freshness.EndpointAge(), "operatorAge", e.server.freshness.OperatorAge(), "service", e.service, "attempts", len(e.tried), "endpoint", e.lastSend.Endpoint.Name,
 		"place", e.lastSend.Rank, "load", e.lastSend.Load, "candidates", e.lastSend.Candidates,
 		"patience", e.header.Timeout, "elapsed", elapsed, "status", status, "outcome", reason, "error", errorText(err))
 }
--- /dev/null
+++ b/proxy/freshness.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"time"
+)
+
+// outdatedRetryAfter is the Retry-After of a request that the configuration in force
+// does not allow while a newer one may exist. A host gets a change, or its
+// confirmation that there is none, several times in the time to apply one.
+const outdatedRetryAfter = 500 * time.Millisecond
+
+// Freshness tells how current the host's data from the store is. Its functions are
+// safe for concurrent use.
+type Freshness struct {
+	// OperatorAge returns the time since the configuration and the evacuations were
+	// last known to be complete.
+	OperatorAge func() time.Duration
+	// EndpointAge returns the time since the list of endpoints was last known to be
+	// complete.
+	EndpointAge func() time.Duration
+	// NewestConfig returns the version of the newest configuration that another host
+	// has in force, or 0.
+	NewestConfig func() uint64
+	// ApplyTime is the time within which a configuration must be in force.
+	ApplyTime time.Duration
+}
+
+// mayBeOutdated reports whether a newer configuration than the given version may
+// have to be in force.
+func (f Freshness) mayBeOutdated(version uint64) bool {
+	return f.OperatorAge() > f.ApplyTime || f.NewestConfig() > version
+}
+
+// failByConfig fails a request that the configuration in force does not allow. The
+// caller is asked to come back if that may be outdated: after a final status it does
+// not try again.
+func (e *exchange) failByConfig(status int, reason string) {
+	if e.server.freshness.mayBeOutdated(e.config.Version()) {
+		e.refuse(reason+", but the configuration may be outdated", outdatedRetryAfter)
+		return
+	}
+	e.fail(status, reason)
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -29,12 +29,12 @@
 
 // Server serves callers' requests. It is safe for concurrent use.
 type Server struct {
-	log        *slog.Logger
-	core       *Core
-	pool       *conns.Pool
-	http       *http.Server
-	metrics    *Metrics
-	replicaAge ReplicaAge
+	log       *slog.Logger
+	core      *Core
+	pool      *conns.Pool
+	http      *http.Server
+	metrics   *Metrics
+	freshness Freshness
 	// keepAlivesDisabled is true from the start of a graceful shutdown. Each
 	// response then has the header "Connection: close".
 	keepAlivesDisabled atomic.Bool
@@ -42,19 +42,9 @@
 	isRefusing atomic.Bool
 }
 
-// ReplicaAge returns how old the host's data from the store is, for log lines.
-type ReplicaAge struct {
-	// Operator returns the time since the configuration and the evacuations were
-	// last known to be complete.
-	Operator func() time.Duration
-	// Endpoints returns the time since the list of endpoints was last known to be
-	// complete.
-	Endpoints func() time.Duration
-}
-
 // NewServer returns a server that is not yet listening.
-func NewServer(log *slog.Logger, core *Core, metrics *Metrics, replicaAge ReplicaAge) *Server {
-	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics, replicaAge: replicaAge}
+func NewServer(log *slog.Logger, core *Core, metrics *Metrics, freshness Freshness) *Server {
+	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics, freshness: freshness}
 	server.http = &http.Server{
 		Handler: http.HandlerFunc(server.handleRequest), IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -30,16 +30,17 @@
 	endpoints []*fake.Endpoint
 }
 
-func zeroAge() ReplicaAge {
+// currentFreshness is the freshness of a host that has all changes.
+func currentFreshness() Freshness {
 	zero := func() time.Duration { return 0 }
-	return ReplicaAge{Operator: zero, Endpoints: zero}
+	return Freshness{OperatorAge: zero, EndpointAge: zero, NewestConfig: func() uint64 { return 0 }, ApplyTime: time.Second}
 }
 
 func startTestServer(t *testing.T, endpoints int) *testServer {
 	t.Helper()
 	regions := map[model.ZoneName]model.RegionName{"za": "north"}
 	ts := &testServer{t: t, core: NewCore("h", "za", regions, DefaultRetryLimit())}
-	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), zeroAge())
+	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), currentFreshness())
 	ts.core.SetConfig(route.NewConfig(1, []route.Route{
 		ts.route("/read/", model.Read), ts.route("/submit/", model.Submit), ts.route("/export/", model.Export),
 	}, []route.Service{{Name: "s", ColdRate: 2}}, route.Limits{MaxBodyBytes: 1 << 20}))
@@ -185,7 +186,7 @@
 // configuration and so no routes yet.
 func TestHostWithoutConfigurationRefuses(t *testing.T) {
 	ts := &testServer{t: t, core: NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, DefaultRetryLimit())}
-	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), zeroAge())
+	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), currentFreshness())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ts.address = listener.Addr().String()
