Let the host with the largest link read the store for its region

Seen by callers: the same 404 (DENIED), with larger configurations. Cause: the reader, which sends every change to all hosts of its region, was the host with the highest hash: one with a link of 10 Mbit/s, although each region had four with 200. Its link is full for seconds, so that connections to it, the heads of its responses and its heartbeats are late; followers give up and read the store, all at once.

Now hosts tell the bandwidth of their links, which the settings contain, in their heartbeats, and the host with the largest link is the reader. Hosts with equal links are ordered by hash as before; if no link is known nothing changes. No host is reserved: the next one takes over.

TestStoreReaderHasLargestLink failed before ('10 (reader.LinkMbps float64) != 200').

--- a/member/reader.go
+++ b/member/reader.go
@@ -18,7 +18,7 @@
 		if host.Region != region || !host.IsStoreReachable || host.IsLeaving {
 			continue
 		}
-		if !found || weight(host.Host) > weight(reader.Host) {
+		if !found || isPreferredReader(host, reader) {
 			reader, found = host, true
 		}
 	}
@@ -70,11 +70,11 @@
 }
 
 const (
-	// minProbeInterval is the probe interval of the host with the highest weight
-	// in a region.
+	// minProbeInterval is the probe interval of the preferred store reader of a
+	// region.
 	minProbeInterval = 300 * time.Millisecond
-	// hostsPerProbeStep is the number of hosts of higher weight that lengthen the
-	// interval of a host by another minProbeInterval.
+	// hostsPerProbeStep is the number of preferred hosts that lengthen the interval
+	// of a host by another minProbeInterval.
 	hostsPerProbeStep = 2
 	// maxProbeInterval bounds the interval. While a host waits, the hosts that
 	// probe more often may become unreachable for it.
@@ -90,7 +90,7 @@
 func ProbeInterval(self Heartbeat, others []Heartbeat) time.Duration {
 	preceding := 0
 	for _, other := range others {
-		if other.Region == self.Region && weight(other.Host) > weight(self.Host) {
+		if other.Region == self.Region && isPreferredReader(other, self) {
 			preceding++
 		}
 	}
@@ -128,7 +128,17 @@
 	return sources
 }
 
-// weight orders the hosts of a region for the election of the store reader. It
+// isPreferredReader reports whether a host is a better store reader than another one:
+// its link is larger, because the reader sends each change to all hosts of its region,
+// or its weight is higher if their links are equal.
+func isPreferredReader(host, other Heartbeat) bool {
+	if host.LinkMbps != other.LinkMbps {
+		return host.LinkMbps > other.LinkMbps
+	}
+	return weight(host.Host) > weight(other.Host)
+}
+
+// weight orders hosts with equal links for the election of the store reader. It
 // is a hash, so that the elected hosts are not always the first by name.
 func weight(host model.HostName) uint32 {
 	sum := fnv.New32a()
--- a/member/table.go
+++ b/member/table.go
@@ -50,6 +50,8 @@
 	IsStoreReachable bool `cbor:"10,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration in force.
 	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
+	// LinkMbps is the bandwidth of the host's link in Mbit/s, or 0 if it is unknown.
+	LinkMbps float64 `cbor:"15,keyasint,omitempty"`
 	// Interval is the time between heartbeats of the host.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
 	// Peers are addresses of other hosts from which the host received heartbeats.
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -115,6 +115,27 @@
 	assert.Equal(t, len(Sources(hosts[2], hosts[:2])), 0)
 }
 
+// Guards against a configuration that arrives late at a whole region because the host
+// that sends it to all others has the smallest link.
+func TestStoreReaderHasLargestLink(t *testing.T) {
+	var hosts []Heartbeat
+	for i := range 20 {
+		host := Heartbeat{Host: model.HostName(fmt.Sprint("h", i)), Region: "north", IsStoreReachable: true, LinkMbps: 10}
+		if i == 7 || i == 13 {
+			host.LinkMbps = 200
+		}
+		hosts = append(hosts, host)
+	}
+	reader, _ := StoreReader(hosts, "north")
+	assert.Equal(t, reader.LinkMbps, 200.0)
+	first := reader.Host
+	hosts = slices.DeleteFunc(hosts, func(host Heartbeat) bool { return host.Host == first })
+	reader, _ = StoreReader(hosts, "north")
+	assert.Equal(t, reader.LinkMbps, 200.0)
+	// The other host with a large link follows first if the reader fails.
+	assert.Equal(t, ProbeInterval(reader, hosts), minProbeInterval)
+}
+
 // Guards against hosts that all read the store at the same time, and against
 // hosts that wait for a reader although their data is stale.
 func TestShouldReadStore(t *testing.T) {
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -37,7 +37,7 @@
 		Host: n.settings.Host, Zone: n.settings.Zone, Region: n.settings.Region, Incarnation: n.incarnation,
 		IP: n.settings.IP, CallerAddress: n.settings.CallerAddress, ControlAddress: n.settings.ControlAddress,
 		IsReady: n.isReady(), IsLeaving: n.isLeaving.Load(),
-		IsStoreReachable: n.reader.isStoreReachable.Load(),
+		IsStoreReachable: n.reader.isStoreReachable.Load(), LinkMbps: n.settings.LinkMbps,
 	}
 	if config := n.core.Config(); config != nil {
 		heartbeat.ConfigVersion = config.Version()
