Date rows by the beginning of the response that brings them

Found in review: since transfers have no time limit, rows were confirmed as of the end of their transfer. A table that takes 4.8 s over a small link passed for current, longer than a configuration may take to be in force, so that this host and its followers could again deny requests for good by an older configuration.

Now a response carries the time at which its head arrived, at pollers of other hosts and at readers of the store, and the age of the rows counts from there.

TestAgeOfRowsIncludesTheirTransfer failed before ('rt.replica.operator.Age(time.Now()) is less than transfer'), and so did the check in TestPollEndsOnlyIfItsResponseStalls ('less than 1500 * time.Millisecond').

--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -25,6 +25,9 @@
 
 // Result is a response whose body is complete.
 type Result struct {
+	// HeadAt is when the head arrived. What the response says is not newer, however
+	// long its body took.
+	HeadAt time.Time
 	Status int
 	Header http.Header
 	Body   []byte
@@ -70,6 +73,7 @@
 	if err != nil {
 		return Result{}, exchangeError(ctx, "send request", err)
 	}
+	headAt := time.Now()
 	defer func() { _ = response.Body.Close() }()
 	watchdog.watchBody()
 	body, err := io.ReadAll(io.LimitReader(&progressReader{source: response.Body, watchdog: watchdog}, maxBytes+1))
@@ -79,7 +83,7 @@
 	if int64(len(body)) > maxBytes {
 		return Result{}, fmt.Errorf("read response: %w", &SizeError{MaxBytes: maxBytes})
 	}
-	return Result{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Result{HeadAt: headAt, Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
 // exchangeError returns the error of a failed exchange: the StallError that ended it
--- a/node/follower.go
+++ b/node/follower.go
@@ -81,7 +81,7 @@
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 		return
 	}
-	f.replica.applyUpdate(update, now, source.Host)
+	f.replica.applyUpdate(update, source.Host)
 	if update.Operator.Age > f.intervals.operator.maxAge || update.Endpoints.Age > f.intervals.endpoints.maxAge {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 	}
--- a/node/follower_test.go
+++ b/node/follower_test.go
@@ -24,7 +24,9 @@
 	}
 	poll := func(_ context.Context, address string, _, _ uint64) (relay.Update, error) {
 		time.Sleep(rt.intervals.pollWait)
-		return updates[address], nil
+		update := updates[address]
+		update.ReceivedAt = time.Now()
+		return update, nil
 	}
 	rt.run(newFollower(slog.New(slog.DiscardHandler), rt.replica, rt.intervals, sources, poll).loop)
 }
--- a/node/freshness_test.go
+++ b/node/freshness_test.go
@@ -46,13 +46,18 @@
 // should read a table of the store.
 func (rt *replicaTest) startReader(isActive func(platform.Table) bool) {
 	rt.t.Helper()
-	store := platform.NewStoreOver("store:1", rt.transport)
-	r := newReader(slog.New(slog.DiscardHandler), store, rt.replica, rt.intervals, time.Second, isActive,
-		func() time.Duration { return 300 * time.Millisecond })
+	r := rt.newReader(isActive)
 	rt.run(r.operatorLoop)
 	rt.run(r.endpointLoop)
 }
 
+// newReader returns a store reader that does not run.
+func (rt *replicaTest) newReader(isActive func(platform.Table) bool) *reader {
+	store := platform.NewStoreOver("store:1", rt.transport)
+	return newReader(slog.New(slog.DiscardHandler), store, rt.replica, rt.intervals, time.Second, isActive,
+		func() time.Duration { return 300 * time.Millisecond })
+}
+
 // run runs a loop until the test ends.
 func (rt *replicaTest) run(loop func(context.Context) error) {
 	rt.t.Helper()
--- a/node/large_test.go
+++ b/node/large_test.go
@@ -94,3 +94,21 @@
 		})
 	}
 }
+
+// Guards against rows that pass for current although their transfer took longer than
+// a change may take: a host would deny requests for good that a change meanwhile
+// allows.
+func TestAgeOfRowsIncludesTheirTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const transfer = 3 * time.Second
+		config := fake.LargeConfig(2, 1400)
+		rt := newReplicaTest(t)
+		r := rt.newReader(func(platform.Table) bool { return true })
+		assert.NilError(t, r.readOperator(t.Context()))
+		rt.transport.SetBandwidth(int(float64(len(config)*4/3) / transfer.Seconds()))
+		rt.store.Put(platform.OperatorTable, platform.ConfigKey, config)
+		assert.NilError(t, r.readOperator(t.Context()))
+		assert.Equal(t, rt.configVersion(), uint64(2))
+		assert.Assert(t, rt.replica.operator.Age(time.Now()) >= transfer)
+	})
+}
--- a/node/reader.go
+++ b/node/reader.go
@@ -187,7 +187,7 @@
 	if after > 0 {
 		rows, err := r.watchOperator(ctx, after)
 		if err == nil {
-			r.replica.applyOperatorRows(rows.Rows, rows.Version, time.Now(), storeSource)
+			r.replica.applyOperatorRows(rows.Rows, rows.Version, rows.ReceivedAt, storeSource)
 			return nil
 		}
 		if !r.isHistoryLost(err, platform.OperatorTable, after) {
--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -55,7 +55,7 @@
 	fakeStore, r := startReader(t, time.Second)
 	r.markStoreLost(storeError{})
 	fakeStore.Remove(platform.EndpointTable, "i-1")
-	r.replica.applyUpdate(relay.Update{Endpoints: relay.Changes{Version: 2}}, time.Now(), "h2")
+	r.replica.applyUpdate(relay.Update{Endpoints: relay.Changes{Version: 2}, ReceivedAt: time.Now()}, "h2")
 	assert.NilError(t, r.readEndpoints(t.Context(), time.Now()))
 	assert.Equal(t, relayedEntries(r), 1)
 }
--- a/node/replica.go
+++ b/node/replica.go
@@ -190,7 +190,7 @@
 
 // applyUpdate applies an update from another host, the source. Removals apply at once, because
 // that host sends them only after its grace period.
-func (r *storeReplica) applyUpdate(update relay.Update, now time.Time, source model.HostName) {
-	r.applyOperatorRows(update.Operator.Rows, update.Operator.Version, now.Add(-update.Operator.Age), string(source))
-	r.applyEndpointRows(update.Endpoints.Rows, update.Endpoints.Version, now.Add(-update.Endpoints.Age), time.Time{})
+func (r *storeReplica) applyUpdate(update relay.Update, source model.HostName) {
+	r.applyOperatorRows(update.Operator.Rows, update.Operator.Version, update.ReceivedAt.Add(-update.Operator.Age), string(source))
+	r.applyEndpointRows(update.Endpoints.Rows, update.Endpoints.Version, update.ReceivedAt.Add(-update.Endpoints.Age), time.Time{})
 }
--- a/node/replica_test.go
+++ b/node/replica_test.go
@@ -19,8 +19,8 @@
 	entry := platform.Row{Key: "i-1", Value: []byte(readyEntry), Version: 61}
 	rt.replica.applyUpdate(relay.Update{
 		Operator:  relay.Changes{Rows: []platform.Row{{Key: "evacuate/za", Value: []byte("{}"), Version: 60}}, Version: 61},
-		Endpoints: relay.Changes{Rows: []platform.Row{entry}, Version: 61},
-	}, time.Now(), "h2")
+		Endpoints: relay.Changes{Rows: []platform.Row{entry}, Version: 61}, ReceivedAt: time.Now(),
+	}, "h2")
 	older := platform.Rows{Version: 50}
 	rt.replica.applyOperatorTable(older, time.Now())
 	rt.replica.applyEndpointTable(older, time.Now(), time.Time{})
--- a/relay/http.go
+++ b/relay/http.go
@@ -46,6 +46,9 @@
 type Update struct {
 	Operator  Changes `cbor:"operator"`
 	Endpoints Changes `cbor:"endpoints"`
+	// ReceivedAt is when the response began to arrive. The ages of the changes refer
+	// to it.
+	ReceivedAt time.Time `cbor:"-"`
 }
 
 // Handler serves polls of other hosts from the caches.
@@ -168,7 +171,9 @@
 	if response.Status != http.StatusOK {
 		return Update{}, fmt.Errorf("poll changes: status %d", response.Status)
 	}
-	return DecodeUpdate(response.Body)
+	update, err := DecodeUpdate(response.Body)
+	update.ReceivedAt = response.HeadAt
+	return update, err
 }
 
 // DecodeUpdate decodes the response to a poll.
--- a/relay/transfer_test.go
+++ b/relay/transfer_test.go
@@ -51,5 +51,7 @@
 		update, err := NewClientOver(100*time.Millisecond, link.DialContext).Poll(context.Background(), "reader:1", 0, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, len(update.Operator.Rows[0].Value), len(value))
+		// The rows are as old as their transfer took.
+		assert.Assert(t, time.Since(update.ReceivedAt) >= 1500*time.Millisecond)
 	})
 }
