--- a/node/reader.go
+++ b/node/reader.go
@@ -54,6 +54,8 @@
 	// unansweredCalls counts the calls for the operator's rows that ended without an
 	// answer since the last answer. Only operatorLoop uses it.
 	unansweredCalls int
+	// loggedEra is the last era of the store that was logged.
+	loggedEra atomic.Uint64
 	// isStoreReachable is false while the store does not serve this host.
 	isStoreReachable atomic.Bool
 }
@@ -105,6 +107,7 @@
 func (r *reader) markStoreRegained() {
 	r.dependency.markRegained()
 	r.isStoreReachable.Store(true)
+	r.logEra()
 }
 
 // graceUntil returns the end of the grace period, in which an entry may be
@@ -149,10 +152,19 @@
 	if !errors.As(err, &lost) {
 		return false
 	}
-	r.log.Warn("history of the store was dropped, reading the whole table", "table", table, "after", after)
+	r.log.Warn("history of the store was dropped, reading the whole table", "table", table, "after", after, "storeEra", r.store.Era())
 	return true
 }
 
+// logEra logs a change of the store's era: the store has returned from an older copy
+// of its rows.
+func (r *reader) logEra() {
+	era := r.store.Era()
+	if before := r.loggedEra.Swap(era); before != era && before != 0 {
+		r.log.Warn("store returned from an older copy", "storeEra", era, "before", before)
+	}
+}
+
 // operatorLoop reads the operator's rows and waits for their changes.
 func (r *reader) operatorLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
