Compare versions of the store by era and number

Cause: a version was a number. The store gives numbers out again after such a return, rows and versions lower than the replica's were ignored, and readers read the whole table again and again with no effect. Once the numbers had passed the old ones, readers went on from there and missed what lay below.

A version is now a pair of era and number, compared as such in the store's client, in the caches of both tables, in polls between hosts and in their responses. A version of an earlier era confirms nothing.

Failed before: TestConfigurationAfterReturnOfStoreIsInForce, 5 != 6, and TestChangesBelowVersionOfEarlierEraAreApplied, no zone evacuated.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"filberthold/model"
 	"filberthold/platform"
 	"filberthold/platform/fake"
 
@@ -40,3 +42,33 @@
 		assert.Equal(t, rt.configVersion(), uint64(6))
 	})
 }
+
+// Guards against changes that a host misses because it was cut off from the store
+// during one or two returns from an older copy, after which the store's versions have
+// passed those that the host has seen.
+func TestChangesBelowVersionOfEarlierEraAreApplied(t *testing.T) {
+	for returns := 1; returns <= 2; returns++ {
+		synctest.Test(t, func(t *testing.T) {
+			rt := newReplicaTest(t)
+			rt.transport.SetLatency(callLatency)
+			var isCut atomic.Bool
+			rt.startReader(func(platform.Table) bool { return !isCut.Load() })
+			older := rt.store.Copy()
+			rt.putConfigs(2, 5)
+			time.Sleep(applyTime)
+			isCut.Store(true)
+			time.Sleep(applyTime)
+			for range returns {
+				rt.store.Restore(older)
+			}
+			rt.store.Put(platform.OperatorTable, "evacuate/za", "{}")
+			rt.putConfigs(5, 9)
+			isCut.Store(false)
+			time.Sleep(applyTime)
+			assert.Equal(t, rt.configVersion(), uint64(9))
+			rt.replica.mu.Lock()
+			defer rt.replica.mu.Unlock()
+			assert.DeepEqual(t, rt.replica.evacuated, map[model.ZoneName]bool{"za": true})
+		})
+	}
+}
--- a/node/follower.go
+++ b/node/follower.go
@@ -7,6 +7,7 @@
 
 	"filberthold/member"
 	"filberthold/model"
+	"filberthold/platform"
 	"filberthold/relay"
 )
 
@@ -21,7 +22,7 @@
 
 // pollFunc polls the host at an address for the rows that changed after the given
 // versions.
-type pollFunc func(ctx context.Context, address string, operatorAfter, endpointsAfter uint64) (relay.Update, error)
+type pollFunc func(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version) (relay.Update, error)
 
 // follower keeps the replica up to date by polling another host.
 type follower struct {
@@ -77,7 +78,7 @@
 		f.currentSource = source.Host
 		f.log.Info("following a host", "peer", source.Host, "age", update.Endpoints.Age, "operatorAge", update.Operator.Age)
 	}
-	if update.Endpoints.Version == 0 {
+	if update.Endpoints.Version.IsZero() {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 		return
 	}
--- a/node/follower_test.go
+++ b/node/follower_test.go
@@ -22,7 +22,7 @@
 	sources := func() []member.Heartbeat {
 		return []member.Heartbeat{{Host: "a", ControlAddress: "a"}, {Host: "b", ControlAddress: "b"}}
 	}
-	poll := func(_ context.Context, address string, _, _ uint64) (relay.Update, error) {
+	poll := func(_ context.Context, address string, _, _ platform.Version) (relay.Update, error) {
 		time.Sleep(rt.intervals.pollWait)
 		update := updates[address]
 		update.ReceivedAt = time.Now()
@@ -32,8 +32,8 @@
 }
 
 func configChanges(version int, age time.Duration) relay.Changes {
-	row := platform.Row{Key: platform.ConfigKey, Value: []byte(fake.VersionedConfig(version)), Version: uint64(version)}
-	return relay.Changes{Rows: []platform.Row{row}, Version: uint64(version), Age: age}
+	row := platform.Row{Key: platform.ConfigKey, Value: []byte(fake.VersionedConfig(version)), Version: platform.Version{Number: uint64(version)}}
+	return relay.Changes{Rows: []platform.Row{row}, Version: platform.Version{Number: uint64(version)}, Age: age}
 }
 
 // Guards against a host that keeps an old configuration because it follows a
@@ -41,7 +41,7 @@
 func TestFollowerLeavesReaderWithOutdatedConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rt := newReplicaTest(t)
-		endpoints := relay.Changes{Version: 2}
+		endpoints := relay.Changes{Version: platform.Version{Number: 2}}
 		rt.startFollower(map[string]relay.Update{
 			"a": {Operator: configChanges(1, rt.intervals.operator.maxAge+time.Millisecond), Endpoints: endpoints},
 			"b": {Operator: configChanges(2, 0), Endpoints: endpoints},
--- a/node/reader.go
+++ b/node/reader.go
@@ -116,7 +116,7 @@
 // store refused this host while other hosts read it and kept the replica up to
 // date, nor while one host takes over as store reader from another.
 func (r *reader) graceUntil(now time.Time) time.Time {
-	if r.replica.endpoints.Version() > 0 && r.replica.endpoints.Age(now) > minOutageHeartbeats*r.heartbeatInterval {
+	if !r.replica.endpoints.Version().IsZero() && r.replica.endpoints.Age(now) > minOutageHeartbeats*r.heartbeatInterval {
 		r.outageEndedAt = now
 	}
 	return r.outageEndedAt.Add(renewalGrace)
@@ -127,7 +127,7 @@
 // then complete as of startedAt.
 func (r *reader) readEndpoints(ctx context.Context, startedAt time.Time) error {
 	after := r.replica.endpoints.Version()
-	if after > 0 {
+	if !after.IsZero() {
 		rows, err := r.store.Watch(ctx, platform.EndpointTable, after, 0, 0)
 		if err == nil {
 			r.replica.applyEndpointRows(rows.Rows, rows.Version, startedAt, r.graceUntil(time.Now()))
@@ -147,7 +147,7 @@
 
 // isHistoryLost reports whether a Watch failed because the store no longer has the
 // changes after a version. If so, it logs that.
-func (r *reader) isHistoryLost(err error, table platform.Table, after uint64) bool {
+func (r *reader) isHistoryLost(err error, table platform.Table, after platform.Version) bool {
 	var lost *platform.HistoryError
 	if !errors.As(err, &lost) {
 		return false
@@ -196,7 +196,7 @@
 // after the read interval if there is none.
 func (r *reader) readOperator(ctx context.Context) error {
 	after := r.replica.operator.Version()
-	if after > 0 {
+	if !after.IsZero() {
 		rows, err := r.watchOperator(ctx, after)
 		if err == nil {
 			r.replica.applyOperatorRows(rows.Rows, rows.Version, rows.ReceivedAt, storeSource)
@@ -218,7 +218,7 @@
 // watchOperator waits for changes of the operator's rows, unless the rows are older
 // than the read interval. The wait for an answer is short, because a call can hang
 // on a connection that went silent while the store answers on others.
-func (r *reader) watchOperator(ctx context.Context, after uint64) (platform.Rows, error) {
+func (r *reader) watchOperator(ctx context.Context, after platform.Version) (platform.Rows, error) {
 	wait := r.intervals.operator.readInterval
 	if r.replica.operator.Age(time.Now()) > wait {
 		wait = 0
--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -38,7 +38,7 @@
 
 // relayedEntries returns the number of entries that are relayed to other hosts.
 func relayedEntries(r *reader) int {
-	changes, _ := r.replica.endpoints.Since(0)
+	changes, _ := r.replica.endpoints.Since(platform.Version{})
 	present := 0
 	for _, row := range changes.Rows {
 		if !row.IsRemoved {
@@ -55,7 +55,7 @@
 	fakeStore, r := startReader(t, time.Second)
 	r.markStoreLost(storeError{})
 	fakeStore.Remove(platform.EndpointTable, "i-1")
-	r.replica.applyUpdate(relay.Update{Endpoints: relay.Changes{Version: 2}, ReceivedAt: time.Now()}, "h2")
+	r.replica.applyUpdate(relay.Update{Endpoints: relay.Changes{Version: platform.Version{Era: 1, Number: 2}}, ReceivedAt: time.Now()}, "h2")
 	assert.NilError(t, r.readEndpoints(t.Context(), time.Now()))
 	assert.Equal(t, relayedEntries(r), 1)
 }
@@ -76,11 +76,11 @@
 func TestReaderTakeoverIsNoOutage(t *testing.T) {
 	_, r := startReader(t, time.Second)
 	now := time.Now()
-	r.replica.endpoints.Confirm(2, now)
+	r.replica.endpoints.Confirm(platform.Version{Era: 1, Number: 2}, now)
 	assert.Assert(t, r.graceUntil(now.Add(1600*time.Millisecond)).Before(now))
 	outage := now.Add(4 * time.Second)
 	assert.Equal(t, r.graceUntil(outage), outage.Add(renewalGrace))
-	r.replica.endpoints.Confirm(2, outage)
+	r.replica.endpoints.Confirm(platform.Version{Era: 1, Number: 2}, outage)
 	assert.Equal(t, r.graceUntil(outage.Add(time.Second)), outage.Add(renewalGrace))
 }
 
--- a/node/replica.go
+++ b/node/replica.go
@@ -54,7 +54,7 @@
 // a source. It ignores rows older than the replica's, which a call that took longer
 // than another one returns. The replica is then complete up to the given version as
 // of confirmedAt.
-func (r *storeReplica) applyOperatorRows(rows []platform.Row, version uint64, confirmedAt time.Time, source string) {
+func (r *storeReplica) applyOperatorRows(rows []platform.Row, version platform.Version, confirmedAt time.Time, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
@@ -103,7 +103,7 @@
 }
 
 // removedRows returns rows that mark keys as removed.
-func removedRows(keys []string, version uint64) []platform.Row {
+func removedRows(keys []string, version platform.Version) []platform.Row {
 	rows := make([]platform.Row, 0, len(keys))
 	for _, key := range keys {
 		rows = append(rows, platform.Row{Key: key, Version: version, IsRemoved: true})
@@ -115,7 +115,7 @@
 // the replica's. An endpoint whose
 // entry was removed stays usable until graceUntil, because it may write the
 // entry again after a store outage.
-func (r *storeReplica) applyEndpointRows(rows []platform.Row, version uint64, confirmedAt, graceUntil time.Time) {
+func (r *storeReplica) applyEndpointRows(rows []platform.Row, version platform.Version, confirmedAt, graceUntil time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
@@ -184,7 +184,7 @@
 	for _, name := range names {
 		// Followers have the changes up to the current version, so the removal needs
 		// a higher one to be sent to them.
-		r.endpoints.Put(platform.Row{Key: string(name), Version: r.endpoints.Version() + 1, IsRemoved: true}, true)
+		r.endpoints.Put(platform.Row{Key: string(name), Version: r.endpoints.Version().Next(), IsRemoved: true}, true)
 	}
 }
 
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -22,8 +22,8 @@
 	mu   sync.Mutex
 	rows map[string]cachedRow
 	// version is the version of the store up to which the rows are complete. It
-	// is 0 before the first confirmation.
-	version uint64
+	// is zero before the first confirmation.
+	version platform.Version
 	// confirmedAt is when the store last confirmed, directly or through other
 	// hosts, that the rows are complete.
 	confirmedAt time.Time
@@ -36,7 +36,7 @@
 // periodically.
 type cachedRow struct {
 	row       platform.Row
-	changedAt uint64
+	changedAt platform.Version
 }
 
 // NewCache returns an empty cache.
@@ -50,7 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, exists := c.rows[row.Key]
-	if exists && row.Version < before.row.Version {
+	if exists && row.Version.Compare(before.row.Version) < 0 {
 		return
 	}
 	next := cachedRow{row: row, changedAt: before.changedAt}
@@ -67,7 +67,7 @@
 func (c *Cache) HasNewer(row platform.Row) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rows[row.Key].row.Version > row.Version
+	return c.rows[row.Key].row.Version.Compare(row.Version) > 0
 }
 
 // evictRemovals drops all removals if the cache holds more than maxCachedRows
@@ -103,18 +103,24 @@
 }
 
 // Confirm records that the rows were complete up to a version at the given time.
-// Neither the version nor the time decreases.
-func (c *Cache) Confirm(version uint64, at time.Time) {
+// Neither the version nor the time decreases. A version of an earlier era confirms
+// nothing: the store that it came from has been replaced.
+func (c *Cache) Confirm(version platform.Version, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.version = max(c.version, version)
+	if version.Era < c.version.Era {
+		return
+	}
+	if version.Compare(c.version) > 0 {
+		c.version = version
+	}
 	if at.After(c.confirmedAt) {
 		c.confirmedAt = at
 	}
 }
 
 // Version returns the version of the store up to which the rows are complete.
-func (c *Cache) Version() uint64 {
+func (c *Cache) Version() platform.Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.version
@@ -129,20 +135,15 @@
 
 // Since returns the rows with a significant change after a version, ordered by
 // version, and a channel that is closed at the next such change.
-func (c *Cache) Since(after uint64) (Changes, <-chan struct{}) {
+func (c *Cache) Since(after platform.Version) (Changes, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := Changes{Version: c.version}
 	for _, cached := range c.rows {
-		if cached.changedAt > after {
+		if cached.changedAt.Compare(after) > 0 {
 			changes.Rows = append(changes.Rows, cached.row)
 		}
 	}
-	slices.SortFunc(changes.Rows, func(a, b platform.Row) int {
-		if a.Version < b.Version {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(changes.Rows, func(a, b platform.Row) int { return a.Version.Compare(b.Version) })
 	return changes, c.changed
 }
--- a/relay/http.go
+++ b/relay/http.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,7 +32,7 @@
 type Changes struct {
 	Rows []platform.Row `cbor:"rows"`
 	// Version is the version of the store up to which the rows are complete.
-	Version uint64 `cbor:"version"`
+	Version platform.Version `cbor:"version"`
 	// Age is the time between the last confirmation that the rows were complete
 	// and the send of the response.
 	Age time.Duration `cbor:"age"`
@@ -76,8 +75,8 @@
 // changes, else at the next change or after the wait.
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
-	operatorAfter, errOperator := strconv.ParseUint(query.Get("operator"), 10, 64)
-	endpointsAfter, errEndpoints := strconv.ParseUint(query.Get("endpoints"), 10, 64)
+	operatorAfter, errOperator := platform.ParseVersion(query.Get("operator"))
+	endpointsAfter, errEndpoints := platform.ParseVersion(query.Get("endpoints"))
 	if errOperator != nil || errEndpoints != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
@@ -122,7 +121,7 @@
 	return content, nil
 }
 
-func (h *Handler) changesSince(operatorAfter, endpointsAfter uint64) (update Update, operatorChanged, endpointsChanged <-chan struct{}) {
+func (h *Handler) changesSince(operatorAfter, endpointsAfter platform.Version) (update Update, operatorChanged, endpointsChanged <-chan struct{}) {
 	update.Operator, operatorChanged = h.operator.Since(operatorAfter)
 	update.Endpoints, endpointsChanged = h.endpoints.Since(endpointsAfter)
 	now := time.Now()
@@ -155,10 +154,10 @@
 
 // Poll requests the rows that changed after the given versions from a host. The
 // host responds at the next change, or without one after its wait.
-func (c *Client) Poll(ctx context.Context, address string, operatorAfter, endpointsAfter uint64) (Update, error) {
+func (c *Client) Poll(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version) (Update, error) {
 	query := url.Values{
-		"operator":  {strconv.FormatUint(operatorAfter, 10)},
-		"endpoints": {strconv.FormatUint(endpointsAfter, 10)},
+		"operator":  {operatorAfter.String()},
+		"endpoints": {endpointsAfter.String()},
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ChangesPath+"?"+query.Encode(), nil)
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,8 +13,11 @@
 	"gotest.tools/v3/assert"
 )
 
-func row(key string, version uint64) platform.Row {
-	return platform.Row{Key: key, Value: []byte(key), Version: version}
+// at returns a version of era 1.
+func at(number uint64) platform.Version { return platform.Version{Era: 1, Number: number} }
+
+func row(key string, number uint64) platform.Row {
+	return platform.Row{Key: key, Value: []byte(key), Version: at(number)}
 }
 
 // Guards against relaying every renewal of an endpoint's entry, which is most of
@@ -25,14 +28,14 @@
 	cache.Put(row("a", 1), true)
 	cache.Put(row("b", 2), true)
 	cache.Put(row("a", 3), false)
-	cache.Confirm(3, time.Now())
-	changes, _ := cache.Since(0)
+	cache.Confirm(at(3), time.Now())
+	changes, _ := cache.Since(platform.Version{})
 	assert.Equal(t, len(changes.Rows), 2)
-	changes, _ = cache.Since(2)
+	changes, _ = cache.Since(at(2))
 	assert.Equal(t, len(changes.Rows), 0)
-	assert.Equal(t, changes.Version, uint64(3))
+	assert.Equal(t, changes.Version, at(3))
 	cache.Put(row("a", 4), true)
-	changes, _ = cache.Since(3)
+	changes, _ = cache.Since(at(3))
 	assert.Equal(t, changes.Rows[0].Key, "a")
 }
 
@@ -40,9 +43,9 @@
 // one.
 func TestOlderRowIsIgnored(t *testing.T) {
 	cache := NewCache()
-	cache.Put(platform.Row{Key: "a", Version: 5, IsRemoved: true}, true)
+	cache.Put(platform.Row{Key: "a", Version: at(5), IsRemoved: true}, true)
 	cache.Put(row("a", 4), true)
-	changes, _ := cache.Since(0)
+	changes, _ := cache.Since(platform.Version{})
 	assert.Assert(t, changes.Rows[0].IsRemoved)
 }
 
@@ -52,7 +55,7 @@
 	cache := NewCache()
 	cache.Put(row("a", 1), true)
 	cache.Put(row("b", 2), true)
-	cache.Put(platform.Row{Key: "c", Version: 3, IsRemoved: true}, true)
+	cache.Put(platform.Row{Key: "c", Version: at(3), IsRemoved: true}, true)
 	assert.DeepEqual(t, cache.Missing([]platform.Row{row("b", 2)}), []string{"a"})
 }
 
@@ -60,11 +63,11 @@
 // the version or the age.
 func TestVersionNeverDecreases(t *testing.T) {
 	cache := NewCache()
-	at := time.Now()
-	cache.Confirm(7, at)
-	cache.Confirm(5, at.Add(-time.Hour))
-	assert.Equal(t, cache.Version(), uint64(7))
-	assert.Assert(t, cache.Age(at) < time.Second)
+	now := time.Now()
+	cache.Confirm(at(7), now)
+	cache.Confirm(at(5), now.Add(-time.Hour))
+	assert.Equal(t, cache.Version(), at(7))
+	assert.Assert(t, cache.Age(now) < time.Second)
 }
 
 func startHandler(t *testing.T) (*Cache, *Cache, string) {
@@ -80,27 +83,27 @@
 func TestPollReturnsExistingRowsAtOnce(t *testing.T) {
 	operator, endpoints, address := startHandler(t)
 	operator.Put(row("config", 4), true)
-	operator.Confirm(9, time.Now())
-	endpoints.Confirm(9, time.Now())
-	update, err := NewClient(time.Second).Poll(context.Background(), address, 0, 0)
+	operator.Confirm(at(9), time.Now())
+	endpoints.Confirm(at(9), time.Now())
+	update, err := NewClient(time.Second).Poll(context.Background(), address, platform.Version{}, platform.Version{})
 	assert.NilError(t, err)
 	assert.Equal(t, string(update.Operator.Rows[0].Value), "config")
-	assert.Equal(t, update.Operator.Version, uint64(9))
+	assert.Equal(t, update.Operator.Version, at(9))
 }
 
 // Guards against a change that reaches a polling host only with its next poll.
 func TestPollReturnsOnChange(t *testing.T) {
 	operator, endpoints, address := startHandler(t)
-	operator.Confirm(1, time.Now())
+	operator.Confirm(at(1), time.Now())
 	time.AfterFunc(20*time.Millisecond, func() { endpoints.Put(row("i-1", 2), true) })
-	update, err := NewClient(time.Second).Poll(context.Background(), address, 1, 1)
+	update, err := NewClient(time.Second).Poll(context.Background(), address, at(1), at(1))
 	assert.NilError(t, err)
 	assert.Equal(t, len(update.Endpoints.Rows), 1)
 }
 
 // Guards against a poll of an unreachable host that returns no error.
 func TestPollReportsUnreachableHost(t *testing.T) {
-	_, err := NewClient(time.Second).Poll(context.Background(), "127.0.0.1:1", 0, 0)
+	_, err := NewClient(time.Second).Poll(context.Background(), "127.0.0.1:1", platform.Version{}, platform.Version{})
 	assert.Assert(t, err != nil)
 }
 
@@ -113,3 +116,38 @@
 		_, _ = DecodeUpdate(content)
 	})
 }
+
+// Guards against a replica that stays at the versions of an earlier era, or takes a
+// late confirmation from that era for one of its own.
+func TestVersionOfLaterEraIsLater(t *testing.T) {
+	cache := NewCache()
+	now := time.Now()
+	cache.Put(row("a", 50), true)
+	cache.Confirm(at(50), now)
+	later := platform.Version{Era: 2, Number: 4}
+	cache.Put(platform.Row{Key: "a", IsRemoved: true, Version: later}, true)
+	cache.Confirm(later, now)
+	cache.Put(row("a", 51), true)
+	cache.Confirm(at(51), now.Add(time.Second))
+	assert.Equal(t, cache.Version(), later)
+	assert.Equal(t, cache.Age(now), time.Duration(0))
+	changes, _ := cache.Since(at(50))
+	assert.Assert(t, changes.Rows[0].IsRemoved)
+}
+
+// Guards against an era that is lost between hosts, in the request or the response.
+func TestPollCarriesEra(t *testing.T) {
+	operator, endpoints, address := startHandler(t)
+	later := platform.Version{Era: 2, Number: 4}
+	operator.Put(platform.Row{Key: "config", Version: later}, true)
+	operator.Confirm(later, time.Now())
+	endpoints.Confirm(later, time.Now())
+	client := NewClient(time.Second)
+	update, err := client.Poll(context.Background(), address, at(50), at(50))
+	assert.NilError(t, err)
+	assert.Equal(t, update.Operator.Version, later)
+	assert.Equal(t, update.Operator.Rows[0].Version, later)
+	update, err = client.Poll(context.Background(), address, update.Operator.Version, update.Endpoints.Version)
+	assert.NilError(t, err)
+	assert.Equal(t, len(update.Operator.Rows), 0)
+}
--- a/relay/transfer_test.go
+++ b/relay/transfer_test.go
@@ -45,10 +45,10 @@
 		operator, endpoints := NewCache(), NewCache()
 		// The response takes 1.6 s.
 		value := incompressible(2_000_000)
-		operator.Put(platform.Row{Key: "config", Value: value, Version: 1}, true)
+		operator.Put(platform.Row{Key: "config", Value: value, Version: at(1)}, true)
 		link := fakes.NewLink(smallLink)
 		serveOver(t, link, NewHandler(slog.New(slog.DiscardHandler), operator, endpoints, 100*time.Millisecond))
-		update, err := NewClientOver(100*time.Millisecond, link.DialContext).Poll(context.Background(), "reader:1", 0, 0)
+		update, err := NewClientOver(100*time.Millisecond, link.DialContext).Poll(context.Background(), "reader:1", platform.Version{}, platform.Version{})
 		assert.NilError(t, err)
 		assert.Equal(t, len(update.Operator.Rows[0].Value), len(value))
 		// The rows are as old as their transfer took.
