Give endpoints that a returned store lost a grace period

An endpoint that registered in the part that the store lost was dropped at the first read of the new era, while it ran: a grace period began only after an outage of two heartbeat intervals. It now begins with each new era.

Failed before: TestEndpointThatReturnedStoreLostHasGracePeriod, 2 != 3 entries.

--- a/node/reader.go
+++ b/node/reader.go
@@ -111,12 +111,15 @@
 }
 
 // graceUntil returns the end of the grace period, in which an entry may be
-// missing only because of a store outage. Only an outdated replica starts a
-// grace period: then graceUntil sets outageEndedAt to now. There is none if the
+// missing only because of a store outage. Only an outdated replica, or a store that
+// returned from an older copy and so lost entries, starts a grace period: then
+// graceUntil sets outageEndedAt to now. There is none if the
 // store refused this host while other hosts read it and kept the replica up to
 // date, nor while one host takes over as store reader from another.
-func (r *reader) graceUntil(now time.Time) time.Time {
-	if !r.replica.endpoints.Version().IsZero() && r.replica.endpoints.Age(now) > minOutageHeartbeats*r.heartbeatInterval {
+func (r *reader) graceUntil(now time.Time, era uint64) time.Time {
+	known := r.replica.endpoints.Version()
+	isOutdated := r.replica.endpoints.Age(now) > minOutageHeartbeats*r.heartbeatInterval
+	if !known.IsZero() && (isOutdated || era > known.Era) {
 		r.outageEndedAt = now
 	}
 	return r.outageEndedAt.Add(renewalGrace)
@@ -130,7 +133,7 @@
 	if !after.IsZero() {
 		rows, err := r.store.Watch(ctx, platform.EndpointTable, after, 0, 0)
 		if err == nil {
-			r.replica.applyEndpointRows(rows.Rows, rows.Version, startedAt, r.graceUntil(time.Now()))
+			r.replica.applyEndpointRows(rows.Rows, rows.Version, startedAt, r.graceUntil(time.Now(), rows.Version.Era))
 			return nil
 		}
 		if !r.isHistoryLost(err, platform.EndpointTable, after) {
@@ -141,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	r.replica.applyEndpointTable(rows, startedAt, r.graceUntil(time.Now()))
+	r.replica.applyEndpointTable(rows, startedAt, r.graceUntil(time.Now(), rows.Version.Era))
 	return nil
 }
 
--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -77,11 +77,26 @@
 	_, r := startReader(t, time.Second)
 	now := time.Now()
 	r.replica.endpoints.Confirm(platform.Version{Era: 1, Number: 2}, now)
-	assert.Assert(t, r.graceUntil(now.Add(1600*time.Millisecond)).Before(now))
+	assert.Assert(t, r.graceUntil(now.Add(1600*time.Millisecond), 1).Before(now))
 	outage := now.Add(4 * time.Second)
-	assert.Equal(t, r.graceUntil(outage), outage.Add(renewalGrace))
+	assert.Equal(t, r.graceUntil(outage, 1), outage.Add(renewalGrace))
 	r.replica.endpoints.Confirm(platform.Version{Era: 1, Number: 2}, outage)
-	assert.Equal(t, r.graceUntil(outage.Add(time.Second)), outage.Add(renewalGrace))
+	assert.Equal(t, r.graceUntil(outage.Add(time.Second), 1), outage.Add(renewalGrace))
+}
+
+// Guards against dropping an endpoint whose entry the store lost, at once, because the
+// store returned from an older copy after an outage too short for a grace period.
+func TestEndpointThatReturnedStoreLostHasGracePeriod(t *testing.T) {
+	fakeStore, r := startReader(t, time.Second)
+	older := fakeStore.Copy()
+	fakeStore.Put(platform.EndpointTable, "i-3", readyEntry)
+	assert.NilError(t, r.readEndpoints(t.Context(), time.Now()))
+	fakeStore.Restore(older)
+	assert.NilError(t, r.readEndpoints(t.Context(), time.Now()))
+	assert.Equal(t, relayedEntries(r), 3)
+	assert.NilError(t, r.readEndpoints(t.Context(), time.Now()))
+	r.replica.expireEndpoints()
+	assert.Equal(t, relayedEntries(r), 3)
 }
 
 type storeError struct{}
