Write a host's row again after the store returned from an older copy

A host wrote its row once after its start. If the store lost it, a host that started later could not find this one in the store until both knew a third. Each host now writes its row again in each new era, of which it hears from the store or from the host that it follows; the row is looked at each second, without a call.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -19,12 +20,15 @@
 	// Heartbeats list other hosts; the rows connect groups of hosts that do not
 	// exchange heartbeats yet.
 	hostListInterval = 60 * time.Second
+	// eraCheckInterval is how often a host checks whether the store has returned from
+	// an older copy since the host wrote its row.
+	eraCheckInterval = time.Second
 	// minRetryInterval is the least pause after a failed read or write.
 	minRetryInterval = 500 * time.Millisecond
 )
 
 // hostRow is the value of a host's row in the store. Each host writes its own once
-// after its start.
+// after its start, and once in each later era of the store.
 type hostRow struct {
 	IP netip.Addr `json:"ip"`
 	// Incarnation is the start time in Unix milliseconds. Other hosts do not use it.
@@ -77,27 +81,61 @@
 	n.core.SetHosts(hosts)
 }
 
+// registration is what a host knows of its row in the store.
+type registration struct {
+	isWritten bool
+	// era is the era of the store in which the row was last written, or tried to be.
+	era uint64
+}
+
 // registerLoop writes this host's row to the store and reads those of the other
 // hosts.
 func (n *Node) registerLoop(ctx context.Context) error {
-	isRegistered := false
-	for {
+	var own registration
+	for ctx.Err() == nil {
+		n.updateRow(ctx, &own)
 		pause := hostListInterval
 		if len(n.transport.Alive()) == 0 {
 			pause = noPeerInterval
 		}
-		if !isRegistered {
-			isRegistered = n.register(ctx)
-		}
-		if !n.discoverHosts(ctx) || !isRegistered {
+		if !n.discoverHosts(ctx) || !own.isWritten {
 			pause = max(minRetryInterval, n.probeInterval())
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-			return nil
+		n.keepRow(ctx, &own, time.Now().Add(pause))
+	}
+	return nil
+}
+
+// keepRow writes this host's row again in each new era of the store. It returns at
+// the given time, or after a write has failed.
+func (n *Node) keepRow(ctx context.Context, own *registration, until time.Time) {
+	for ctx.Err() == nil && time.Now().Before(until) {
+		sleep(ctx, min(eraCheckInterval, time.Until(until)))
+		if !own.isWritten {
+			continue
 		}
+		n.updateRow(ctx, own)
+		if !own.isWritten {
+			return
+		}
+	}
+}
+
+// updateRow writes this host's row unless it was written in the current era of the
+// store. A store that returned from an older copy may have lost the row.
+func (n *Node) updateRow(ctx context.Context, own *registration) {
+	era := n.knownEra()
+	if own.isWritten && era <= own.era {
+		return
 	}
+	own.isWritten = n.register(ctx)
+	own.era = cmp.Or(era, n.store.Era())
+}
+
+// knownEra returns the latest era of the store that this host has heard of, from the
+// store or from another host. It is 0 before the first one.
+func (n *Node) knownEra() uint64 {
+	return max(n.store.Era(), n.replica.operator.Version().Era, n.replica.endpoints.Version().Era)
 }
 
 func (n *Node) register(ctx context.Context) bool {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -176,6 +176,17 @@
 	assert.Equal(t, c.status(lateHost, "/v1/x"), http.StatusOK)
 }
 
+// Guards against a host that others cannot find because the store lost its row when it
+// returned from an older copy.
+func TestHostWritesItsRowAgainAfterReturnOfStore(t *testing.T) {
+	c := startCluster(t)
+	older := c.store.Copy()
+	c.start(17, 18)
+	c.waitFor("rows of hosts are written", func() bool { return len(c.store.Keys(platform.HostTable)) == 2 })
+	c.store.Restore(older)
+	c.waitFor("rows of hosts are written again", func() bool { return len(c.store.Keys(platform.HostTable)) == 2 })
+}
+
 // Guards against store calls that grow with the number of hosts: only one host
 // reads the store, and the others follow it.
 func TestOneHostReadsStoreForAll(t *testing.T) {
