Keep an evacuation that a returned store lost until it is written again

An acknowledged evacuation ended at the first read of the new era if the copy did not have it, until the operator wrote it again. It now stays in force for 10 s from that read and ends then, at followers too, if it was not written again.

Failed before: TestEvacuationThatReturnedStoreLostHasGracePeriod, no zone evacuated.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -66,9 +67,41 @@
 			isCut.Store(false)
 			time.Sleep(applyTime)
 			assert.Equal(t, rt.configVersion(), uint64(9))
-			rt.replica.mu.Lock()
-			defer rt.replica.mu.Unlock()
-			assert.DeepEqual(t, rt.replica.evacuated, map[model.ZoneName]bool{"za": true})
+			assert.DeepEqual(t, rt.evacuatedZones(), map[model.ZoneName]bool{"za": true})
 		})
 	}
 }
+
+// evacuatedZones returns the evacuated availability zones.
+func (rt *replicaTest) evacuatedZones() map[model.ZoneName]bool {
+	rt.replica.mu.Lock()
+	defer rt.replica.mu.Unlock()
+	return maps.Clone(rt.replica.evacuated)
+}
+
+// Guards against an acknowledged evacuation that ends because the store returned from
+// a copy without it, before the operator has written it again, and against one that
+// never ends because nobody writes it again.
+func TestEvacuationThatReturnedStoreLostHasGracePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rt := newReplicaTest(t)
+		rt.transport.SetLatency(callLatency)
+		rt.startReader(func(platform.Table) bool { return true })
+		older := rt.store.Copy()
+		for _, zone := range []string{"za", "zb"} {
+			rt.store.Put(platform.OperatorTable, "evacuate/"+zone, "{}")
+		}
+		time.Sleep(applyTime)
+		rt.store.Restore(older)
+		time.Sleep(applyTime)
+		rt.replica.expireOperatorRows(time.Now())
+		assert.DeepEqual(t, rt.evacuatedZones(), map[model.ZoneName]bool{"za": true, "zb": true})
+		rt.store.Put(platform.OperatorTable, "evacuate/za", "{}")
+		time.Sleep(operatorRenewalGrace)
+		rt.replica.expireOperatorRows(time.Now())
+		assert.DeepEqual(t, rt.evacuatedZones(), map[model.ZoneName]bool{"za": true})
+		changes, _ := rt.replica.operator.Since(rt.replica.operator.Version())
+		assert.Equal(t, len(changes.Rows), 1)
+		assert.Assert(t, changes.Rows[0].IsRemoved)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -177,7 +177,7 @@
 	return nil
 }
 
-// expiryLoop removes expired endpoints and hosts.
+// expiryLoop removes expired endpoints, rows and hosts.
 func (n *Node) expiryLoop(ctx context.Context) error {
 	ticker := time.NewTicker(expiryCheckInterval)
 	defer ticker.Stop()
@@ -185,6 +185,7 @@
 		select {
 		case <-ticker.C:
 			n.replica.expireEndpoints()
+			n.replica.expireOperatorRows(time.Now())
 			n.updateHosts()
 		case <-ctx.Done():
 			return nil
--- a/node/reader.go
+++ b/node/reader.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		return err
 	}
-	r.replica.applyOperatorTable(rows, startedAt)
+	r.replica.applyOperatorTable(rows, startedAt, storeSource)
 	return nil
 }
 
--- a/node/replica.go
+++ b/node/replica.go
@@ -28,12 +28,17 @@
 	// undecodable holds the keys of the entries whose last value could not be
 	// decoded. A key is logged again only after a value of it was decoded.
 	undecodable map[string]bool
+	// lostUntil holds the keys of the operator's rows that the store lost, and the end
+	// of their grace periods. A key is removed when its row is written again or has
+	// expired.
+	lostUntil map[string]time.Time
 }
 
 func newStoreReplica(log *slog.Logger, core *proxy.Core) *storeReplica {
 	return &storeReplica{
 		log: log, core: core, operator: relay.NewCache(), endpoints: relay.NewCache(),
 		evacuated: make(map[model.ZoneName]bool), undecodable: make(map[string]bool),
+		lostUntil: make(map[string]time.Time),
 	}
 }
 
@@ -57,8 +62,16 @@
 func (r *storeReplica) applyOperatorRows(rows []platform.Row, version platform.Version, confirmedAt time.Time, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.putOperatorRows(rows, version, source)
+	r.operator.Confirm(version, confirmedAt)
+}
+
+// putOperatorRows applies changed rows of the operator's table without confirming their
+// version. r.mu is held.
+func (r *storeReplica) putOperatorRows(rows []platform.Row, version platform.Version, source string) {
 	for _, row := range rows {
 		if !r.operator.HasNewer(row) {
+			delete(r.lostUntil, row.Key)
 			r.applyOperatorRow(row, source)
 		}
 	}
@@ -69,7 +82,6 @@
 	for _, row := range rows {
 		r.operator.Put(row, true)
 	}
-	r.operator.Confirm(version, confirmedAt)
 }
 
 // applyOperatorRow applies an evacuation or the configuration. If the row of the
@@ -97,9 +109,14 @@
 	}
 }
 
-// applyOperatorTable applies all rows of the operator's table.
-func (r *storeReplica) applyOperatorTable(rows platform.Rows, confirmedAt time.Time) {
-	r.applyOperatorRows(append(rows.Rows, removedRows(r.operator.Missing(rows.Rows), rows.Version)...), rows.Version, confirmedAt, storeSource)
+// applyOperatorTable applies all rows of the operator's table, which came from a
+// source.
+func (r *storeReplica) applyOperatorTable(rows platform.Rows, confirmedAt time.Time, source string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	missing := r.keepLostRows(r.operator.Missing(rows.Rows), rows.Version.Era, time.Now())
+	r.putOperatorRows(append(rows.Rows, removedRows(missing, rows.Version)...), rows.Version, source)
+	r.operator.Confirm(rows.Version, confirmedAt)
 }
 
 // removedRows returns rows that mark keys as removed.
--- /dev/null
+++ b/node/returned.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"slices"
+	"time"
+)
+
+// operatorRenewalGrace is how long a row of the operator stays in force that the store
+// lost when it returned from an older copy. The operator writes it again meanwhile.
+const operatorRenewalGrace = 10 * time.Second
+
+// keepLostRows starts the grace period of the operator's rows that are missing from a
+// whole table of a later era than the replica's, and returns the keys of the missing
+// rows that are not in one.
+func (r *storeReplica) keepLostRows(missing []string, era uint64, now time.Time) []string {
+	known := r.operator.Version()
+	if len(missing) > 0 && !known.IsZero() && era > known.Era {
+		for _, key := range missing {
+			r.lostUntil[key] = now.Add(operatorRenewalGrace)
+		}
+		r.log.Info("operator's rows kept that the store lost", "keys", missing, "storeEra", era)
+	}
+	return slices.DeleteFunc(missing, func(key string) bool { return now.Before(r.lostUntil[key]) })
+}
+
+// expireOperatorRows removes the operator's rows that were not written again within
+// their grace period.
+func (r *storeReplica) expireOperatorRows(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var expired []string
+	for key, until := range r.lostUntil {
+		if !now.Before(until) {
+			expired = append(expired, key)
+		}
+	}
+	if len(expired) == 0 {
+		return
+	}
+	slices.Sort(expired)
+	r.log.Info("operator's rows expired that the store lost", "keys", expired)
+	// Followers have the changes up to the current version, so the removals need a
+	// higher one to be sent to them.
+	version := r.operator.Version().Next()
+	r.putOperatorRows(removedRows(expired, version), version, storeSource)
+}
