Relay the configuration in force after the store returned from an older copy

A host that had a newer configuration in force than the copy relayed the older one to hosts that started after the return, and these applied it until the operator wrote again. The relayed row now has the value in force.

Failed before: TestConfigurationInForceIsRelayedAfterReturnOfStore, 1 != 5.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -10,6 +10,7 @@
 	"filberthold/model"
 	"filberthold/platform"
 	"filberthold/platform/fake"
+	"filberthold/relay"
 
 	"gotest.tools/v3/assert"
 )
@@ -105,3 +106,23 @@
 		assert.Assert(t, changes.Rows[0].IsRemoved)
 	})
 }
+
+// Guards against a host that starts after the store returned from an older copy and
+// gets an older configuration from the host that it follows, which has a newer one in
+// force.
+func TestConfigurationInForceIsRelayedAfterReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rt := newReplicaTest(t)
+		rt.transport.SetLatency(callLatency)
+		rt.startReader(func(platform.Table) bool { return true })
+		older := rt.store.Copy()
+		rt.putConfigs(2, 5)
+		time.Sleep(applyTime)
+		rt.store.Restore(older)
+		time.Sleep(applyTime)
+		changes, _ := rt.replica.operator.Since(platform.Version{})
+		started := newReplicaTest(t)
+		started.replica.applyUpdate(relay.Update{Operator: changes, ReceivedAt: time.Now()}, "h2")
+		assert.Equal(t, started.configVersion(), uint64(5))
+	})
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -28,6 +28,8 @@
 	// undecodable holds the keys of the entries whose last value could not be
 	// decoded. A key is logged again only after a value of it was decoded.
 	undecodable map[string]bool
+	// configValue is the value of the row whose configuration is in force.
+	configValue []byte
 	// lostUntil holds the keys of the operator's rows that the store lost, and the end
 	// of their grace periods. A key is removed when its row is written again or has
 	// expired.
@@ -80,7 +82,7 @@
 		r.log.Info("evacuations changed", "zones", zones, "storeVersion", version, "source", source, "operatorAge", r.operator.Age(time.Now()))
 	}
 	for _, row := range rows {
-		r.operator.Put(row, true)
+		r.operator.Put(r.withConfigInForce(row), true)
 	}
 }
 
@@ -104,6 +106,7 @@
 		return
 	}
 	if r.core.SetConfig(config) {
+		r.configValue = row.Value
 		r.log.Info("configuration in force", "configVersion", config.Version(), "rowVersion", row.Version, "bytes", len(row.Value),
 			"source", source, "operatorAge", r.operator.Age(time.Now()))
 	}
--- a/node/returned.go
+++ b/node/returned.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"filberthold/platform"
 )
 
 // operatorRenewalGrace is how long a row of the operator stays in force that the store
@@ -44,3 +46,14 @@
 	version := r.operator.Version().Next()
 	r.putOperatorRows(removedRows(expired, version), version, storeSource)
 }
+
+// withConfigInForce returns the row of the configuration with the value in force, and
+// other rows unchanged. The two values differ if the store returned from a copy with
+// an older configuration, or if the new one cannot be decoded. Hosts that start then
+// get the newest one from this host.
+func (r *storeReplica) withConfigInForce(row platform.Row) platform.Row {
+	if row.Key == platform.ConfigKey && !row.IsRemoved && r.configValue != nil {
+		row.Value = r.configValue
+	}
+	return row
+}
