Send the whole table to a follower with rows of an era that the reader lacks

A follower kept an evacuation or an endpoint for good if the store lost it before the host that it follows had read it: that host never had the row, so it sent no removal. A poll after a version of an earlier era, beyond the last one that the polled host had in it, now gets all rows. Followers that are at versions of their reader get changes only, as before.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -126,3 +126,33 @@
 		assert.Equal(t, started.configVersion(), uint64(5))
 	})
 }
+
+// Guards against rows that a follower keeps for good because the store lost them before
+// the host that it follows had read them: an evacuation, and an endpoint.
+func TestFollowerDropsRowsThatItsReaderNeverHad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rt := newReplicaTest(t)
+		version := func(era, number uint64) platform.Version { return platform.Version{Era: era, Number: number} }
+		evacuation := platform.Row{Key: "evacuate/za", Value: []byte("{}"), Version: version(1, 48)}
+		entry := platform.Row{Key: "i-9", Value: []byte(readyEntry), Version: version(1, 49)}
+		rt.replica.applyUpdate(relay.Update{
+			Operator:  relay.Changes{Rows: []platform.Row{evacuation}, Version: version(1, 50)},
+			Endpoints: relay.Changes{Rows: []platform.Row{entry}, Version: version(1, 50)}, ReceivedAt: time.Now(),
+		}, "h2")
+		reader := newReplicaTest(t).replica
+		for _, cache := range []*relay.Cache{reader.operator, reader.endpoints} {
+			cache.Confirm(version(1, 45), time.Now())
+			cache.Confirm(version(2, 40), time.Now())
+		}
+		operator, _ := reader.operator.Since(rt.replica.operator.Version())
+		endpoints, _ := reader.endpoints.Since(rt.replica.endpoints.Version())
+		rt.replica.applyUpdate(relay.Update{Operator: operator, Endpoints: endpoints, ReceivedAt: time.Now()}, "h2")
+		assert.DeepEqual(t, rt.evacuatedZones(), map[model.ZoneName]bool{"za": true})
+		time.Sleep(operatorRenewalGrace)
+		rt.replica.expireOperatorRows(time.Now())
+		rt.replica.expireEndpoints()
+		assert.DeepEqual(t, rt.evacuatedZones(), map[model.ZoneName]bool{})
+		changes, _ := rt.replica.endpoints.Since(platform.Version{})
+		assert.Assert(t, changes.Rows[0].IsRemoved)
+	})
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -207,10 +207,3 @@
 		r.endpoints.Put(platform.Row{Key: string(name), Version: r.endpoints.Version().Next(), IsRemoved: true}, true)
 	}
 }
-
-// applyUpdate applies an update from another host, the source. Removals apply at once, because
-// that host sends them only after its grace period.
-func (r *storeReplica) applyUpdate(update relay.Update, source model.HostName) {
-	r.applyOperatorRows(update.Operator.Rows, update.Operator.Version, update.ReceivedAt.Add(-update.Operator.Age), string(source))
-	r.applyEndpointRows(update.Endpoints.Rows, update.Endpoints.Version, update.ReceivedAt.Add(-update.Endpoints.Age), time.Time{})
-}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -24,6 +24,9 @@
 	// version is the version of the store up to which the rows are complete. It
 	// is zero before the first confirmation.
 	version platform.Version
+	// earlier is the last version of the era before that of version. It is zero if this
+	// is the first era of the cache.
+	earlier platform.Version
 	// confirmedAt is when the store last confirmed, directly or through other
 	// hosts, that the rows are complete.
 	confirmedAt time.Time
@@ -111,6 +114,9 @@
 	if version.Era < c.version.Era {
 		return
 	}
+	if version.Era > c.version.Era {
+		c.earlier = c.version
+	}
 	if version.Compare(c.version) > 0 {
 		c.version = version
 	}
@@ -134,16 +140,27 @@
 }
 
 // Since returns the rows with a significant change after a version, ordered by
-// version, and a channel that is closed at the next such change.
+// version, and a channel that is closed at the next such change. If it cannot know all
+// changes after the version, it returns all rows.
 func (c *Cache) Since(after platform.Version) (Changes, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changes := Changes{Version: c.version}
+	changes := Changes{Version: c.version, IsWhole: c.lacksChanges(after)}
 	for _, cached := range c.rows {
-		if cached.changedAt.Compare(after) > 0 {
+		if changes.IsWhole || cached.changedAt.Compare(after) > 0 {
 			changes.Rows = append(changes.Rows, cached.row)
 		}
 	}
 	slices.SortFunc(changes.Rows, func(a, b platform.Row) int { return a.Version.Compare(b.Version) })
 	return changes, c.changed
 }
+
+// lacksChanges reports whether the cache may lack changes after a version of an earlier
+// era: a host of that version may have rows that the store lost before this cache got
+// them. c.mu is held.
+func (c *Cache) lacksChanges(after platform.Version) bool {
+	if after.IsZero() || after.Era >= c.version.Era {
+		return false
+	}
+	return after.Era != c.earlier.Era || after.Compare(c.earlier) > 0
+}
--- a/relay/http.go
+++ b/relay/http.go
@@ -33,6 +33,9 @@
 	Rows []platform.Row `cbor:"rows"`
 	// Version is the version of the store up to which the rows are complete.
 	Version platform.Version `cbor:"version"`
+	// IsWhole is true if Rows are all rows of the table. A row that is not among them
+	// is not in the store.
+	IsWhole bool `cbor:"isWhole,omitempty"`
 	// Age is the time between the last confirmation that the rows were complete
 	// and the send of the response.
 	Age time.Duration `cbor:"age"`
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -151,3 +151,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(update.Operator.Rows), 0)
 }
+
+// Guards against a whole table for each follower after a return of the store, where
+// their rows are those of this host, and against missing rows where they are not.
+func TestWholeTableOnlyForHostsWithUnknownRows(t *testing.T) {
+	cache := NewCache()
+	cache.Put(row("a", 40), true)
+	cache.Confirm(at(45), time.Now())
+	cache.Confirm(platform.Version{Era: 3, Number: 30}, time.Now())
+	for _, test := range []struct {
+		name    string
+		after   platform.Version
+		isWhole bool
+	}{
+		{"new host", platform.Version{}, false},
+		{"known version", at(45), false},
+		{"version that this host never had", at(46), true},
+		{"era that this host never had", platform.Version{Era: 2, Number: 10}, true},
+		{"same era", platform.Version{Era: 3, Number: 20}, false},
+		{"later era", platform.Version{Era: 4, Number: 1}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			changes, _ := cache.Since(test.after)
+			assert.Equal(t, changes.IsWhole, test.isWhole)
+			assert.Equal(t, len(changes.Rows) == 1, test.isWhole || test.after.IsZero())
+		})
+	}
+}
