Do not send an unchanged configuration again after a return of the store

The first whole read of a new era sent the row of the configuration to all followers at once, although each had it. With many routes that is the largest row, over the link of one reader. A row of the operator with an unchanged value is now confirmed by its version only.

Failed before: TestUnchangedConfigurationIsNotRelayedAgainAfterReturnOfStore, 1 != 0 rows.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -156,3 +156,24 @@
 		assert.Assert(t, changes.Rows[0].IsRemoved)
 	})
 }
+
+// Guards against a configuration that is sent again to all followers at once, although
+// they have it, because the store returned from an older copy.
+func TestUnchangedConfigurationIsNotRelayedAgainAfterReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rt := newReplicaTest(t)
+		rt.transport.SetLatency(callLatency)
+		rt.startReader(func(platform.Table) bool { return true })
+		older := rt.store.Copy()
+		rt.putConfigs(2, 5)
+		time.Sleep(applyTime)
+		known := rt.replica.operator.Version()
+		rt.store.Restore(older)
+		time.Sleep(applyTime)
+		rt.putConfigs(5, 5)
+		time.Sleep(applyTime)
+		changes, _ := rt.replica.operator.Since(known)
+		assert.Equal(t, changes.Version.Era, known.Era+1)
+		assert.Equal(t, len(changes.Rows), 0)
+	})
+}
--- a/node/replica.go
+++ b/node/replica.go
@@ -82,7 +82,8 @@
 		r.log.Info("evacuations changed", "zones", zones, "storeVersion", version, "source", source, "operatorAge", r.operator.Age(time.Now()))
 	}
 	for _, row := range rows {
-		r.operator.Put(r.withConfigInForce(row), true)
+		kept := r.withConfigInForce(row)
+		r.operator.Put(kept, !r.operator.HasValue(kept))
 	}
 }
 
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 	"time"
@@ -73,6 +74,14 @@
 	return c.rows[row.Key].row.Version.Compare(row.Version) > 0
 }
 
+// HasValue reports whether the cache has a row with the same value, at any version.
+func (c *Cache) HasValue(row platform.Row) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached, exists := c.rows[row.Key]
+	return exists && cached.row.IsRemoved == row.IsRemoved && bytes.Equal(cached.row.Value, row.Value)
+}
+
 // evictRemovals drops all removals if the cache holds more than maxCachedRows
 // rows.
 func (c *Cache) evictRemovals() {
