Accept no refusal without an id on a used connection

An operator of a similar system reported an endpoint that writes an earlier refusal once more on a kept connection. Callers were told that a request had not run while the endpoint ran it.

Cause: a response without an attempt id was accepted as the response to the current request if it stated that the request did not run. On a used connection it may be the repetition of an earlier refusal. A submit was then refused with 503, or sent to a second endpoint. A repeated refusal with the earlier id was skipped before, too.

A refusal without an id is now accepted only as the first response on a connection, where no earlier response can be repeated; otherwise it is skipped like a response to another request. A request without an id, whose response cannot be identified, gets a new connection. The error of an attempt states how many responses to other requests were skipped.

--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -71,7 +71,7 @@
 				startedAt := time.Now()
 				_, err := pool.Exchange(t.Context(), netip.AddrPort{}, Request{
 					Method: http.MethodGet, Target: "/x", Domain: "a.example", Deadline: startedAt.Add(time.Minute), MaxIdle: time.Minute,
-					MatchesResponse: func(_ int, header http.Header) bool { return header.Get("Attempt-Id") == "a" },
+					MatchesResponse: func(_ int, header http.Header, _ bool) bool { return header.Get("Attempt-Id") == "a" },
 				})
 				assert.ErrorContains(t, err, "no whole response")
 				assert.Equal(t, time.Since(startedAt), time.Duration(0))
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -34,6 +34,9 @@
 	maxSkippedBody = 1 << 20
 )
 
+// NoReuse is the MaxIdle of a request that must not use an idle connection.
+const NoReuse = -1 * time.Nanosecond
+
 // Request is one request to an endpoint.
 type Request struct {
 	Method string
@@ -48,11 +51,13 @@
 	Length int64
 	// Deadline is when the response must be complete.
 	Deadline time.Time
-	// MaxIdle bounds how long the connection may have been idle.
+	// MaxIdle bounds how long the connection may have been idle. If it is
+	// NoReuse, the request gets a new connection.
 	MaxIdle time.Duration
 	// MatchesResponse reports whether a response with the given status and
-	// headers belongs to this request.
-	MatchesResponse func(status int, header http.Header) bool
+	// headers belongs to this request. isFirst is true if the connection carried
+	// no response before it.
+	MatchesResponse func(status int, header http.Header, isFirst bool) bool
 }
 
 // Response is an endpoint's response.
@@ -198,14 +203,14 @@
 }
 
 // readResponse reads the response to a request. It skips responses to other
-// requests, which faulty endpoints send late.
+// requests, which faulty endpoints send late or repeat.
 func readResponse(conn *connection, request Request) (*Response, error) {
-	for range maxMismatches + 1 {
+	for skipped := range maxMismatches + 1 {
 		parsed, err := readHead(conn, request.Method) //nolint:bodyclose // the body is read to its end or becomes part of the response
 		if err != nil {
-			return nil, err
+			return nil, withSkipped(err, skipped)
 		}
-		if !request.MatchesResponse(parsed.StatusCode, parsed.Header) {
+		if !request.MatchesResponse(parsed.StatusCode, parsed.Header, !conn.isReused) {
 			if parsed.ContentLength < 0 || parsed.ContentLength > maxSkippedBody {
 				return nil, errors.New("response belongs to another request")
 			}
@@ -220,6 +225,15 @@
 	return nil, errors.New("only responses to other requests came")
 }
 
+// withSkipped adds the number of skipped responses to an error. A request that
+// waits in vain after such a response has a faulty endpoint, not a slow one.
+func withSkipped(err error, skipped int) error {
+	if skipped == 0 {
+		return err
+	}
+	return fmt.Errorf("after %d responses to other requests: %w", skipped, err)
+}
+
 // readHead reads the head of a response and skips interim responses.
 func readHead(conn *connection, method string) (*http.Response, error) {
 	conn.limit.set(MaxHeadBytes)
--- a/conns/exchange_test.go
+++ b/conns/exchange_test.go
@@ -30,7 +30,7 @@
 	return conns.Request{
 		Method: http.MethodGet, Target: "/x/1?q=2", Domain: "a.example",
 		Header: http.Header{"Attempt-Id": {attempt}}, Deadline: time.Now().Add(5 * time.Second), MaxIdle: time.Minute,
-		MatchesResponse: func(status int, header http.Header) bool {
+		MatchesResponse: func(status int, header http.Header, _ bool) bool {
 			return platform.ParseResponseHeader(status, header).AttemptID == attempt
 		},
 	}
--- a/conns/fuzz_test.go
+++ b/conns/fuzz_test.go
@@ -20,7 +20,7 @@
 	f.Fuzz(func(t *testing.T, content []byte) {
 		limit := &limitedReader{source: bytes.NewReader(content)}
 		conn := &connection{limit: limit, reader: bufio.NewReader(limit)}
-		request := Request{Method: http.MethodGet, MatchesResponse: func(_ int, header http.Header) bool {
+		request := Request{Method: http.MethodGet, MatchesResponse: func(_ int, header http.Header, _ bool) bool {
 			return strings.TrimSpace(header.Get("Attempt-Id")) == "a"
 		}}
 		response, err := readResponse(conn, request)
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -70,9 +70,9 @@
 }
 
 // get returns an idle connection whose idle time is at most maxIdleTime, or a
-// new one.
+// new one. If maxIdleTime is NoReuse, it returns a new one.
 func (p *Pool) get(ctx context.Context, address netip.AddrPort, maxIdleTime time.Duration) (*connection, error) {
-	for {
+	for maxIdleTime != NoReuse {
 		idle := p.popIdle(address)
 		if idle == nil {
 			break
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -20,12 +20,6 @@
 	// maxBufferedBody bounds the request body that is buffered in memory, in
 	// bytes. A longer body is streamed, and its request is sent only once.
 	maxBufferedBody = 64 << 10
-	// maxSubmitIdle bounds the idle time of a connection that is used for a
-	// request that is not idempotent. Such a request cannot be sent again if the
-	// endpoint closes the idle connection at that moment.
-	maxSubmitIdle = time.Second
-	// noIdleLimit exceeds the limit of the pool, which then applies.
-	noIdleLimit = time.Hour
 	// responseMargin is how much longer the host waits for a response than the
 	// deadline that it sends to the endpoint. An endpoint that reaches its
 	// deadline sends a timeout response, which must still arrive.
@@ -213,19 +207,17 @@
 func (e *exchange) send(decision steer.Send) attemptOutcome {
 	startedAt := time.Now()
 	ctx := e.request.Context()
-	maxIdle := noIdleLimit
 	if !e.route.Class.Idempotent() {
 		// The endpoint may complete the request after the caller disconnects, so
 		// the host waits for the outcome.
 		ctx = context.WithoutCancel(ctx)
-		maxIdle = maxSubmitIdle
 	}
 	header := forwardedHeader(e.request.Header)
 	platform.SetTarget(header, decision.Endpoint.Name, e.deadline.Sub(startedAt))
 	response, err := e.server.pool.Exchange(ctx, decision.Endpoint.Address, conns.Request{
 		Method: e.request.Method, Target: e.requestTarget(), Domain: e.request.Host, Header: header,
 		Body: e.body, Stream: e.stream, Length: e.request.ContentLength,
-		Deadline: e.deadline.Add(responseMargin), MaxIdle: maxIdle, MatchesResponse: e.matchesResponse,
+		Deadline: e.deadline.Add(responseMargin), MaxIdle: e.maxIdle(), MatchesResponse: e.matchesResponse,
 	})
 	var responseHeader platform.ResponseHeader
 	if response != nil {
@@ -254,16 +246,6 @@
 	return outcome
 }
 
-// matchesResponse reports whether a response with the given headers belongs to
-// this request. An endpoint repeats the request's attempt ID in each response.
-func (e *exchange) matchesResponse(status int, header http.Header) bool {
-	responseHeader := platform.ParseResponseHeader(status, header)
-	if responseHeader.AttemptID == "" {
-		return responseHeader.NotStarted || e.header.AttemptID == ""
-	}
-	return responseHeader.AttemptID == e.header.AttemptID
-}
-
 // handleOutcome delivers, retries or fails the request after an attempt. It
 // reports whether the exchange has ended.
 func (e *exchange) handleOutcome(outcome attemptOutcome) bool {
--- /dev/null
+++ b/proxy/match.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"filberthold/conns"
+	"filberthold/platform"
+)
+
+const (
+	// maxSubmitIdle bounds the idle time of a connection that is used for a
+	// request that is not idempotent. Such a request cannot be sent again if the
+	// endpoint closes the idle connection at that moment.
+	maxSubmitIdle = time.Second
+	// noIdleLimit exceeds the limit of the pool, which then applies.
+	noIdleLimit = time.Hour
+)
+
+// maxIdle returns how long the connection of the request may have been idle.
+func (e *exchange) maxIdle() time.Duration {
+	switch {
+	case e.header.AttemptID == "":
+		// On a used connection, a response without an ID may belong to an earlier
+		// request.
+		return conns.NoReuse
+	case !e.route.Class.Idempotent():
+		return maxSubmitIdle
+	}
+	return noIdleLimit
+}
+
+// matchesResponse reports whether a response with the given headers belongs to
+// this request. An endpoint repeats the request's attempt ID in each response. A
+// refusal without an ID is accepted only as the first response on a connection: a
+// faulty endpoint may repeat an earlier refusal while it runs this request.
+func (e *exchange) matchesResponse(status int, header http.Header, isFirst bool) bool {
+	responseHeader := platform.ParseResponseHeader(status, header)
+	if responseHeader.AttemptID == "" {
+		return isFirst && (responseHeader.NotStarted || e.header.AttemptID == "")
+	}
+	return responseHeader.AttemptID == e.header.AttemptID
+}
