--- a/proxy/repeat_test.go
+++ b/proxy/repeat_test.go
@@ -6,12 +6,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"testing"
 
 	"filberthold/platform"
-	"filberthold/roster"
 
 	"gotest.tools/v3/assert"
 )
@@ -80,10 +78,7 @@
 	endpoint := &repeatingEndpoint{listener: listener, refusal: refusal, repeated: repeated, runs: make(map[string]int)}
 	s.t.Cleanup(func() { _ = listener.Close() })
 	go endpoint.run()
-	s.core.ApplyEntry(roster.Entry{
-		Endpoint: "i-0", Service: "s", Address: netip.MustParseAddrPort(listener.Addr().String()),
-		Zone: "za", Slots: 3, State: roster.Ready, Sequence: 1, Incarnation: 1,
-	})
+	s.applyReady("i-0", listener.Addr().String())
 	return endpoint
 }
 
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -69,9 +69,14 @@
 	go endpoint.Run()
 	s.t.Cleanup(func() { _ = endpoint.Close() })
 	s.endpoints = append(s.endpoints, endpoint)
+	s.applyReady(model.EndpointName(fmt.Sprintf("i-%d", i)), endpoint.Address())
+}
+
+// applyReady applies the entry of an endpoint that is ready.
+func (s *testServer) applyReady(name model.EndpointName, address string) {
 	s.core.ApplyEntry(roster.Entry{
-		Endpoint: model.EndpointName(fmt.Sprintf("i-%d", i)), Service: "s",
-		Address: netip.MustParseAddrPort(endpoint.Address()), Zone: "za", Slots: 3, State: roster.Ready, Sequence: 1, Incarnation: 1,
+		Endpoint: name, Service: "s", Address: netip.MustParseAddrPort(address),
+		Zone: "za", Slots: 3, State: roster.Ready, Sequence: 1, Incarnation: 1,
 	})
 }
 
