Send a request during a stop only if it can end in time

An operator of a similar system reported that in a planned stop of one host, in calm, requests that came late in the grace were taken and passed on, and were cut with no response at its end, among them requests that are not idempotent.

Cause: until half of the grace was over, a stopping host sent every request with its full deadline, which may be later than the end of the stop. Later than that, it still sent requests whose body arrived slowly, and further attempts.

Evidence: TestStoppingHostRefusesRequestThatMayNotEnd failed with "200 (int) != 503 (http.StatusServiceUnavailable int)": with 2 s of grace, a submit with a timeout of 2 s was sent. Without the check, TestStoppingServerSendsOnlyWhatCanEnd fails with "200 (status int) != 503 (want int)" and TestReadEndsBeforeStop waits until its caller's deadline.

Now each attempt is checked against the end of the stop. A request that is not idempotent needs all of its time until then; another one needs its latency objective, and its deadline is moved to the end of the stop.

TestStoppingHostServesUntilLookupsExpire now runs with 6 s of grace. With the earlier 2 s, the request that it expects to be served could not be guaranteed to end. What it checks is the same.

The product's own wire is not affected: its stop waits for all requests in flight without a time limit.

--- a/node/stop.go
+++ b/node/stop.go
@@ -26,7 +26,7 @@
 	deadline := time.Now().Add(n.settings.StopGrace - stopMargin)
 	n.log.Info("host leaves", "deadline", deadline)
 	n.isLeaving.Store(true)
-	n.server.DisableKeepAlives()
+	n.server.Leave(deadline)
 	n.transport.SendHeartbeat()
 	time.Sleep(min(refuseDelay, n.settings.StopGrace/2))
 	n.server.Refuse()
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -66,7 +66,7 @@
 		server: s, writer: writer, request: request,
 		header: platform.ParseRequestHeader(request.Header), arrivedAt: time.Now(), config: s.core.Config(),
 	}
-	if s.keepAlivesDisabled.Load() {
+	if s.isLeaving() {
 		writer.Header().Set("Connection", "close")
 	}
 	platform.EchoAttempt(writer.Header(), e.header)
@@ -141,6 +141,10 @@
 // attempt sends the request to an endpoint. It reports whether the exchange has
 // ended; otherwise serve calls it again.
 func (e *exchange) attempt() bool {
+	if !e.fitsIntoStop(time.Now()) {
+		e.rejectForStop()
+		return true
+	}
 	query := steer.Query{
 		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, HasWaited: e.refusedPermits > 0,
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -35,9 +35,9 @@
 	http      *http.Server
 	metrics   *Metrics
 	freshness Freshness
-	// keepAlivesDisabled is true from the start of a graceful shutdown. Each
-	// response then has the header "Connection: close".
-	keepAlivesDisabled atomic.Bool
+	// requestsEnd is the latest deadline of the requests that arrive during a
+	// graceful stop. It is nil before the stop.
+	requestsEnd atomic.Pointer[time.Time]
 	// isRefusing is true once new requests are refused.
 	isRefusing atomic.Bool
 }
@@ -76,18 +76,3 @@
 		}
 	}
 }
-
-// DisableKeepAlives makes every response close its connection. Callers then
-// connect to other hosts.
-func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
-
-// Refuse makes the server refuse new requests.
-func (s *Server) Refuse() { s.isRefusing.Store(true) }
-
-// Stop closes the listener and waits until the requests in flight or ctx end.
-func (s *Server) Stop(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		return fmt.Errorf("wait for requests in flight: %w", err)
-	}
-	return nil
-}
--- /dev/null
+++ b/proxy/stop.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"filberthold/steer"
+)
+
+// stopResponseMargin is the time between the latest deadline of a request that
+// arrives during a stop and the end of the stop. The response, or a timeout after
+// responseMargin, must reach the caller within it.
+const stopResponseMargin = responseMargin + 120*time.Millisecond
+
+// Leave starts a graceful stop that ends at a deadline. Every response then closes
+// its connection, so that callers connect to other hosts, and a request is sent to
+// an endpoint only if it can end before the deadline.
+func (s *Server) Leave(deadline time.Time) {
+	end := deadline.Add(-stopResponseMargin)
+	s.requestsEnd.Store(&end)
+}
+
+// isLeaving reports whether Leave was called.
+func (s *Server) isLeaving() bool { return s.requestsEnd.Load() != nil }
+
+// Refuse makes the server refuse new requests.
+func (s *Server) Refuse() { s.isRefusing.Store(true) }
+
+// Stop closes the listener and waits until the requests in flight or ctx end.
+func (s *Server) Stop(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("wait for requests in flight: %w", err)
+	}
+	return nil
+}
+
+// fitsIntoStop reports whether the request can end before the host stops. A request
+// that is not idempotent needs all of its time, because it cannot be repeated if it
+// is cut. Another one needs its latency objective, and its deadline is moved to the
+// end of the stop.
+func (e *exchange) fitsIntoStop(now time.Time) bool {
+	end := e.server.requestsEnd.Load()
+	if end == nil || !e.deadline.After(*end) {
+		return true
+	}
+	if !e.route.Class.Idempotent() || end.Sub(now) < e.route.LatencyObjective {
+		return false
+	}
+	e.deadline = *end
+	return true
+}
+
+// rejectForStop rejects a request that cannot end before the host stops.
+func (e *exchange) rejectForStop() {
+	e.handleReject(steer.Reject{Reason: "the host stops before the request can end", RetryAfter: unavailableRetryAfter})
+}
