Close a connection to an upstream after a refusal

On the product's own wire, too, an upstream may write an earlier refusal once more on a kept connection. The next read or export on that connection was then reported as not started although it ran, and later ones got the responses to other requests.

Cause: responses carry no id, and net/http returns a connection to its pool after a refusal with an empty body. Bytes that arrive while the connection is idle close it, but not those that arrive after the next request has got it. Submits are not affected: each has its own connection.

Evidence: TestRepeatedRefusalEndsItsConnection failed for reads and exports with "1 (int) != 0 (int): /2 is reported as not started"; it passed for submits.

A connection is now closed after a response with Upstream-Not-Started. A refusal with a body closed it before, because the body was not read. If another request already uses the connection at this moment, it ends with an error, and being a read or an export it may be sent again. A refused read costs a new connection; no figure was measured for this.

--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -168,6 +168,9 @@
 	leaving := response.Header.Get(LeavingHeader) == "true"
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(NotStartedHeader) == "true" {
 		_ = response.Body.Close()
+		// A faulty upstream may repeat a refusal, and responses have no id: the next
+		// request on the connection would get it as its response.
+		attempt.closeConnections()
 		return nil, &NotStartedError{reason: "upstream said so", leaving: leaving}
 	}
 	if !isFramed(request.Method, response) {
--- a/upstrm/connection.go
+++ b/upstrm/connection.go
@@ -86,6 +86,15 @@
 	return isFirst, nil
 }
 
+// discard closes a connection and blocks all further writes. An attempt that
+// already uses it ends with an error.
+func (c *connection) discard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isWriteBlocked = true
+	_ = c.Close()
+}
+
 func (c *connection) assign(owner *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -158,6 +167,15 @@
 	}
 }
 
+// closeConnections closes the connections of the request.
+func (a *attempt) closeConnections() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, chosen := range a.connections {
+		chosen.discard()
+	}
+}
+
 // wroteNothing blocks further writes of the request and reports whether no byte was
 // written.
 func (a *attempt) wroteNothing() bool {
