Pass on no refusal that does not state that nothing ran

Callers take the statuses 408, 421, 429 and 503 as a promise that a request did not run and will not run. An endpoint states this in a header of its own; with no other response it does.

A response with status 408, 429 or 503 but without that header was passed on: 503 to callers of submits, 408 and 429 to all callers. The request may have run, so a caller that trusts the status repeats it.

TestStatusWithoutStatementIsNotDelivered failed with "outcome.isDeliverable() is true: status 408".

Such a response now counts as spoiled: an idempotent request is sent again, and a submit ends with 502.

--- a/proxy/next_action.go
+++ b/proxy/next_action.go
@@ -84,11 +84,23 @@
 	return outcome
 }
 
-// isInvalid reports whether a response cannot come from the endpoint: an
-// endpoint signs every success, and bodies are requested without an encoding.
+// isInvalid reports whether a response must not reach the caller: an endpoint
+// signs every success, bodies are requested without an encoding, and a refusal
+// states that the request did not run.
 func isInvalid(response *conns.Response, header platform.ResponseHeader) bool {
 	isSuccess := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
-	return (isSuccess && !header.IsSigned) || response.Header.Get("Content-Encoding") != ""
+	isUnprovenRefusal := isRefusal(response.Status) && !header.NotStarted
+	return (isSuccess && !header.IsSigned) || response.Header.Get("Content-Encoding") != "" || isUnprovenRefusal
+}
+
+// isRefusal reports whether callers take a status as a promise that the request
+// did not run and will not run.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // decideNextAction decides how a request continues after an attempt. A request
--- a/proxy/next_action_test.go
+++ b/proxy/next_action_test.go
@@ -32,6 +32,9 @@
 		{"timeout of the endpoint", response(504), signed, nil},
 		{"not found at the endpoint", response(404), signed, nil},
 		{"endpoint is full", response(503), platform.ResponseHeader{AttemptID: "a", NotStarted: true, IsOverloaded: true}, nil},
+		{"refusal without the statement", response(503), signed, nil},
+		{"too many, without the statement", response(429), signed, nil},
+		{"too late, without the statement", response(408), signed, nil},
 		{"another endpoint has the address", response(421), platform.ResponseHeader{NotStarted: true, IsMisdirected: true}, nil},
 		{"nothing was sent", nil, platform.ResponseHeader{}, &conns.NotSentError{}},
 		{"the connection broke", nil, platform.ResponseHeader{}, &conns.IncompleteError{}},
@@ -68,6 +71,17 @@
 	return "nothing"
 }
 
+// Guards against an endpoint's status that promises callers that a request did not
+// run, although the endpoint did not state it and may have run the request.
+func TestStatusWithoutStatementIsNotDelivered(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		outcome := classify(response(status), platform.ResponseHeader{AttemptID: "a", IsSigned: true}, nil, false)
+		assert.Assert(t, !outcome.isDeliverable(), "status %d", status)
+		assert.Equal(t, decideNextAction(model.Submit, outcome), nextAction(fail{status: http.StatusBadGateway, reason: "the response is spoiled"}), "status %d", status)
+		assert.Equal(t, decideNextAction(model.Read, outcome), nextAction(retry{mayHaveRun: true, reason: "the response is spoiled"}), "status %d", status)
+	}
+}
+
 // Guards against a host that keeps sending requests to an address after another
 // endpoint has taken it over.
 func TestMisdirectedResponseMarksEndpointGone(t *testing.T) {
