Send an endpoint nothing after it said that it is leaving

An endpoint that leaves says so in all its responses (`Server-Leaving: 1`). The host read only the table of endpoints, so callers' requests still went to an endpoint that was about to exit: until the table showed it as draining, and as long as the store was away.

A selector now keeps what an endpoint says of itself, by incarnation and apart from the table. It applies from the head of the response on: waiting requests, retries, permits and objects move to other endpoints, and a request is rejected at once, with the time after which a new endpoint may be known, if the last one leaves. A whole table, a renewed entry, or one that was removed and written again does not end it; a newer incarnation does. A waiting request that no endpoint can serve soon no longer waits until its time has passed.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -54,12 +54,13 @@
 	services  []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
 	selectorRevision uint64
-	// hasNewConfig is true if the selector was not yet updated to config.
-	hasNewConfig bool
-	waitlist     *steer.Waitlist
+	// isSelectorOutdated is true if the selector was not yet updated to config or to
+	// the notice of an endpoint.
+	isSelectorOutdated bool
+	waitlist           *steer.Waitlist
 	// waiters holds the channel on which each waiting request receives its
-	// endpoint.
-	waiters map[steer.Ticket]chan steer.Send
+	// endpoint or its rejection.
+	waiters map[steer.Ticket]chan steer.Decision
 	// endpointsLoaded is true after the entries were read for the first time.
 	endpointsLoaded bool
 	// permits connects this host with the owners of limited endpoints. It is set
@@ -76,7 +77,7 @@
 	selector := steer.New(host, zone, regions)
 	return &Core{
 		roster: roster.New(regions), selector: selector,
-		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Send),
+		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
 		retryLimit: retryLimit, hostCount: 1,
 	}
@@ -98,7 +99,7 @@
 			c.budgets[name].LimitBurst(c.retryLimit.burst(c.hostCount))
 		}
 	}
-	c.hasNewConfig = true
+	c.isSelectorOutdated = true
 	return true
 }
 
@@ -196,10 +197,10 @@
 // run after every change, because reading the whole table changes every
 // endpoint and each update iterates over all of them.
 func (c *Core) updateSelector() {
-	if c.config == nil || (!c.hasNewConfig && c.roster.Revision() == c.selectorRevision) {
+	if c.config == nil || (!c.isSelectorOutdated && c.roster.Revision() == c.selectorRevision) {
 		return
 	}
-	c.selectorRevision, c.hasNewConfig = c.roster.Revision(), false
+	c.selectorRevision, c.isSelectorOutdated = c.roster.Revision(), false
 	c.selector.Update(c.config, c.roster, c.services)
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -145,9 +145,7 @@
 		e.rejectForStop()
 		return true
 	}
-	query := steer.Query{
-		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, HasWaited: e.refusedPermits > 0,
-	}
+	query := e.query()
 	switch decision := e.server.core.chooseOrWait(e.request.Context(), query, e.waitDeadline()).(type) {
 	case steer.Reject:
 		e.handleReject(decision)
@@ -165,6 +163,12 @@
 	return true
 }
 
+func (e *exchange) query() steer.Query {
+	return steer.Query{
+		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, HasWaited: e.refusedPermits > 0,
+	}
+}
+
 // obtainPermit asks for the permit that a send needs.
 func (e *exchange) obtainPermit(query steer.Query, decision steer.Send) steer.Permit {
 	startedAt := time.Now()
@@ -287,7 +291,7 @@
 	case e.mayHaveRun:
 		e.fail(http.StatusBadGateway, action.reason)
 	default:
-		e.refuse(action.reason, unavailableRetryAfter)
+		e.refuse(action.reason, max(unavailableRetryAfter, e.server.core.minRetryAfter(e.query())))
 	}
 	return true
 }
--- a/proxy/match.go
+++ b/proxy/match.go
@@ -31,13 +31,23 @@
 }
 
 // matchesResponse reports whether a response with the given headers belongs to
-// this request. An endpoint repeats the request's attempt ID in each response. A
-// refusal without an ID is accepted only as the first response on a connection: a
-// faulty endpoint may repeat an earlier refusal while it runs this request.
+// this request, and applies what the endpoint says of itself in one that does.
 func (e *exchange) matchesResponse(status int, header http.Header, isFirst bool) bool {
 	responseHeader := platform.ParseResponseHeader(status, header)
-	if responseHeader.AttemptID == "" {
-		return isFirst && (responseHeader.NotStarted || e.header.AttemptID == "")
+	if !e.isOwnResponse(responseHeader, isFirst) {
+		return false
 	}
-	return responseHeader.AttemptID == e.header.AttemptID
+	e.hear(responseHeader)
+	return true
+}
+
+// isOwnResponse reports whether a response with the given headers belongs to this
+// request. An endpoint repeats the request's attempt ID in each response. A refusal
+// without an ID is accepted only as the first response on a connection: a faulty
+// endpoint may repeat an earlier refusal while it runs this request.
+func (e *exchange) isOwnResponse(header platform.ResponseHeader, isFirst bool) bool {
+	if header.AttemptID == "" {
+		return isFirst && (header.NotStarted || e.header.AttemptID == "")
+	}
+	return header.AttemptID == e.header.AttemptID
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -11,6 +11,7 @@
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	notices  *prometheus.CounterVec
 	opened   prometheus.Gauge
 }
 
@@ -27,11 +28,14 @@
 			Name: "filberthold_request_seconds", Help: "Time from the arrival of a request to the end of its answer.",
 			Buckets: []float64{.01, .025, .05, .1, .2, .3, .45, .6, .8, 1.2, 2, 4, 8},
 		}, []string{"class"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filberthold_endpoint_notices_total", Help: "Endpoints that were first heard to be leaving, by service.",
+		}, []string{"service", "notice"}),
 		opened: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filberthold_endpoint_connections_opened", Help: "Connections to endpoints opened since the start.",
 		}),
 	}
-	registry.MustRegister(metrics.requests, metrics.attempts, metrics.latency, metrics.opened)
+	registry.MustRegister(metrics.requests, metrics.attempts, metrics.latency, metrics.notices, metrics.opened)
 	return metrics
 }
 
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -70,9 +70,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.selector.ApplyPermit(send, permit, time.Now())
-	if permit.IsGranted {
+	c.updateSelector()
+	isSent := c.selector.ApplyPermit(send, permit, time.Now())
+	switch {
+	case isSent:
 		c.spendRetry(query)
+	case permit.IsGranted:
+		return send.Permit.Refusal(), errNotUsable
 	}
 	return permit, err
 }
--- a/proxy/waiting.go
+++ b/proxy/waiting.go
@@ -33,25 +33,25 @@
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
-	case send := <-admitted:
-		return send
+	case decision := <-admitted:
+		return decision
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if send, wasAdmitted := c.stopWaiting(ticket, admitted); wasAdmitted {
-		return send
+	if decision, wasAdmitted := c.stopWaiting(ticket, admitted); wasAdmitted {
+		return decision
 	}
 	return reject
 }
 
-func (c *Core) startWaiting(query steer.Query, deadline time.Time) (steer.Ticket, chan steer.Send, bool) {
+func (c *Core) startWaiting(query steer.Query, deadline time.Time) (steer.Ticket, chan steer.Decision, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ticket, isWaiting := c.waitlist.Push(query, deadline)
 	if !isWaiting {
 		return 0, nil, false
 	}
-	admitted := make(chan steer.Send, 1)
+	admitted := make(chan steer.Decision, 1)
 	c.waiters[ticket] = admitted
 	return ticket, admitted, true
 }
@@ -59,23 +59,24 @@
 // stopWaiting removes a request from the list and returns false. A request that
 // was admitted at the same moment must use its endpoint: stopWaiting returns it
 // and true.
-func (c *Core) stopWaiting(ticket steer.Ticket, admitted chan steer.Send) (steer.Send, bool) {
+func (c *Core) stopWaiting(ticket steer.Ticket, admitted chan steer.Decision) (steer.Decision, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waitlist.Remove(ticket) {
 		delete(c.waiters, ticket)
-		return steer.Send{}, false
+		return nil, false
 	}
 	return <-admitted, true
 }
 
-// admitWaiting assigns free slots to waiting requests.
+// admitWaiting assigns free slots to waiting requests, and rejects those for which
+// waiting is of no use any more.
 func (c *Core) admitWaiting(now time.Time) {
 	if c.waitlist.Len() == 0 {
 		return
 	}
 	for _, admitted := range c.waitlist.Admit(now) {
-		c.waiters[admitted.Ticket] <- admitted.Send
+		c.waiters[admitted.Ticket] <- admitted.Decision
 		delete(c.waiters, admitted.Ticket)
 	}
 }
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -41,6 +41,9 @@
 	// rate is what this host knows of the limit that the endpoint names.
 	rate rateState
 
+	// isUsable is true while the endpoint is one of those that Update got and is not
+	// leaving. Requests may still be in flight when it is false.
+	isUsable bool
 	// inFlight is the number of this host's requests at the endpoint.
 	inFlight int
 	// lastAnnounced is the value of inFlight that was last sent to other hosts.
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -203,7 +203,7 @@
 // IssuePermit answers another host's request for a permit.
 func (s *Selector) IssuePermit(request PermitRequest, now time.Time) Permit {
 	target := s.byID[request.News.Endpoint]
-	if target == nil || s.owner(target) != s.host {
+	if target == nil || !target.isUsable || s.owner(target) != s.host {
 		return request.Refusal()
 	}
 	target.rate.apply(request.News.Limit, request.News.Age, now)
@@ -214,21 +214,23 @@
 	return permit
 }
 
-// ApplyPermit applies the answer to the permit request of a Send. Without a permit
-// the request is not sent and no longer counts as in flight.
-func (s *Selector) ApplyPermit(send Send, permit Permit, now time.Time) {
+// ApplyPermit applies the answer to the permit request of a Send. It reports whether
+// the request is sent: the permit is granted, and the endpoint can still be chosen. A
+// request that is not sent no longer counts as in flight.
+func (s *Selector) ApplyPermit(send Send, permit Permit, now time.Time) bool {
 	target := s.endpoints[send.Endpoint.Name]
-	if target == nil {
-		return
+	if target == nil || target.incarnation != send.Endpoint.Incarnation {
+		return false
 	}
 	target.rate.apply(permit.Limit, permit.Age, now)
-	if permit.IsGranted {
-		return
+	if permit.IsGranted && target.isUsable {
+		return true
 	}
 	target.inFlight = max(0, target.inFlight-1)
-	if target.rate.limit.IsSet {
+	if target.rate.limit.IsSet && !permit.IsGranted {
 		target.rate.deferredUntil = now.Add(permit.RetryAfter)
 	}
+	return false
 }
 
 // NewsForOwner returns what to tell the owner of an endpoint whose limit changed. It
@@ -260,6 +262,16 @@
 	return LimitNews{Endpoint: e.id(), Limit: e.rate.limit, Age: now.Sub(e.rate.seenAt)}
 }
 
+// MinRetryAfter returns the least Retry-After of a query that is rejected after it
+// was sent to an endpoint.
+func (s *Selector) MinRetryAfter(query Query) time.Duration {
+	state := s.services[query.Service]
+	if state == nil || len(state.endpoints) == 0 {
+		return noEndpointRetryAfter
+	}
+	return 0
+}
+
 // fullRetryAfter returns the Retry-After of a request for which every endpoint is
 // full: a slot becomes free soon, unless all endpoints wait for their next permit.
 func (s *serviceState) fullRetryAfter(now time.Time) time.Duration {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -32,6 +32,10 @@
 	// minRetryAfter is the least Retry-After of a request that is rejected because
 	// every endpoint is full. A slot becomes free in about this time.
 	minRetryAfter = 300 * time.Millisecond
+	// noEndpointRetryAfter is the Retry-After of a request for whose service no
+	// endpoint is known. A host knows a new endpoint about a second after the endpoint
+	// has registered.
+	noEndpointRetryAfter = time.Second
 	// crossRegionDelay and crossZoneDelay are the network delays that are added to
 	// the expected time of an endpoint in another region or availability zone.
 	crossRegionDelay = 60 * time.Millisecond
@@ -107,6 +111,9 @@
 	// hosts are the entry hosts that are alive, by region. One of them owns each
 	// endpoint.
 	hosts map[model.RegionName][]model.HostName
+	// notices holds what endpoints said of themselves, also of those that are not in
+	// endpoints.
+	notices map[model.EndpointName]*notice
 	// ranking is reused by each choice to save allocations.
 	ranking ranking
 	// spillCredit is the credit for spillover to other regions than planned.
@@ -134,6 +141,7 @@
 		byID:        make(map[EndpointID]*endpoint),
 		services:    make(map[model.ServiceName]*serviceState),
 		loadsByHost: make(map[model.HostName]*hostLoads),
+		notices:     make(map[model.EndpointName]*notice),
 		hosts:       map[model.RegionName][]model.HostName{regions[zone]: {host}},
 	}
 }
@@ -141,15 +149,17 @@
 // SetHosts replaces the entry hosts that are alive, including this one.
 func (s *Selector) SetHosts(hosts map[model.RegionName][]model.HostName) { s.hosts = hosts }
 
-// Update applies the usable endpoints of the named services from the roster. An
-// endpoint that is no longer usable is removed after its last request has ended.
+// Update applies the usable endpoints of the named services from the roster, without
+// those that have said that they are leaving. An endpoint that is no longer usable is
+// removed after its last request has ended.
 func (s *Selector) Update(config *route.Config, endpointRoster *roster.Roster, names []model.ServiceName) {
 	present := make(map[model.EndpointName]bool)
 	for _, name := range names {
 		s.updateService(config, name, endpointRoster.Endpoints(name), present)
 	}
 	for name, target := range s.endpoints {
-		if !present[name] && target.inFlight == 0 {
+		target.isUsable = present[name]
+		if !target.isUsable && target.inFlight == 0 {
 			s.removeLoads(target)
 			delete(s.endpoints, name)
 			if s.byID[target.id()] == target {
@@ -172,6 +182,9 @@
 	state.byRegion = make(map[model.RegionName][]*endpoint)
 	capacity := make(map[model.RegionName]float64)
 	for _, registered := range usable {
+		if s.isLeaving(registered) {
+			continue
+		}
 		present[registered.Name] = true
 		target := s.endpoints[registered.Name]
 		if target == nil {
@@ -208,7 +221,7 @@
 func (s *Selector) Choose(query Query, now time.Time) Decision {
 	state := s.services[query.Service]
 	if state == nil || len(state.endpoints) == 0 {
-		return Reject{Reason: "the service has no endpoint", RetryAfter: time.Second}
+		return Reject{Reason: "the service has no endpoint", RetryAfter: noEndpointRetryAfter}
 	}
 	s.expireLoads(now)
 	if len(query.Tried) == 0 && !query.HasWaited {
@@ -217,7 +230,7 @@
 	object := s.objectHash(query)
 	plannedRegion, exists := pickRegion(state.flows[s.region], toUnitInterval(mix(object)), query.Route.AllowsRegion)
 	if !exists {
-		return Reject{Reason: "no endpoint in an allowed region", RetryAfter: time.Second}
+		return Reject{Reason: "no endpoint in an allowed region", RetryAfter: noEndpointRetryAfter}
 	}
 	var best choice
 	if query.Route.Class == model.Export {
--- a/steer/waitlist.go
+++ b/steer/waitlist.go
@@ -16,10 +16,11 @@
 	until time.Time
 }
 
-// Admitted is a waiting query that got an endpoint.
+// Admitted is a waiting query that got an endpoint, or is rejected because waiting is
+// of no use any more.
 type Admitted struct {
-	Ticket Ticket
-	Send   Send
+	Ticket   Ticket
+	Decision Decision
 }
 
 // Waitlist holds queries until an endpoint is no longer full: a slot becomes
@@ -60,15 +61,17 @@
 	return len(w.queries) < before
 }
 
-// Admit removes and returns the queries for which an endpoint is available now.
-// Queries that have waited too long stay until Remove.
+// Admit removes and returns the queries for which an endpoint is available now, and
+// those that no endpoint can serve soon. Queries that have waited too long stay until
+// Remove.
 func (w *Waitlist) Admit(now time.Time) []Admitted {
 	var admitted []Admitted
 	kept := w.queries[:0]
 	for _, waiter := range w.queries {
 		if now.Before(waiter.until) {
-			if sent, isSent := w.selector.Choose(waiter.query, now).(Send); isSent {
-				admitted = append(admitted, Admitted{Ticket: waiter.ticket, Send: sent})
+			decision := w.selector.Choose(waiter.query, now)
+			if reject, isReject := decision.(Reject); !isReject || !reject.IsFull {
+				admitted = append(admitted, Admitted{Ticket: waiter.ticket, Decision: decision})
 				continue
 			}
 		}
