Spare an endpoint for the time that it asks for

An endpoint that turns a request away with status 503 may add `Retry-After`: it wants nothing from that host for so long. The host took it as any other refusal and sent the next request within milliseconds. Where all endpoints asked, callers waited in the list until half of their latency objective had passed, and were then told to return after 0.3 s, or after 0.1 s if their last attempt was refused.

From the head of such a response the host now sends the endpoint nothing until the time has passed. Waiting requests, retries and permits move on. If all endpoints that a route may use are spared, requests are rejected at once, with the time until the first is free and up to 0.5 s more, so that callers do not return in the same instant. After that time a host's requests to the endpoint are paced for 1 s, and each host starts at another point of its first interval. The notice belongs to the incarnation and outlives the entry.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -221,10 +221,10 @@
 func (c *Core) choose(query steer.Query) steer.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.updateSelector()
 	if len(query.Tried) > 0 && !c.canRetry(query) {
-		return steer.Reject{Reason: "the retry budget is used up", RetryAfter: budgetRetryAfter}
+		return steer.Reject{Reason: "the retry budget is used up", RetryAfter: max(budgetRetryAfter, c.selector.MinRetryAfter(query, time.Now()))}
 	}
-	c.updateSelector()
 	decision := c.selector.Choose(query, time.Now())
 	if send, isSend := decision.(steer.Send); isSend && !send.Permit.IsNeeded() {
 		c.spendRetry(query)
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -29,7 +29,7 @@
 			Buckets: []float64{.01, .025, .05, .1, .2, .3, .45, .6, .8, 1.2, 2, 4, 8},
 		}, []string{"class"}),
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "filberthold_endpoint_notices_total", Help: "Endpoints that were first heard to be leaving, by service.",
+			Name: "filberthold_endpoint_notices_total", Help: "Endpoints that were first heard to be leaving or to ask to be spared, by service.",
 		}, []string{"service", "notice"}),
 		opened: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filberthold_endpoint_connections_opened", Help: "Connections to endpoints opened since the start.",
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -11,8 +11,8 @@
 // errNotUsable is the reason for which a permit is not used.
 var errNotUsable = errors.New("the endpoint accepts no new requests any more")
 
-// hear applies the notice of an endpoint. If it is leaving, the requests that wait
-// for it get another endpoint or are rejected.
+// hear applies the notice of an endpoint. The requests that wait for it get another
+// endpoint or are rejected.
 func (c *Core) hear(notice steer.Notice) steer.News {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -22,6 +22,8 @@
 	if news.IsLeaving {
 		c.isSelectorOutdated = true
 		c.updateSelector()
+	}
+	if news.IsLeaving || news.IsSpared {
 		c.admitWaiting(now)
 	}
 	return news
@@ -33,23 +35,39 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateSelector()
-	return c.selector.MinRetryAfter(query)
+	return c.selector.MinRetryAfter(query, time.Now())
 }
 
 // hear applies what the endpoint says of itself once the head of its response has
 // arrived: the body may take long or break off. A misdirected request was answered by
 // another endpoint.
 func (e *exchange) hear(header platform.ResponseHeader) {
-	if header.IsMisdirected || !header.IsLeaving {
+	if header.IsMisdirected || !header.IsLeaving && header.RetryAfter == 0 {
 		return
 	}
 	endpoint := e.lastSend.Endpoint
-	news := e.server.core.hear(steer.Notice{Endpoint: endpoint.Name, Incarnation: endpoint.Incarnation, IsLeaving: header.IsLeaving})
-	if !news.IsLeaving {
-		return
+	news := e.server.core.hear(steer.Notice{
+		Endpoint: endpoint.Name, Incarnation: endpoint.Incarnation, IsLeaving: header.IsLeaving, RetryAfter: header.RetryAfter,
+	})
+	if news.IsLeaving {
+		e.server.pool.CloseIdle(endpoint.Address)
+		e.countNotice("leaving")
+		e.logNotice("endpoint is leaving")
 	}
-	e.server.pool.CloseIdle(endpoint.Address)
-	e.server.metrics.notices.WithLabelValues(string(e.service), "leaving").Inc()
-	e.server.log.Info("endpoint is leaving", "endpoint", endpoint.Name, "service", e.service, "born", endpoint.Incarnation,
-		"source", "response", "request", e.header.AttemptID, "requestAge", time.Since(e.arrivedAt), "knowledgeAge", e.server.freshness.EndpointAge())
+	if news.IsSpared {
+		e.countNotice("spared")
+		e.logNotice("endpoint asked to be spared", "retryAfter", header.RetryAfter, "sparedFor", time.Until(news.SparedUntil))
+	}
+}
+
+func (e *exchange) countNotice(kind string) {
+	e.server.metrics.notices.WithLabelValues(string(e.service), kind).Inc()
+}
+
+// logNotice logs that a notice of the endpoint was first heard.
+func (e *exchange) logNotice(message string, fields ...any) {
+	endpoint := e.lastSend.Endpoint
+	e.server.log.Info(message, append([]any{"endpoint", endpoint.Name, "service", e.service, "born", endpoint.Incarnation,
+		"source", "response", "request", e.header.AttemptID, "requestAge", time.Since(e.arrivedAt),
+		"knowledgeAge", e.server.freshness.EndpointAge()}, fields...)...)
 }
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -40,6 +40,8 @@
 	pacer       pacer
 	// rate is what this host knows of the limit that the endpoint names.
 	rate rateState
+	// spare is the time for which the endpoint asked to be spared.
+	spare spareState
 
 	// isUsable is true while the endpoint is one of those that Update got and is not
 	// leaving. Requests may still be in flight when it is false.
@@ -149,7 +151,9 @@
 
 // isAvailable reports whether the endpoint accepts requests now, unless its slots
 // are taken.
-func (e *endpoint) isAvailable(now time.Time) bool { return e.isUp(now) && !e.rate.isDeferred(now) }
+func (e *endpoint) isAvailable(now time.Time) bool {
+	return e.isUp(now) && !e.rate.isDeferred(now) && !e.spare.isHeld(now)
+}
 
 func (e *endpoint) isSuspect(now time.Time) bool { return now.Before(e.suspectUntil) }
 
--- a/steer/limit.go
+++ b/steer/limit.go
@@ -223,7 +223,7 @@
 		return false
 	}
 	target.rate.apply(permit.Limit, permit.Age, now)
-	if permit.IsGranted && target.isUsable {
+	if permit.IsGranted && target.isUsable && !target.spare.isSpared(now) {
 		return true
 	}
 	target.inFlight = max(0, target.inFlight-1)
@@ -262,26 +262,18 @@
 	return LimitNews{Endpoint: e.id(), Limit: e.rate.limit, Age: now.Sub(e.rate.seenAt)}
 }
 
-// MinRetryAfter returns the least Retry-After of a query that is rejected after it
-// was sent to an endpoint.
-func (s *Selector) MinRetryAfter(query Query) time.Duration {
-	state := s.services[query.Service]
-	if state == nil || len(state.endpoints) == 0 {
-		return noEndpointRetryAfter
-	}
-	return 0
-}
-
 // fullRetryAfter returns the Retry-After of a request for which every endpoint is
-// full: a slot becomes free soon, unless all endpoints wait for their next permit.
+// full: a slot becomes free soon, unless all endpoints wait for their next permit or
+// are spared.
 func (s *serviceState) fullRetryAfter(now time.Time) time.Duration {
 	earliest := time.Time{}
 	for _, candidate := range s.endpoints {
-		if !candidate.rate.isDeferred(now) {
+		if !candidate.rate.isDeferred(now) && !candidate.spare.isSpared(now) {
 			return minRetryAfter
 		}
-		if earliest.IsZero() || candidate.rate.deferredUntil.Before(earliest) {
-			earliest = candidate.rate.deferredUntil
+		freeAt := later(candidate.rate.deferredUntil, candidate.spare.until)
+		if earliest.IsZero() || freeAt.Before(earliest) {
+			earliest = freeAt
 		}
 	}
 	return max(minRetryAfter, earliest.Sub(now))
--- a/steer/notice.go
+++ b/steer/notice.go
@@ -20,12 +20,19 @@
 	Incarnation int64
 	// IsLeaving is true if the endpoint accepts no new requests.
 	IsLeaving bool
+	// RetryAfter is the time for which the endpoint wants no requests from this host,
+	// or 0.
+	RetryAfter time.Duration
 }
 
 // News is what a notice changed.
 type News struct {
 	// IsLeaving is true if the endpoint was not known to be leaving.
 	IsLeaving bool
+	// IsSpared is true if the endpoint asked to be spared and was not spared before.
+	IsSpared bool
+	// SparedUntil is the time until which the endpoint is spared, if it asked for that.
+	SparedUntil time.Time
 }
 
 // notice is what is known from the notices of an endpoint. It does not depend on
@@ -35,16 +42,19 @@
 	incarnation int64
 	heardAt     time.Time
 	isLeaving   bool
+	// sparedUntil is the time until which the endpoint asked to be spared.
+	sparedUntil time.Time
 }
 
 // appliesTo reports whether the notice is about an incarnation. An incarnation
 // earlier than the one that sent it has ended.
 func (n *notice) appliesTo(incarnation int64) bool { return n != nil && incarnation <= n.incarnation }
 
-// Hear records a notice of an endpoint. After a notice that the endpoint is leaving,
-// it is not chosen any more once Update was called.
+// Hear records a notice of an endpoint. If the endpoint asked to be spared, it is not
+// chosen before that time has passed. If it is leaving, it is not chosen any more once
+// Update was called.
 func (s *Selector) Hear(heard Notice, now time.Time) News {
-	if !heard.IsLeaving || s.isOutdated(heard) {
+	if !heard.isSet() || s.isOutdated(heard) {
 		return News{}
 	}
 	known := s.notices[heard.Endpoint]
@@ -54,11 +64,28 @@
 		s.notices[heard.Endpoint] = known
 	}
 	known.heardAt = now
-	news := News{IsLeaving: !known.isLeaving}
-	known.isLeaving = true
+	news := News{IsLeaving: heard.IsLeaving && !known.isLeaving}
+	known.isLeaving = known.isLeaving || heard.IsLeaving
+	if heard.RetryAfter > 0 {
+		news.IsSpared = !now.Before(known.sparedUntil)
+		s.spare(heard, known, now)
+		news.SparedUntil = known.sparedUntil
+	}
 	return news
 }
 
+func (n Notice) isSet() bool { return n.IsLeaving || n.RetryAfter > 0 }
+
+// spare applies the time for which an endpoint asked to be spared. A shorter time does
+// not end an earlier one.
+func (s *Selector) spare(heard Notice, known *notice, now time.Time) {
+	target := s.endpoints[heard.Endpoint]
+	known.sparedUntil = later(known.sparedUntil, s.spareUntil(target, heard.RetryAfter, now))
+	if target != nil && target.incarnation == heard.Incarnation {
+		target.spare.until = known.sparedUntil
+	}
+}
+
 // isOutdated reports whether a notice comes from an incarnation that a newer one has
 // replaced.
 func (s *Selector) isOutdated(heard Notice) bool {
@@ -77,6 +104,15 @@
 	}
 }
 
+// sparedUntil returns the time until which a registered endpoint is spared.
+func (s *Selector) sparedUntil(registered roster.Endpoint) time.Time {
+	known := s.notices[registered.Name]
+	if !known.appliesTo(registered.Incarnation) {
+		return time.Time{}
+	}
+	return known.sparedUntil
+}
+
 // isLeaving reports whether a registered endpoint has said that it is leaving.
 func (s *Selector) isLeaving(registered roster.Endpoint) bool {
 	known := s.notices[registered.Name]
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -196,6 +196,7 @@
 			s.removeLoads(target)
 		}
 		target.update(registered)
+		target.spare.until = s.sparedUntil(registered)
 		state.endpoints = append(state.endpoints, target)
 		state.byRegion[target.region] = append(state.byRegion[target.region], target)
 		if target.zone == s.zone {
@@ -243,7 +244,7 @@
 		best = s.bestSpillover(state, plannedRegion, object, query, now)
 	}
 	if best.endpoint == nil {
-		return Reject{Reason: "every endpoint is full or not reachable", RetryAfter: state.fullRetryAfter(now), IsFull: true}
+		return state.reject(query, now)
 	}
 	return s.send(state, best, now)
 }
@@ -303,7 +304,7 @@
 }
 
 func (s *Selector) mayUse(candidate *endpoint, query Query, now time.Time) bool {
-	if slices.Contains(query.Tried, candidate.name) || candidate.isSuspect(now) || candidate.rate.isDeferred(now) {
+	if slices.Contains(query.Tried, candidate.name) || candidate.isSuspect(now) || candidate.rate.isDeferred(now) || candidate.spare.isHeld(now) {
 		return false
 	}
 	if candidate.isCold(now) {
@@ -372,6 +373,7 @@
 	if chosen.isCold(now) {
 		chosen.pacer.recordSent(state.coldRate, now)
 	}
+	s.recordResumed(chosen, now)
 	return Send{
 		Endpoint: roster.Endpoint{
 			Name: chosen.name, Service: chosen.service, Address: chosen.address, Zone: chosen.zone,
