Let endpoints of the soak leave and ask to be spared

The soak gave its endpoints no fault of what they say of themselves, so no run of real processes showed that a host keeps to it while the store is away, other hosts are killed and connections break.

Two faults are new. An endpoint leaves by its responses only, while its entry shows it as ready, and starts again as a new incarnation; or it refuses requests and asks to be spared for up to 3 s. The endpoints record their requests. At the end the soak checks for each host and endpoint that no request arrived which a caller sent after it had got a response that says that the endpoint is leaving, and none later than 0.5 s after a refusal until the end of its time. A restart or pause of the host in between excuses it, and a fault of the connection at the time of the refusal.

Not in the soak: hosts that are cut from each other.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -63,6 +63,12 @@
 	attempt  string
 	isSubmit bool
 	status   int
+	// body is the body of the response: the name of the endpoint, if it served the
+	// request.
+	body string
+	host *hostProcess
+	// sentAt and endedAt are the times of the request and of its response.
+	sentAt, endedAt time.Time
 }
 
 // callers send requests in a loop and check every response.
@@ -107,7 +113,7 @@
 	}
 	b.count(b.report.Outcomes, outcome)
 	c.mu.Lock()
-	c.ended = append(c.ended, endedRequest{attempt: attempt, isSubmit: class == "submit", status: result.status})
+	c.ended = append(c.ended, endedRequest{attempt: attempt, isSubmit: class == "submit", status: result.status, body: result.body, host: host, sentAt: startedAt, endedAt: startedAt.Add(result.elapsed)})
 	c.mu.Unlock()
 	if result.elapsed > callerTimeout+maxLateness && !host.wasDisturbed(startedAt.Add(-maxLateness)) {
 		b.recordViolation("%s: %s after %s from %s, which was not disturbed", attempt, outcome, result.elapsed, host.settings.Name)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -76,14 +77,35 @@
 			time.Sleep(duration)
 			endpoint.SetBehaviour(fake.Serve)
 		}},
+		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
+			index := targetIndex % len(b.endpoints)
+			b.endpoints[index].SetLeaving(true)
+			time.Sleep(duration)
+			b.endpoints[index].Restart()
+			b.writeEntry(index, 1)
+		}},
+		{"spared", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			endpoint := b.endpoints[targetIndex%len(b.endpoints)]
+			endpoint.SetRetryAfter(fmt.Sprintf("%.2f", randomBetween(random, 0, maxSpare).Seconds()))
+			endpoint.SetBehaviour(fake.Shed)
+			time.Sleep(duration)
+			endpoint.SetBehaviour(fake.Serve)
+			endpoint.SetRetryAfter("")
+		}},
 	}
 }
 
+// maxSpare bounds the time for which an endpoint asks to be spared. It is less than
+// recoveryTimeout.
+const maxSpare = 3 * time.Second
+
 func injectProxyFault(proxy *faultProxy, random *rand.Rand, duration time.Duration) {
 	modes := []mode{slow, blackhole, dropResponses, reset, resetResponse}
+	startedAt := time.Now()
 	proxy.setMode(modes[random.IntN(len(modes))])
 	time.Sleep(duration)
 	proxy.setMode(pass)
+	proxy.recordFault(startedAt)
 }
 
 // injectFaults starts random faults at random times until the duration of the
@@ -126,7 +148,7 @@
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
 		return b.hosts[targetIndex%len(b.hosts)].settings.Name
-	case "endpoint":
+	case "endpoint", "leaving", "spared":
 		return b.endpointProxies[targetIndex%len(b.endpointProxies)].address()
 	}
 	return faultName
--- a/soak/host.go
+++ b/soak/host.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -42,6 +43,9 @@
 	exitErr error
 	// disturbedAt is when the process was last killed, paused or continued.
 	disturbedAt time.Time
+	// interruptions holds the times at which a process was started, killed, paused or
+	// continued.
+	interruptions []time.Time
 }
 
 func newHostProcess(options Options, settings fake.HostSettings) (*hostProcess, error) {
@@ -63,6 +67,7 @@
 	}
 	exited := make(chan struct{})
 	h.command, h.exited, h.startedAt = command, exited, time.Now()
+	h.interruptions = append(h.interruptions, h.startedAt)
 	go func() {
 		err := command.Wait()
 		h.mu.Lock()
@@ -79,6 +84,7 @@
 	defer h.mu.Unlock()
 	if signal != syscall.SIGTERM && signal != syscall.SIGHUP {
 		h.disturbedAt = time.Now()
+		h.interruptions = append(h.interruptions, h.disturbedAt)
 	}
 	if err := h.command.Process.Signal(signal); err != nil {
 		return fmt.Errorf("signal %s: %w", h.settings.Name, err)
@@ -128,3 +134,11 @@
 	defer h.mu.Unlock()
 	return h.disturbedAt.After(since)
 }
+
+// wasInterrupted reports whether a process was started, killed, paused or continued
+// between two times.
+func (h *hostProcess) wasInterrupted(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.interruptions, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
--- /dev/null
+++ b/soak/notices.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"filberthold/platform/fake"
+)
+
+// noticeTime is the time within which a host must act on the refusal of an endpoint
+// that asked to be spared.
+const noticeTime = 500 * time.Millisecond
+
+// sentRequest is a request of a caller that arrived at an endpoint.
+type sentRequest struct {
+	endedRequest
+	exchange fake.Exchange
+	// endpoint is the name of the endpoint.
+	endpoint string
+}
+
+// checkNotices checks that no endpoint got a request from a host that it had told that
+// it is leaving, or for a time in which it asked that host to spare it.
+func (c *callers) checkNotices() {
+	requests := make(map[string]endedRequest, len(c.ended))
+	for _, request := range c.ended {
+		requests[request.attempt] = request
+	}
+	for i, endpoint := range c.testbed.endpoints {
+		name := fmt.Sprint("i-", i)
+		byHost := make(map[*hostProcess][]sentRequest)
+		for _, exchange := range endpoint.Exchanges() {
+			if request, exists := requests[exchange.Attempt]; exists {
+				byHost[request.host] = append(byHost[request.host], sentRequest{request, exchange, name})
+			}
+		}
+		for host, sent := range byHost {
+			c.checkHost(host, c.testbed.endpointProxies[i], sent)
+		}
+	}
+}
+
+// checkHost checks the requests of one host at one endpoint.
+func (c *callers) checkHost(host *hostProcess, proxy *faultProxy, sent []sentRequest) {
+	for _, told := range sent {
+		if !told.exchange.IsLeaving && told.exchange.RetryAfter == "" {
+			continue
+		}
+		for _, other := range sent {
+			if other.exchange.Incarnation != told.exchange.Incarnation || host.wasInterrupted(told.exchange.ArrivedAt, other.exchange.ArrivedAt) {
+				continue
+			}
+			switch {
+			case told.isLeavingPassedOn() && other.sentAt.After(told.endedAt):
+				c.testbed.recordViolation("%s: sent by %s to %s, which is leaving by the response to %s, passed on %s before",
+					other.attempt, host.settings.Name, told.endpoint, told.attempt, other.sentAt.Sub(told.endedAt))
+			case told.isSpareTime(other.exchange.ArrivedAt) && !proxy.hadFault(told.exchange.ArrivedAt, told.exchange.AnsweredAt.Add(noticeTime)):
+				c.testbed.recordViolation("%s: sent by %s to %s, which asked in the response to %s to be spared for %s s, %s before",
+					other.attempt, host.settings.Name, told.endpoint, told.attempt, told.exchange.RetryAfter, other.exchange.ArrivedAt.Sub(told.exchange.AnsweredAt))
+			}
+		}
+	}
+}
+
+// isLeavingPassedOn reports whether the caller got a response of the endpoint which
+// says that it is leaving.
+func (r sentRequest) isLeavingPassedOn() bool {
+	return r.exchange.IsLeaving && r.status == http.StatusOK && r.body == r.endpoint
+}
+
+// isSpareTime reports whether a time is one at which the host must have spared the
+// endpoint after this request.
+func (r sentRequest) isSpareTime(at time.Time) bool {
+	retryAfter, err := time.ParseDuration(r.exchange.RetryAfter + "s")
+	return err == nil && at.After(r.exchange.AnsweredAt.Add(noticeTime)) && at.Before(r.exchange.AnsweredAt.Add(retryAfter))
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -36,8 +38,14 @@
 	target   string
 	// mode holds the current mode.
 	mode atomic.Int32
+	mu   sync.Mutex
+	// faults holds the times of the faults that have ended.
+	faults []faultTime
 }
 
+// faultTime is the time of a fault.
+type faultTime struct{ from, to time.Time }
+
 // startProxy listens on a loopback port. Only run accepts and forwards.
 func startProxy(target string) (*faultProxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,6 +59,20 @@
 
 func (p *faultProxy) setMode(next mode) { p.mode.Store(int32(next)) }
 
+// recordFault records a fault that ends now.
+func (p *faultProxy) recordFault(from time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = append(p.faults, faultTime{from, time.Now()})
+}
+
+// hadFault reports whether there was a fault between two times.
+func (p *faultProxy) hadFault(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.faults, func(fault faultTime) bool { return fault.from.Before(to) && fault.to.After(from) })
+}
+
 func (p *faultProxy) run() {
 	for {
 		conn, err := p.listener.Accept()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,6 +101,7 @@
 	stopCallers()
 	callerGroup.Wait()
 	callers.checkExecutions()
+	callers.checkNotices()
 	for _, host := range b.hosts {
 		if err := host.stop(); err != nil {
 			b.recordViolation("%v", err)
@@ -156,11 +157,17 @@
 	}
 	go proxy.run()
 	b.endpoints, b.endpointProxies = append(b.endpoints, endpoint), append(b.endpointProxies, proxy)
-	entry := strings.Replace(endpoint.Entry("s", "za", "ready", 1), endpoint.Address(), proxy.address(), 1)
-	b.store.Put(platform.EndpointTable, name, entry)
+	b.writeEntry(len(b.endpoints)-1, 1)
 	return nil
 }
 
+// writeEntry writes the entry of an endpoint with the address of its proxy.
+func (b *testbed) writeEntry(index, sequence int) {
+	endpoint := b.endpoints[index]
+	entry := strings.Replace(endpoint.Entry("s", "za", "ready", sequence), endpoint.Address(), b.endpointProxies[index].address(), 1)
+	b.store.Put(platform.EndpointTable, fmt.Sprint("i-", index), entry)
+}
+
 // close stops all processes, endpoints and proxies that are still running.
 func (b *testbed) close() {
 	for _, host := range b.hosts {
