Act on a leaving upstream when the header of its export arrives

On the product's own wire an upstream says in each response that it is leaving (`Upstream-Leaving`). For an export the host acted on it only when the export had ended, which may take minutes: until then the endpoint got new requests.

The event Responded, which reports the header, now carries it, and both placement and the marks for peers use it.

That the exchange passes the field on is not tested.

--- a/caller/exports.go
+++ b/caller/exports.go
@@ -139,7 +139,7 @@
 		e.copyHeader(export.w, update.opened.Header)
 		export.w.WriteHeader(update.opened.Status)
 	}
-	e.server.report(place.Responded{Attempt: update.attempt})
+	e.server.report(place.Responded{Attempt: update.attempt, Leaving: update.leaving})
 	export.active = &bodyCopy{exchange: e, update: update, next: export.next, done: make(chan struct{})}
 	e.server.attempts.Add(1)
 	go export.active.run()
--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -28,13 +28,14 @@
 }
 
 // observe records the endpoint of each attempt that is sent. It queues the
-// endpoint if the attempt's Finished event reports that it is leaving.
+// endpoint if the attempt's Responded or Finished event reports that it is leaving.
 func (l *leavingResponses) observe(event place.Event, decisions []place.Decision) {
-	if finished, isFinished := event.(place.Finished); isFinished {
-		if endpoint, exists := l.endpoints[finished.Attempt]; exists && finished.Leaving {
-			l.queue.TryPut(endpoint)
-		}
-		delete(l.endpoints, finished.Attempt)
+	switch event := event.(type) {
+	case place.Responded:
+		l.report(event.Attempt, event.Leaving)
+	case place.Finished:
+		l.report(event.Attempt, event.Leaving)
+		delete(l.endpoints, event.Attempt)
 	}
 	for _, decision := range decisions {
 		if send, isSend := decision.(place.Send); isSend {
@@ -43,6 +44,13 @@
 	}
 }
 
+// report queues the endpoint of an attempt if it is leaving.
+func (l *leavingResponses) report(attempt place.AttemptID, isLeaving bool) {
+	if endpoint, exists := l.endpoints[attempt]; exists && isLeaving {
+		l.queue.TryPut(endpoint)
+	}
+}
+
 // leavingResponseLoop marks the endpoints whose responses reported that they
 // are leaving.
 func (h *Host) leavingResponseLoop(ctx context.Context) error {
--- a/place/core.go
+++ b/place/core.go
@@ -183,7 +183,7 @@
 		c.tracker.RecordLoad(event.Endpoint, event.BusySlots)
 		return nil
 	case Responded:
-		c.recordResponse(event.Attempt, now)
+		c.recordResponse(event, now)
 		return nil
 	}
 	decisions = append(decisions, c.sendAllQueued(now)...)
--- a/place/events.go
+++ b/place/events.go
@@ -79,6 +79,8 @@
 // Responded reports the response header of an attempt whose body is streamed.
 type Responded struct {
 	Attempt AttemptID `cbor:"attempt"`
+	// Leaving is true if the upstream reported that it accepts no more requests.
+	Leaving bool `cbor:"leaving,omitempty"`
 }
 
 // Ticked reports that time has passed; see Core.NextTick.
--- a/place/finish.go
+++ b/place/finish.go
@@ -67,12 +67,15 @@
 // recordResponse records the response header of an attempt. A request whose
 // response has begun is not hedged: the remaining time depends on the length of
 // the response.
-func (c *Core) recordResponse(id AttemptID, now time.Time) {
-	attempt, exists := c.attempts[id]
+func (c *Core) recordResponse(event Responded, now time.Time) {
+	attempt, exists := c.attempts[event.Attempt]
 	if !exists {
 		return
 	}
-	c.tracker.RecordResponse(attempt.endpoint, uint64(id), now)
+	if event.Leaving {
+		c.leaving.mark(attempt.endpoint, "")
+	}
+	c.tracker.RecordResponse(attempt.endpoint, uint64(event.Attempt), now)
 	if open, exists := c.requests[attempt.request]; exists {
 		open.hedgeAt = time.Time{}
 	}
