Pace an endpoint no longer than it asked to be spared

An endpoint that asked to be spared for a short time, such as 0.1 s, was out of use for up to 1 s more at each host, and its requests were paced for another second: the delay of the first request and the pacing depended on the number of hosts only. Callers thus lost its slots for longer than it asked.

Both are now bounded by the time that the endpoint asked for.

--- a/steer/notice.go
+++ b/steer/notice.go
@@ -42,8 +42,9 @@
 	incarnation int64
 	heardAt     time.Time
 	isLeaving   bool
-	// sparedUntil is the time until which the endpoint asked to be spared.
-	sparedUntil time.Time
+	// spare is the time for which the endpoint asked to be spared, without requests
+	// since.
+	spare spareState
 }
 
 // appliesTo reports whether the notice is about an incarnation. An incarnation
@@ -67,9 +68,9 @@
 	news := News{IsLeaving: heard.IsLeaving && !known.isLeaving}
 	known.isLeaving = known.isLeaving || heard.IsLeaving
 	if heard.RetryAfter > 0 {
-		news.IsSpared = !now.Before(known.sparedUntil)
+		news.IsSpared = !known.spare.isSpared(now)
 		s.spare(heard, known, now)
-		news.SparedUntil = known.sparedUntil
+		news.SparedUntil = known.spare.until
 	}
 	return news
 }
@@ -80,9 +81,13 @@
 // not end an earlier one.
 func (s *Selector) spare(heard Notice, known *notice, now time.Time) {
 	target := s.endpoints[heard.Endpoint]
-	known.sparedUntil = later(known.sparedUntil, s.spareUntil(target, heard.RetryAfter, now))
+	spare := s.newSpareState(target, heard.RetryAfter, now)
+	if !spare.until.After(known.spare.until) {
+		return
+	}
+	known.spare = spare
 	if target != nil && target.incarnation == heard.Incarnation {
-		target.spare.until = known.sparedUntil
+		target.spare = spare
 	}
 }
 
@@ -104,13 +109,13 @@
 	}
 }
 
-// sparedUntil returns the time until which a registered endpoint is spared.
-func (s *Selector) sparedUntil(registered roster.Endpoint) time.Time {
+// knownSpare returns the time for which a registered endpoint asked to be spared.
+func (s *Selector) knownSpare(registered roster.Endpoint) spareState {
 	known := s.notices[registered.Name]
 	if !known.appliesTo(registered.Incarnation) {
-		return time.Time{}
+		return spareState{}
 	}
-	return known.sparedUntil
+	return known.spare
 }
 
 // isLeaving reports whether a registered endpoint has said that it is leaving.
--- a/steer/spare.go
+++ b/steer/spare.go
@@ -7,11 +7,9 @@
 	// needs longer is replaced; a longer time is an error that must not take it out of
 	// use until it starts again.
 	maxSpareTime = 5 * time.Minute
-	// resumeTime is how long the requests to an endpoint are paced after it was
+	// maxResumeTime bounds how long the requests to an endpoint are paced after it was
 	// spared. By then its responses show how many it can take.
-	resumeTime = time.Second
-	// maxResumeInterval bounds the time between two paced requests of a host.
-	maxResumeInterval = resumeTime
+	maxResumeTime = time.Second
 	// retrySpread is the time over which the callers are spread that were told to
 	// return when the first endpoint is free again.
 	retrySpread = 500 * time.Millisecond
@@ -23,7 +21,9 @@
 	// until is the end of that time. It is later at some hosts than at others, so that
 	// they do not all send at once.
 	until time.Time
-	// pacer spaces the requests in the resumeTime after until.
+	// pacedUntil is the end of the time after until in which the requests are paced.
+	pacedUntil time.Time
+	// pacer spaces the requests from until to pacedUntil.
 	pacer pacer
 }
 
@@ -32,7 +32,7 @@
 
 // isResuming reports whether the requests to the endpoint are paced.
 func (s *spareState) isResuming(now time.Time) bool {
-	return !s.isSpared(now) && now.Before(s.until.Add(resumeTime))
+	return !s.isSpared(now) && now.Before(s.pacedUntil)
 }
 
 // isHeld reports whether this host must not send a request now.
@@ -40,15 +40,16 @@
 	return s.isSpared(now) || s.isResuming(now) && !s.pacer.canSend(now)
 }
 
-// spareUntil returns the time until which this host sends nothing to an endpoint that
-// asked to be spared for a time.
-func (s *Selector) spareUntil(target *endpoint, retryAfter time.Duration, now time.Time) time.Time {
+// newSpareState returns the state of an endpoint that asked to be spared for a time.
+// It is paced for as long as it was spared, at most for maxResumeTime.
+func (s *Selector) newSpareState(target *endpoint, retryAfter time.Duration, now time.Time) spareState {
 	until := now.Add(min(retryAfter, maxSpareTime))
-	if target == nil {
-		return until
+	resumeTime := min(retryAfter, maxResumeTime)
+	if target != nil {
+		fraction := toUnitInterval(mix(hash64(string(s.host)) ^ target.hash))
+		until = until.Add(time.Duration(fraction * float64(min(resumeTime, s.resumeInterval(target)))))
 	}
-	fraction := toUnitInterval(mix(hash64(string(s.host)) ^ target.hash))
-	return until.Add(time.Duration(fraction * float64(s.resumeInterval(target))))
+	return spareState{until: until, pacedUntil: until.Add(resumeTime)}
 }
 
 // resumeInterval returns the time between two paced requests of a host: by it, all
@@ -62,7 +63,7 @@
 	if state := s.services[target.service]; state != nil {
 		median = state.median()
 	}
-	return min(maxResumeInterval, median*time.Duration(max(1, hosts))/time.Duration(max(1, target.slots)))
+	return min(maxResumeTime, median*time.Duration(max(1, hosts))/time.Duration(max(1, target.slots)))
 }
 
 // recordResumed counts a request to an endpoint whose requests are paced.
--- a/steer/spare_test.go
+++ b/steer/spare_test.go
@@ -37,7 +37,7 @@
 	}{
 		"at once":                 {func(*Selector, *fixture) {}, 0, false},
 		"until the time has gone": {func(*Selector, *fixture) {}, asked - time.Millisecond, false},
-		"after the time":          {func(*Selector, *fixture) {}, asked + maxResumeInterval, true},
+		"after the time":          {func(*Selector, *fixture) {}, asked + maxResumeTime, true},
 		"a shorter time follows": {func(s *Selector, _ *fixture) {
 			s.Hear(sparedNotice("a", time.Second), start())
 		}, asked - time.Millisecond, false},
@@ -59,7 +59,7 @@
 			s.Hear(sparedNotice("a", asked), start())
 		}, time.Second, true},
 		"an hour is asked for": {func(s *Selector, _ *fixture) { s.Hear(sparedNotice("a", time.Hour), start()) }, maxSpareTime - time.Millisecond, false},
-		"the bound of an hour": {func(s *Selector, _ *fixture) { s.Hear(sparedNotice("a", time.Hour), start()) }, maxSpareTime + maxResumeInterval, true},
+		"the bound of an hour": {func(s *Selector, _ *fixture) { s.Hear(sparedNotice("a", time.Hour), start()) }, maxSpareTime + maxResumeTime, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -131,7 +131,7 @@
 			}
 			// Every host has a request at each step.
 			var arrivals []time.Duration
-			for elapsed := time.Duration(0); elapsed < asked+resumeTime; elapsed += step {
+			for elapsed := time.Duration(0); elapsed < asked+maxResumeTime; elapsed += step {
 				for _, selector := range selectors {
 					if _, isSend := selector.Choose(query("o"), start().Add(elapsed)).(Send); isSend {
 						arrivals = append(arrivals, elapsed)
@@ -193,3 +193,22 @@
 	update(selector, endpoints)
 	assert.Assert(t, !chosenEndpoints(selector, start().Add(900*time.Millisecond))["a"])
 }
+
+// Guards against an endpoint that stays out of use much longer than it asked for.
+func TestShortSpareTimeEndsSoon(t *testing.T) {
+	const asked = 100 * time.Millisecond
+	selector, _ := newSpareTest()
+	selector.SetHosts(map[model.RegionName][]model.HostName{"north": {"h", "h1", "h2", "h3", "h4", "h5", "h6", "h7", "h8", "h9"}})
+	selector.Hear(sparedNotice("a", asked), start())
+	assert.Assert(t, !chosenEndpoints(selector, start().Add(asked-time.Millisecond))["a"])
+	assert.Assert(t, chosenEndpoints(selector, start().Add(2*asked))["a"])
+	sent := 0
+	for range 10 {
+		for i := range 50 {
+			if decision, isSend := selector.Choose(query(fmt.Sprint("o", i)), start().Add(3*asked)).(Send); isSend && decision.Endpoint.Name == "a" {
+				sent++
+			}
+		}
+	}
+	assert.Assert(t, sent >= 3, "%d requests after the time", sent)
+}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -189,14 +189,18 @@
 		target := s.endpoints[registered.Name]
 		if target == nil {
 			target = newEndpoint(registered)
+			target.spare = s.knownSpare(registered)
 			s.endpoints[registered.Name] = target
 			s.byID[target.id()] = target
 		}
-		if target.incarnation != registered.Incarnation {
+		isRestarted := target.incarnation != registered.Incarnation
+		if isRestarted {
 			s.removeLoads(target)
 		}
 		target.update(registered)
-		target.spare.until = s.sparedUntil(registered)
+		if isRestarted {
+			target.spare = s.knownSpare(registered)
+		}
 		state.endpoints = append(state.endpoints, target)
 		state.byRegion[target.region] = append(state.byRegion[target.region], target)
 		if target.zone == s.zone {
