Handle SIGHUP from the start of the process

A likely cause, not proved for that run: the handler for SIGHUP was installed by one of the last loops to start, and a signal before it ends the process.

--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,8 @@
 
 // Node is an entry host.
 type Node struct {
+	// hangups receives the signals to read the settings again.
+	hangups   <-chan os.Signal
 	settings  platform.Settings
 	log       *slog.Logger
 	logWriter *logs.Writer
@@ -60,8 +63,9 @@
 	relay       *relay.Handler
 }
 
-// New returns a node that is not yet running. It logs to out.
-func New(settings platform.Settings, out io.Writer) *Node {
+// New returns a node that is not yet running. It logs to out and reads its settings
+// again at each signal from hangups.
+func New(settings platform.Settings, out io.Writer, hangups <-chan os.Signal) *Node {
 	logWriter := logs.NewWriter(out)
 	log := slog.New(slog.NewJSONHandler(logWriter, nil)).With("host", settings.Host)
 	registry := prometheus.NewRegistry()
@@ -69,7 +73,7 @@
 		proxy.RetryLimit{Ratio: settings.RetryRatio, Slack: settings.RetrySlack})
 	store := platform.NewStore(settings.StoreAddress, settings.IP)
 	node := &Node{
-		settings: settings, log: log, logWriter: logWriter, store: store, core: core, registry: registry,
+		hangups: hangups, settings: settings, log: log, logWriter: logWriter, store: store, core: core, registry: registry,
 		incarnation: time.Now().UnixMilli(),
 		startedAt:   time.Now(),
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -78,7 +78,7 @@
 		StoreAddress: c.storeAddress, MemoryBytes: 1 << 28, HeartbeatInterval: time.Second, StopGrace: c.stopGrace,
 		Seeds: []netip.Addr{netip.MustParseAddr(fmt.Sprintf("127.0.8.%d", number-1))},
 	}
-	host := &runningHost{node: New(settings, io.Discard), done: make(chan error, 1)}
+	host := &runningHost{node: New(settings, io.Discard, nil), done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	host.stop = cancel
 	go func() { host.done <- host.node.Run(ctx) }()
@@ -253,7 +253,7 @@
 		Host: "h15", Zone: "za", Region: "north", IP: netip.MustParseAddr("127.0.8.15"), PeerPort: 17541,
 		CallerAddress: "127.0.8.15:18548", StoreAddress: c.storeAddress, MemoryBytes: 1 << 28,
 	}
-	assert.ErrorContains(t, New(settings, io.Discard).Run(t.Context()), "listen for callers")
+	assert.ErrorContains(t, New(settings, io.Discard, nil).Run(t.Context()), "listen for callers")
 }
 
 // Guards against missing metrics of the configuration version and the age of the
--- a/node/stop.go
+++ b/node/stop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"filberthold/platform"
@@ -42,12 +40,9 @@
 
 // reloadLoop reads the settings again on SIGHUP.
 func (n *Node) reloadLoop(ctx context.Context) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	for {
 		select {
-		case <-hangups:
+		case <-n.hangups:
 			n.reload()
 		case <-ctx.Done():
 			return nil
