--- a/fakes/link.go
+++ b/fakes/link.go
@@ -18,14 +18,14 @@
 	bytesPerSecond int
 	accepted       chan net.Conn
 	closed         chan struct{}
-	// isIdle holds a token while no connection uses the link.
-	isIdle chan struct{}
+	// token is in the channel while no connection uses the link.
+	token chan struct{}
 }
 
 // NewLink returns a link with a bandwidth.
 func NewLink(bytesPerSecond int) *Link {
-	link := &Link{bytesPerSecond: bytesPerSecond, accepted: make(chan net.Conn), closed: make(chan struct{}), isIdle: make(chan struct{}, 1)}
-	link.isIdle <- struct{}{}
+	link := &Link{bytesPerSecond: bytesPerSecond, accepted: make(chan net.Conn), closed: make(chan struct{}), token: make(chan struct{}, 1)}
+	link.token <- struct{}{}
 	return link
 }
 
@@ -88,11 +88,11 @@
 // false if the link is closed.
 func (l *Link) transmit(count int) bool {
 	select {
-	case <-l.isIdle:
+	case <-l.token:
 	case <-l.closed:
 		return false
 	}
-	defer func() { l.isIdle <- struct{}{} }()
+	defer func() { l.token <- struct{}{} }()
 	timer := time.NewTimer(time.Duration(count) * time.Second / time.Duration(l.bytesPerSecond))
 	defer timer.Stop()
 	select {
--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -18,8 +18,8 @@
 	// progressInterval is the time in which at least minProgress bytes of a
 	// response's body must arrive.
 	progressInterval = time.Second
-	// minProgress is in bytes. It is below the share of one of a hundred peers of a
-	// host with a link of 1 Mbit/s.
+	// minProgress is in bytes. A hundred peers that share a link of 1 Mbit/s get more
+	// than that.
 	minProgress = 1 << 10
 )
 
@@ -66,17 +66,17 @@
 func Do(client *http.Client, request *http.Request, headDeadline time.Time, maxBytes int64) (Result, error) {
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
-	watchdog := &watchdog{cancel: cancel}
-	watchdog.start(time.Until(headDeadline))
-	defer watchdog.stop()
+	watch := &watchdog{cancel: cancel}
+	watch.start(time.Until(headDeadline))
+	defer watch.stop()
 	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		return Result{}, exchangeError(ctx, "send request", err)
 	}
 	headAt := time.Now()
 	defer func() { _ = response.Body.Close() }()
-	watchdog.watchBody()
-	body, err := io.ReadAll(io.LimitReader(&progressReader{source: response.Body, watchdog: watchdog}, maxBytes+1))
+	watch.watchBody()
+	body, err := io.ReadAll(io.LimitReader(&progressReader{source: response.Body, watchdog: watch}, maxBytes+1))
 	if err != nil {
 		return Result{}, exchangeError(ctx, "read response", err)
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -81,7 +81,7 @@
 	path, _, _ := strings.Cut(e.requestTarget(), "?")
 	matchedRoute, exists := e.config.Match(request.Host, path)
 	if !exists {
-		e.failByConfig(http.StatusNotFound, "no route matches")
+		e.denyByConfig(http.StatusNotFound, "no route matches")
 		return
 	}
 	e.route = matchedRoute
@@ -118,7 +118,7 @@
 func (e *exchange) readBody() bool {
 	limit := e.config.Limits().MaxBodyBytes
 	if limit > 0 && e.request.ContentLength > limit {
-		e.failByConfig(http.StatusRequestEntityTooLarge, "the body is too long")
+		e.denyByConfig(http.StatusRequestEntityTooLarge, "the body is too long")
 		return false
 	}
 	if e.request.ContentLength > maxBufferedBody {
--- a/proxy/freshness.go
+++ b/proxy/freshness.go
@@ -21,20 +21,21 @@
 	// NewestConfig returns the version of the newest configuration that another host
 	// has in force, or 0.
 	NewestConfig func() uint64
-	// ApplyTime is the time within which a configuration must be in force.
+	// ApplyTime is the time within which a change of the configuration or of the
+	// evacuations must be in force.
 	ApplyTime time.Duration
 }
 
-// mayBeOutdated reports whether a newer configuration than the given version may
-// have to be in force.
+// mayBeOutdated reports whether callers may rely on a newer configuration than the
+// given version: this host has missed its time to get one, or another host has it.
 func (f Freshness) mayBeOutdated(version uint64) bool {
 	return f.OperatorAge() > f.ApplyTime || f.NewestConfig() > version
 }
 
-// failByConfig fails a request that the configuration in force does not allow. The
-// caller is asked to come back if that may be outdated: after a final status it does
-// not try again.
-func (e *exchange) failByConfig(status int, reason string) {
+// denyByConfig ends a request that the configuration in force does not allow: with a
+// final status if the configuration is current, after which the caller does not try
+// again, and otherwise with the request to come back.
+func (e *exchange) denyByConfig(status int, reason string) {
 	if e.server.freshness.mayBeOutdated(e.config.Version()) {
 		e.refuse(reason+", but the configuration may be outdated", outdatedRetryAfter)
 		return
--- a/relay/pack.go
+++ b/relay/pack.go
@@ -20,7 +20,7 @@
 	maxValueBytes = 16 << 20
 )
 
-// packedValue is the compressed value of a row of Changes.
+// packedValue is the compressed value of a row of Changes, in transit.
 type packedValue struct {
 	// Row is the index of the row, whose Value is empty.
 	Row int `cbor:"row"`
@@ -32,15 +32,16 @@
 // concurrent use.
 type packer struct {
 	mu sync.Mutex
-	// packed holds compressed values, the oldest first.
-	packed []*packing
+	// values holds the last values that were compressed, the oldest first.
+	values []*compressedValue
 }
 
-// packing is the compression of one value. Rows share the value's memory, so that its
-// address and length identify it.
-type packing struct {
-	value   []byte
-	once    sync.Once
+// compressedValue is a value with its compressed content. Rows share the value's
+// memory, so that its address and length identify it.
+type compressedValue struct {
+	value []byte
+	once  sync.Once
+	// content and err are set by compress.
 	content []byte
 	err     error
 }
@@ -64,34 +65,34 @@
 
 // content returns the compressed value of a row.
 func (p *packer) content(row platform.Row) ([]byte, error) {
-	packing := p.find(row.Value)
-	packing.once.Do(packing.compress)
-	return packing.content, packing.err
+	compressed := p.find(row.Value)
+	compressed.once.Do(compressed.compress)
+	return compressed.content, compressed.err
 }
 
-func (p *packer) find(value []byte) *packing {
+func (p *packer) find(value []byte) *compressedValue {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, known := range p.packed {
+	for _, known := range p.values {
 		if len(known.value) == len(value) && &known.value[0] == &value[0] {
 			return known
 		}
 	}
-	if len(p.packed) == maxPackedValues {
-		p.packed = p.packed[1:]
+	if len(p.values) == maxPackedValues {
+		p.values = p.values[1:]
 	}
-	added := &packing{value: value}
-	p.packed = append(p.packed, added)
+	added := &compressedValue{value: value}
+	p.values = append(p.values, added)
 	return added
 }
 
-func (p *packing) compress() {
+func (v *compressedValue) compress() {
 	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest))
 	if err != nil {
-		p.err = fmt.Errorf("make encoder: %w", err)
+		v.err = fmt.Errorf("make encoder: %w", err)
 		return
 	}
-	p.content = encoder.EncodeAll(p.value, nil)
+	v.content = encoder.EncodeAll(v.value, nil)
 }
 
 // unpack restores the values that pack compressed.
