Read a revision of the own wire for as long as it makes progress

A revision that takes longer over its link was dropped and read from its start at the next poll, and the host never adopted it; it could get it from a peer only.

Now only the head has this deadline. The client of the store uses package fetch: a response without progress ends the call, one over 64 MB is an error in place of a cut body, and the other calls keep the deadlines of their contexts.

--- a/entry/config_watcher.go
+++ b/entry/config_watcher.go
@@ -87,11 +87,9 @@
 // poll reads the head row once. It confirms the revision in force, or queues a
 // newer one for adoption.
 func (c *ConfigWatcher) poll(ctx context.Context, now time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, headPollInterval)
-	defer cancel()
-	row, err := c.store.Get(ctx, revise.HeadKey)
+	row, err := c.readHead(ctx)
 	if err != nil {
-		return fmt.Errorf("read head: %w", err)
+		return err
 	}
 	id, err := revise.ParseRevisionID(row.Value)
 	if err != nil {
@@ -105,6 +103,7 @@
 		c.state.Confirm(id.Number(), now)
 		return nil
 	}
+	// The body has no deadline: it is large, and the link may be small.
 	body, err := c.store.Object(ctx, revise.ObjectName(id.Number()))
 	if err != nil {
 		return fmt.Errorf("read revision %s: %w", id, err)
@@ -115,6 +114,16 @@
 	return nil
 }
 
+func (c *ConfigWatcher) readHead(ctx context.Context) (store.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, headPollInterval)
+	defer cancel()
+	row, err := c.store.Get(ctx, revise.HeadKey)
+	if err != nil {
+		return store.Row{}, fmt.Errorf("read head: %w", err)
+	}
+	return row, nil
+}
+
 // candidateLoop handles queued revisions in order. It is separate from
 // pollLoop, which would delay revisions from peers while the store does not
 // respond.
--- a/entry/config_watcher_test.go
+++ b/entry/config_watcher_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"filberthold/fakes"
@@ -96,3 +98,29 @@
 	assert.NilError(t, watcher.poll(ctx, at(12)))
 	assert.Assert(t, watcher.state.Confirmed(at(12)), "the store is reachable again")
 }
+
+// Guards against a revision that a host never gets because each read of it ends before
+// the whole revision has arrived.
+func TestLargeRevisionArrivesOverSmallLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bytesPerSecond = 100 << 10
+		// The comment makes the body take 5 s.
+		body := append(bodyOf(1), []byte("\n#"+strings.Repeat("x", 5*bytesPerSecond))...)
+		link := fakes.NewLink(bytesPerSecond)
+		server := &http.Server{Handler: fakes.NewPlatform()}
+		done := make(chan error, 1)
+		go func() { done <- server.Serve(link) }()
+		t.Cleanup(func() {
+			assert.NilError(t, server.Close())
+			assert.ErrorIs(t, <-done, http.ErrServerClosed)
+		})
+		client := store.NewClientWithDial("platform:1", link.DialContext)
+		_, err := revise.Accept(t.Context(), client, 0, body)
+		assert.NilError(t, err)
+		watcher, _ := newConfigWatcher(client)
+		assert.NilError(t, watcher.poll(t.Context(), time.Now()))
+		received, err := watcher.candidates.Get(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(received.body), len(body))
+	})
+}
--- a/store/client.go
+++ b/store/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -13,10 +12,16 @@
 	"time"
 
 	"filberthold/conns"
+	"filberthold/fetch"
 )
 
-// maxResponseBytes bounds how much of a response is read. The rest is ignored.
-const maxResponseBytes = 64 << 20
+const (
+	// maxResponseBytes bounds the size of a response.
+	maxResponseBytes = 64 << 20
+	// headTimeout bounds the wait for the beginning of a response if the context of
+	// the call has no deadline.
+	headTimeout = 10 * time.Second
+)
 
 // Client calls the platform. After an error other than ErrAbsent, ErrExists and
 // ConflictError it is unknown whether a write took effect. ErrExists may also
@@ -91,7 +96,8 @@
 	return nil
 }
 
-// Object returns the contents of an object, or ErrAbsent.
+// Object returns the contents of an object, or ErrAbsent. Without a deadline of ctx, a
+// large object may take as long as it makes progress.
 func (c *Client) Object(ctx context.Context, name string) ([]byte, error) {
 	var body []byte
 	if err := c.call(ctx, http.MethodGet, "/objects/"+url.PathEscape(name), nil, &body); err != nil {
@@ -126,16 +132,19 @@
 	if c.caller != "" {
 		request.Header.Set(CallerHeader, c.caller)
 	}
-	response, err := c.http.Do(request)
+	response, err := fetch.Do(c.http, request, headDeadline(ctx), maxResponseBytes)
 	if err != nil {
 		return fmt.Errorf("call platform: %w", err)
 	}
-	defer response.Body.Close()
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	if err != nil {
-		return fmt.Errorf("read platform response: %w", err)
+	return decodeResponse(response.Status, response.Body, into)
+}
+
+// headDeadline returns the time until which the response to a call must begin.
+func headDeadline(ctx context.Context) time.Time {
+	if deadline, exists := ctx.Deadline(); exists {
+		return deadline
 	}
-	return decodeResponse(response.StatusCode, responseBody, into)
+	return time.Now().Add(headTimeout)
 }
 
 func decodeResponse(status int, body []byte, into any) error {
