Reject odd entries of endpoints one by one

Cause: other programs write among the entries of endpoints. A sequence far ahead or a start in the future made all later entries of the endpoint itself look old.

The last good entry stays.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -160,7 +160,7 @@
 	var addresses []netip.Addr
 	for _, row := range rows.Rows {
 		var decoded hostRow
-		if err := json.Unmarshal(row.Value, &decoded); err != nil || !decoded.IP.IsValid() {
+		if err := json.Unmarshal(row.Value, &decoded); err != nil || !platform.IsUnicast(decoded.IP) {
 			n.log.Warn("row of a host not decoded", "key", row.Key, "error", err)
 			continue
 		}
--- a/node/replica.go
+++ b/node/replica.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"errors"
 	"log/slog"
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filberthold/model"
@@ -25,9 +27,11 @@
 
 	mu        sync.Mutex
 	evacuated map[model.ZoneName]bool
-	// undecodable holds the keys of the entries whose last value could not be
-	// decoded. A key is logged again only after a value of it was decoded.
-	undecodable map[string]bool
+	// rejected holds the keys of the entries whose last value was rejected. A key is
+	// logged and counted again only after a value of it was applied or removed.
+	rejected map[string]bool
+	// rejectedCount counts the entries that were rejected.
+	rejectedCount atomic.Uint64
 	// configValue is the value of the row whose configuration is in force.
 	configValue []byte
 	// lostUntil holds the keys of the operator's rows that the store lost, and the end
@@ -39,7 +43,7 @@
 func newStoreReplica(log *slog.Logger, core *proxy.Core) *storeReplica {
 	return &storeReplica{
 		log: log, core: core, operator: relay.NewCache(), endpoints: relay.NewCache(),
-		evacuated: make(map[model.ZoneName]bool), undecodable: make(map[string]bool),
+		evacuated: make(map[model.ZoneName]bool), rejected: make(map[string]bool),
 		lostUntil: make(map[string]time.Time),
 	}
 }
@@ -162,6 +166,7 @@
 // there is no grace period; otherwise expireEndpoints sends it to them if the entry
 // is not written again.
 func (r *storeReplica) applyRemoval(row platform.Row, graceUntil time.Time) {
+	delete(r.rejected, row.Key)
 	if r.core.RemoveEntry(model.EndpointName(row.Key), graceUntil) {
 		r.log.Info("endpoint is gone", "endpoint", row.Key, "rowVersion", row.Version)
 	}
@@ -172,15 +177,14 @@
 
 func (r *storeReplica) applyEntry(row platform.Row) {
 	entry, err := platform.DecodeEntry(row)
+	if err == nil && entry.IsFromFuture(time.Now()) {
+		err = errFromFuture
+	}
 	if err != nil {
-		// The last entry that could be decoded stays in use.
-		if !r.undecodable[row.Key] {
-			r.undecodable[row.Key] = true
-			r.log.Warn("entry not decoded", "key", row.Key, "rowVersion", row.Version, "error", err)
-		}
+		r.rejectEntry(row, err)
 		return
 	}
-	delete(r.undecodable, row.Key)
+	delete(r.rejected, row.Key)
 	change := r.core.ApplyEntry(entry)
 	if change == roster.Stale {
 		return
@@ -192,6 +196,20 @@
 	}
 }
 
+// errFromFuture is the error of an entry whose incarnation starts in the future.
+var errFromFuture = errors.New("born is in the future")
+
+// rejectEntry logs and counts an entry that another program may have written. The last
+// entry that could be applied stays in use.
+func (r *storeReplica) rejectEntry(row platform.Row, cause error) {
+	if r.rejected[row.Key] {
+		return
+	}
+	r.rejected[row.Key] = true
+	r.rejectedCount.Add(1)
+	r.log.Warn("entry rejected", "key", row.Key, "rowVersion", row.Version, "error", cause)
+}
+
 // expireEndpoints removes the endpoints whose entries were not written again
 // within the grace period after an outage.
 func (r *storeReplica) expireEndpoints() {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -138,12 +138,31 @@
 	return change
 }
 
+// maxLateEntries is how many entries a late write of an endpoint may be behind the last
+// one. An endpoint writes about one entry a second, and a write that got no response is
+// performed within seconds. A record further ahead was not written by the endpoint.
+const maxLateEntries = 1000
+
+// maxClockLead is how far the start of an incarnation may be in the future, by the
+// clock of this host. The clocks of hosts and endpoints differ by seconds.
+const maxClockLead = time.Hour
+
+// IsFromFuture reports whether the start of the entry's incarnation is in the future.
+// Another program wrote such an entry. It must not be applied, because all entries of
+// the endpoint itself would be older.
+func (e Entry) IsFromFuture(now time.Time) bool {
+	return time.UnixMilli(e.Incarnation).After(now.Add(maxClockLead))
+}
+
 // isOlder reports whether an entry is older than the record. The last entry of a
 // removed incarnation is older too: it does not make the endpoint usable again.
 func isOlder(entry Entry, previous *record) bool {
 	if entry.Incarnation != previous.entry.Incarnation {
 		return entry.Incarnation < previous.entry.Incarnation
 	}
+	if previous.entry.Sequence > entry.Sequence+maxLateEntries {
+		return false
+	}
 	if previous.isRemoved {
 		return entry.Sequence <= previous.entry.Sequence
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -36,6 +36,27 @@
 	assert.Equal(t, len(roster.Endpoints("s")), 0)
 }
 
+// Guards against an endpoint whose entries are ignored for good after another program
+// wrote an entry with a very high sequence under its name.
+func TestEndpointIsHeardAfterForeignSequence(t *testing.T) {
+	roster := newRoster()
+	roster.Apply(newEntry("e", Ready, 5, 1), start())
+	foreign := newEntry("e", Draining, 1<<53-1, 1)
+	assert.Equal(t, roster.Apply(foreign, start()), Left)
+	assert.Equal(t, roster.Apply(newEntry("e", Ready, 6, 1), start()), Left)
+	assert.Equal(t, len(roster.Endpoints("s")), 1)
+	assert.Equal(t, roster.Apply(newEntry("e", Ready, 5, 1), start()), Stale)
+}
+
+// Guards against an incarnation of the future, beside which all entries of the endpoint
+// itself are old, and against refusing a clock that is ahead by seconds.
+func TestIncarnationOfTheFutureIsRecognised(t *testing.T) {
+	entry := newEntry("e", Ready, 1, start().Add(20*time.Second).UnixMilli())
+	assert.Assert(t, !entry.IsFromFuture(start()))
+	entry.Incarnation = start().AddDate(10, 0, 0).UnixMilli()
+	assert.Assert(t, entry.IsFromFuture(start()))
+}
+
 // Guards against a new incarnation that is ignored because its sequence starts
 // again, and against late entries of the old one.
 func TestNewIncarnationReplacesOldOne(t *testing.T) {
--- a/route/route.go
+++ b/route/route.go
@@ -111,6 +111,16 @@
 	return slices.Sorted(maps.Keys(c.services))
 }
 
+// Routes returns all routes, ordered by domain and then from the longest prefix to the
+// shortest.
+func (c *Config) Routes() []Route {
+	var routes []Route
+	for _, domain := range slices.Sorted(maps.Keys(c.domains)) {
+		routes = append(routes, c.domains[domain]...)
+	}
+	return routes
+}
+
 // Match returns the route of a domain, with or without a port, whose prefix is
 // the longest that matches the path.
 func (c *Config) Match(domain, path string) (Route, bool) {
