Count a notice for the incarnation that was running when it was sent

Cause: a response does not name its incarnation. An endpoint that started again under its name and said so before its new entry was read, was taken for its earlier incarnation, and the notice was forgotten with the new entry. A response to a request sent before the entry was read was ignored after it.

TestNoticeBeforeNewEntryCountsForNewIncarnation fails in 6 cases without the change.

Ruled out: a margin on the receiver's side, because a restart takes longer than the clocks differ; a notice that counts only by the clocks ends after 30 s, so that a wrong clock costs an endpoint no longer.

Change: a notice carries when its request was sent and counts for an incarnation that had started by then.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -197,11 +197,12 @@
 // run after every change, because reading the whole table changes every
 // endpoint and each update iterates over all of them.
 func (c *Core) updateSelector() {
-	if c.config == nil || (!c.isSelectorOutdated && c.roster.Revision() == c.selectorRevision) {
+	now := time.Now()
+	if c.config == nil || (!c.isSelectorOutdated && c.roster.Revision() == c.selectorRevision && !c.selector.HasClearedNotices(now)) {
 		return
 	}
 	c.selectorRevision, c.isSelectorOutdated = c.roster.Revision(), false
-	c.selector.Update(c.config, c.roster, c.services)
+	c.selector.Update(c.config, c.roster, c.services, now)
 }
 
 // pickService returns the service of the next request of a route and counts
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -57,6 +57,8 @@
 	mayHaveRun bool
 	// lastSend is the selection of the latest attempt, for the log.
 	lastSend steer.Send
+	// sentAt is when the latest attempt was sent.
+	sentAt time.Time
 	// refusedPermits counts the permits for limited endpoints that were not granted.
 	refusedPermits int
 }
@@ -214,6 +216,7 @@
 
 func (e *exchange) send(decision steer.Send) attemptOutcome {
 	startedAt := time.Now()
+	e.sentAt = startedAt
 	ctx := e.request.Context()
 	if !e.route.Class.Idempotent() {
 		// The endpoint may complete the request after the caller disconnects, so
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -47,7 +47,8 @@
 	}
 	endpoint := e.lastSend.Endpoint
 	news := e.server.core.hear(steer.Notice{
-		Endpoint: endpoint.Name, Incarnation: endpoint.Incarnation, IsLeaving: header.IsLeaving, RetryAfter: header.RetryAfter,
+		Endpoint: endpoint.Name, Incarnation: endpoint.Incarnation, SentAt: e.sentAt,
+		IsLeaving: header.IsLeaving, RetryAfter: header.RetryAfter,
 	})
 	if news.IsLeaving {
 		e.server.pool.CloseIdle(endpoint.Address)
--- a/steer/bench_test.go
+++ b/steer/bench_test.go
@@ -28,7 +28,7 @@
 	}
 	config := route.NewConfig(1, nil, []route.Service{{Name: "s", ColdRate: 2}}, route.Limits{})
 	selector := New("h", "za", regions())
-	selector.Update(config, endpointRoster, []model.ServiceName{"s"})
+	selector.Update(config, endpointRoster, []model.ServiceName{"s"}, start())
 	rng := rand.New(rand.NewPCG(1, 2))
 	loads := make(map[model.HostName][]Load)
 	for i := range hosts {
--- a/steer/notice_test.go
+++ b/steer/notice_test.go
@@ -21,7 +21,7 @@
 }
 
 func update(selector *Selector, endpoints *fixture) {
-	selector.Update(endpoints.config, endpoints.roster, []model.ServiceName{"s"})
+	selector.Update(endpoints.config, endpoints.roster, []model.ServiceName{"s"}, start())
 }
 
 // chosenEndpoints returns the endpoints that get 50 requests for as many objects.
@@ -112,6 +112,52 @@
 	assert.Equal(t, len(chosenEndpoints(selector, start())), 2)
 }
 
+// Guards against requests to an endpoint that started again under its name and said, by
+// a response that came before its new entry was read, that it is leaving or wants to be
+// spared. Guards also against an endpoint that stays unused because its earlier
+// incarnation was leaving, or for good because the clocks differ.
+func TestNoticeBeforeNewEntryCountsForNewIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		// startedAfterSend is from the send of the request to the start of the new
+		// incarnation.
+		startedAfterSend time.Duration
+		isEntryReadFirst bool
+		checkedAfter     time.Duration
+		isUsed           bool
+	}{
+		"the new incarnation was running":             {-300 * time.Millisecond, false, time.Second, false},
+		"its entry is read before the response":       {-300 * time.Millisecond, true, time.Second, false},
+		"its clock is a little ahead":                 {100 * time.Millisecond, false, time.Second, false},
+		"the new incarnation starts after the drain":  {2 * time.Second, false, 3 * time.Second, true},
+		"the notice has become too old to be unclear": {-300 * time.Millisecond, false, unclearRetention + time.Second, true},
+	}
+	for name, test := range tests {
+		for _, heard := range []Notice{{IsLeaving: true}, {RetryAfter: 4 * time.Second}} {
+			t.Run(fmt.Sprint(name, heard.IsLeaving), func(t *testing.T) {
+				endpoints := newFixture(0)
+				endpoints.add("a", "za", 0)
+				selector := endpoints.selector("h")
+				sentAt := start().Add(time.Minute)
+				heardAt := sentAt.Add(200 * time.Millisecond)
+				startedAt := sentAt.Add(test.startedAfterSend)
+				if test.isEntryReadFirst {
+					endpoints.roster.Apply(entry("a", 1, startedAt.UnixMilli()), heardAt)
+					update(selector, endpoints)
+				}
+				heard.Endpoint, heard.Incarnation, heard.SentAt = "a", 1, sentAt
+				selector.Hear(heard, heardAt)
+				endpoints.roster.Apply(entry("a", 1, startedAt.UnixMilli()), heardAt)
+				selector.Update(endpoints.config, endpoints.roster, []model.ServiceName{"s"}, heardAt)
+				checkedAt := heardAt.Add(test.checkedAfter)
+				if selector.HasClearedNotices(checkedAt) {
+					selector.Update(endpoints.config, endpoints.roster, []model.ServiceName{"s"}, checkedAt)
+				}
+				assert.Equal(t, chosenEndpoints(selector, checkedAt)["a"], test.isUsed)
+			})
+		}
+	}
+}
+
 // Guards against a rejection without the time after which another endpoint may be
 // known, or one that makes the request wait, when the last endpoint leaves.
 func TestLastLeavingEndpointRejectsWaitingQueries(t *testing.T) {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -114,6 +114,9 @@
 	// notices holds what endpoints said of themselves, also of those that are not in
 	// endpoints.
 	notices map[model.EndpointName]*notice
+	// noticesUnclearUntil is the time until which one of the notices may count for an
+	// incarnation to which the request was not sent, or zero if none does.
+	noticesUnclearUntil time.Time
 	// ranking is reused by each choice to save allocations.
 	ranking ranking
 	// spillCredit is the credit for spillover to other regions than planned.
@@ -152,10 +155,10 @@
 // Update applies the usable endpoints of the named services from the roster, without
 // those that have said that they are leaving. An endpoint that is no longer usable is
 // removed after its last request has ended.
-func (s *Selector) Update(config *route.Config, endpointRoster *roster.Roster, names []model.ServiceName) {
+func (s *Selector) Update(config *route.Config, endpointRoster *roster.Roster, names []model.ServiceName, now time.Time) {
 	present := make(map[model.EndpointName]bool)
 	for _, name := range names {
-		s.updateService(config, name, endpointRoster.Endpoints(name), present)
+		s.updateService(config, name, endpointRoster.Endpoints(name), present, now)
 	}
 	for name, target := range s.endpoints {
 		target.isUsable = present[name]
@@ -169,7 +172,7 @@
 	}
 }
 
-func (s *Selector) updateService(config *route.Config, name model.ServiceName, usable []roster.Endpoint, present map[model.EndpointName]bool) {
+func (s *Selector) updateService(config *route.Config, name model.ServiceName, usable []roster.Endpoint, present map[model.EndpointName]bool, now time.Time) {
 	state := s.services[name]
 	if state == nil {
 		state = &serviceState{}
@@ -182,14 +185,14 @@
 	state.byRegion = make(map[model.RegionName][]*endpoint)
 	capacity := make(map[model.RegionName]float64)
 	for _, registered := range usable {
-		if s.isLeaving(registered) {
+		if s.isLeaving(registered, now) {
 			continue
 		}
 		present[registered.Name] = true
 		target := s.endpoints[registered.Name]
 		if target == nil {
 			target = newEndpoint(registered)
-			target.spare = s.knownSpare(registered)
+			target.spare = s.knownSpare(registered, now)
 			s.endpoints[registered.Name] = target
 			s.byID[target.id()] = target
 		}
@@ -199,7 +202,7 @@
 		}
 		target.update(registered)
 		if isRestarted {
-			target.spare = s.knownSpare(registered)
+			target.spare = s.knownSpare(registered, now)
 		}
 		state.endpoints = append(state.endpoints, target)
 		state.byRegion[target.region] = append(state.byRegion[target.region], target)
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -49,7 +49,7 @@
 // selector returns the selector of a host in zone za.
 func (f *fixture) selector(host model.HostName) *Selector {
 	created := New(host, "za", regions())
-	created.Update(f.config, f.roster, []model.ServiceName{"s"})
+	created.Update(f.config, f.roster, []model.ServiceName{"s"}, start())
 	return created
 }
 
@@ -331,7 +331,7 @@
 				Endpoint: restarted.name, Service: "s", Address: restarted.address, Zone: restarted.zone, Slots: 3,
 				State: roster.Ready, Sequence: 1, Incarnation: incarnation,
 			}, now)
-			selector.Update(deployment.config, deployment.roster, []model.ServiceName{"s"})
+			selector.Update(deployment.config, deployment.roster, []model.ServiceName{"s"}, start())
 			assert.Equal(t, selector.endpoints[restarted.name].peerInFlight, 0)
 		}
 		selector.expireLoads(now)
@@ -386,7 +386,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			selector := New("h", "za", zones)
-			selector.Update(deployment.config, deployment.roster, []model.ServiceName{"s"})
+			selector.Update(deployment.config, deployment.roster, []model.ServiceName{"s"}, start())
 			selector.spillCredit = maxSpillCredit
 			for _, name := range test.full {
 				selector.ApplyLoads(model.HostName(name), []Load{{Endpoint: selector.endpoints[name].id(), Count: 3 + maxEndpointQueue}}, true, start())
