Date the operator's rows by when the store had them

Cause: a poll without a wait confirmed its rows when its response arrived. By calls of 260 ms the rows were then up to 260 ms older than a host without a reader believed, which was more than the time to apply a configuration left.

Ruled out: a shorter check interval, which costs calls.

Change: rows count as of the start of a poll without a wait or with changes, and as of the end of the wait otherwise.

--- a/node/reader.go
+++ b/node/reader.go
@@ -200,9 +200,9 @@
 func (r *reader) readOperator(ctx context.Context) error {
 	after := r.replica.operator.Version()
 	if !after.IsZero() {
-		rows, err := r.watchOperator(ctx, after)
+		rows, confirmedAt, err := r.watchOperator(ctx, after)
 		if err == nil {
-			r.replica.applyOperatorRows(rows.Rows, rows.Version, rows.ReceivedAt, storeSource)
+			r.replica.applyOperatorRows(rows.Rows, rows.Version, confirmedAt, storeSource)
 			return nil
 		}
 		if !r.isHistoryLost(err, platform.OperatorTable, after) {
@@ -220,13 +220,24 @@
 
 // watchOperator waits for changes of the operator's rows, unless the rows are older
 // than the read interval. The wait for an answer is short, because a call can hang
-// on a connection that went silent while the store answers on others.
-func (r *reader) watchOperator(ctx context.Context, after platform.Version) (platform.Rows, error) {
+// on a connection that went silent while the store answers on others. It also returns
+// when the store had the rows: the response may have been in transit for long.
+func (r *reader) watchOperator(ctx context.Context, after platform.Version) (platform.Rows, time.Time, error) {
 	wait := r.intervals.operator.readInterval
-	if r.replica.operator.Age(time.Now()) > wait {
+	startedAt := time.Now()
+	if r.replica.operator.Age(startedAt) > wait {
+		wait = 0
+	}
+	rows, err := r.store.Watch(ctx, platform.OperatorTable, after, wait, r.answerTimeout())
+	if len(rows.Rows) > 0 {
+		// The store may have answered at once.
 		wait = 0
 	}
-	return r.store.Watch(ctx, platform.OperatorTable, after, wait, r.answerTimeout())
+	confirmedAt := startedAt.Add(wait)
+	if confirmedAt.After(rows.ReceivedAt) {
+		confirmedAt = rows.ReceivedAt
+	}
+	return rows, confirmedAt, err
 }
 
 // answerTimeout returns the time in which the store must begin to answer a call for
