Move the hash of names into a package of its own

Cause: failure detection needs the same hash as the choice of endpoints.

Change: steer's hash64 and mix become hashes.Sum and hashes.Mix; no value changes.

--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"filberthold/hashes"
 	"filberthold/model"
 	"filberthold/roster"
 )
@@ -72,7 +73,7 @@
 }
 
 func newEndpoint(registered roster.Endpoint) *endpoint {
-	created := &endpoint{name: registered.Name, hash: hash64(string(registered.Name)), slowness: 1}
+	created := &endpoint{name: registered.Name, hash: hashes.Sum(string(registered.Name)), slowness: 1}
 	created.update(registered)
 	return created
 }
--- a/steer/rank.go
+++ b/steer/rank.go
@@ -3,29 +3,9 @@
 import (
 	"container/heap"
 	"math"
-)
-
-// hash64 is FNV-1a with a final mix. Without the mix, names that differ in their
-// last letter only have similar hashes, and one endpoint gets most objects.
-func hash64(texts ...string) uint64 {
-	const offset, prime = 14695981039346656037, 1099511628211
-	sum := uint64(offset)
-	for _, text := range texts {
-		for i := range len(text) {
-			sum = (sum ^ uint64(text[i])) * prime
-		}
-		sum = (sum ^ 0xff) * prime
-	}
-	return mix(sum)
-}
 
-func mix(value uint64) uint64 {
-	value ^= value >> 33
-	value *= 0xff51afd7ed558ccd
-	value ^= value >> 33
-	value *= 0xc4ceb9fe1a85ec53
-	return value ^ value>>33
-}
+	"filberthold/hashes"
+)
 
 // toUnitInterval maps a hash to a point in 0..1, exclusive.
 func toUnitInterval(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
@@ -34,7 +14,7 @@
 // rendezvous hashing: an object keeps its endpoint when other endpoints are
 // added or removed.
 func rendezvousWeight(object uint64, candidate *endpoint) float64 {
-	return -float64(candidate.slots) / math.Log(toUnitInterval(mix(object^candidate.hash)))
+	return -float64(candidate.slots) / math.Log(toUnitInterval(hashes.Mix(object^candidate.hash)))
 }
 
 // ranking orders the endpoints for an object, the preferred one first. It is a
--- a/steer/spare.go
+++ b/steer/spare.go
@@ -1,6 +1,10 @@
 package steer
 
-import "time"
+import (
+	"time"
+
+	"filberthold/hashes"
+)
 
 const (
 	// maxSpareTime bounds the time for which an endpoint is spared. An endpoint that
@@ -46,7 +50,7 @@
 	until := now.Add(min(retryAfter, maxSpareTime))
 	resumeTime := min(retryAfter, maxResumeTime)
 	if target != nil {
-		fraction := toUnitInterval(mix(hash64(string(s.host)) ^ target.hash))
+		fraction := toUnitInterval(hashes.Mix(hashes.Sum(string(s.host)) ^ target.hash))
 		until = until.Add(time.Duration(fraction * float64(min(resumeTime, s.resumeInterval(target)))))
 	}
 	return spareState{until: until, pacedUntil: until.Add(resumeTime)}
@@ -108,7 +112,7 @@
 	if !isSpared {
 		return 0
 	}
-	return freeAt.Sub(now) + time.Duration(toUnitInterval(hash64(query.AttemptID, query.Object))*float64(retrySpread))
+	return freeAt.Sub(now) + time.Duration(toUnitInterval(hashes.Sum(query.AttemptID, query.Object))*float64(retrySpread))
 }
 
 // MinRetryAfter returns the least Retry-After of a query that is rejected after it was
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"filberthold/hashes"
 	"filberthold/model"
 	"filberthold/roster"
 	"filberthold/route"
@@ -236,7 +237,7 @@
 		s.spillCredit = min(maxSpillCredit, s.spillCredit+spillCreditPerRequest)
 	}
 	object := s.objectHash(query)
-	plannedRegion, exists := pickRegion(state.flows[s.region], toUnitInterval(mix(object)), query.Route.AllowsRegion)
+	plannedRegion, exists := pickRegion(state.flows[s.region], toUnitInterval(hashes.Mix(object)), query.Route.AllowsRegion)
 	if !exists {
 		return Reject{Reason: "no endpoint in an allowed region", RetryAfter: noEndpointRetryAfter}
 	}
@@ -262,9 +263,9 @@
 
 func (s *Selector) objectHash(query Query) uint64 {
 	if query.hasObject() {
-		return hash64(query.Route.Domain, query.Route.Prefix, query.Object)
+		return hashes.Sum(query.Route.Domain, query.Route.Prefix, query.Object)
 	}
-	return hash64(query.AttemptID)
+	return hashes.Sum(query.AttemptID)
 }
 
 // choice is a candidate with its expected response time.
@@ -333,7 +334,7 @@
 	var owner model.HostName
 	highest := uint64(0)
 	for _, host := range hosts {
-		if weight := mix(hash64(string(host)) ^ candidate.hash); owner == "" || weight > highest {
+		if weight := hashes.Mix(hashes.Sum(string(host)) ^ candidate.hash); owner == "" || weight > highest {
 			owner, highest = host, weight
 		}
 	}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"filberthold/hashes"
 	"filberthold/model"
 	"filberthold/roster"
 	"filberthold/route"
@@ -350,10 +351,10 @@
 func TestRankingIsOrdered(t *testing.T) {
 	selector, _ := newLargeSelector(100, 0)
 	endpoints := selector.services["s"].endpoints
-	selector.ranking.start(hash64("o"), endpoints)
+	selector.ranking.start(hashes.Sum("o"), endpoints)
 	last := math.Inf(1)
 	for range endpoints {
-		weight := rendezvousWeight(hash64("o"), selector.ranking.next())
+		weight := rendezvousWeight(hashes.Sum("o"), selector.ranking.next())
 		assert.Assert(t, weight <= last)
 		last = weight
 	}
