Detect failures by monitors instead of heartbeats to all

Cause: every host sent heartbeats to every other one, so their interval grew with the fleet: a dead host was believed for 8.5 s at 195 hosts and 26 s at 685 (four intervals of 0.3 s for each 32 hosts), and heartbeats took 13 kB a second a host at 680.

Weighed: probing a random host each period, as in SWIM, needs a request and an answer for what one beat shows, and to probe each host as often as it beats now, 3 times the bytes; a relay for each region receives the beats of all its hosts, 10 kB a second at the planned size; memberlist has its own sockets and clock, which simulated tests cannot drive.

Change: above 32 hosts, a host beats to two monitors in each region, in other zones first. A monitor that misses four beats tells its region and the host. Two monitors are believed at once, one after 0.5 s, in which the host announces itself. Hosts whose monitors are all gone, and one other host each 1.2 s, are asked for an answer. A host that did not run, or that hears none of those it monitors, does not judge the others by their silence. Up to 32 hosts the beats still go to all, but carry no state unless it has changed. Beliefs that change are logged, one line a tick.

Evidence: in simulated time (member/fleet_test.go) all beliefs about a killed host, zone or region are right after 2 s at 200 hosts and about a zone at 700; none is wrong beside 2% loss and hosts five times slower; 2.3 kB a second at 200 hosts, 2.2 at 700, 3.1 at 12 (5.9 with full heartbeats). When a third of all hosts dies at once, 13% of the beliefs are wrong after 2 s and none after 7.

--- a/gossip/bench_test.go
+++ b/gossip/bench_test.go
@@ -30,7 +30,9 @@
 // BenchmarkHandleHeartbeat measures the decoding and handling of heartbeats of 77
 // hosts.
 func BenchmarkHandleHeartbeat(b *testing.B) {
-	transport := &Transport{log: slog.New(slog.DiscardHandler), table: member.NewTable("self"), loadSentAt: make(map[netip.Addr]time.Time), callbacks: Callbacks{HostsChanged: func() {}}}
+	transport := newTransport(slog.New(slog.DiscardHandler), netip.AddrPort{}, nil, member.NewTable("self"), Callbacks{
+		HostsChanged: func() {}, Heartbeat: func() member.Heartbeat { return member.Heartbeat{Host: "self"} },
+	})
 	var contents [][]byte
 	for _, heartbeat := range manyHeartbeats(77) {
 		content, err := cbor.Marshal(datagram{Heartbeat: &heartbeat})
--- a/gossip/intervals.go
+++ b/gossip/intervals.go
@@ -3,19 +3,6 @@
 import "time"
 
 const (
-	// baseHeartbeatInterval is how often a host sends a heartbeat to each other
-	// host.
-	baseHeartbeatInterval = 300 * time.Millisecond
-	// hostsPerInterval is the number of other hosts for which the heartbeat
-	// interval grows by one baseHeartbeatInterval. This bounds the number of
-	// heartbeats that a host sends.
-	hostsPerInterval = 32
-	// One in peerListEvery heartbeats lists other hosts. It is sent to all hosts,
-	// even to those that were sent a load report.
-	peerListEvery = 8
-	// heartbeatRepeats is how often a changed heartbeat is sent to all hosts,
-	// because messages may be lost.
-	heartbeatRepeats = 3
 	// loadRoundInterval is the length of a round of load reports.
 	loadRoundInterval = 100 * time.Millisecond
 	// sameRegionPerRound and otherRegionsPerRound bound the hosts of its own
@@ -36,12 +23,6 @@
 	maxLoadReportRounds = 12
 )
 
-// heartbeatInterval returns the heartbeat interval of a host with a number of
-// alive peers.
-func heartbeatInterval(hosts int) time.Duration {
-	return baseHeartbeatInterval * time.Duration(1+hosts/hostsPerInterval)
-}
-
 // loadReportRounds returns the number of rounds between load reports to a number
 // of hosts, or 0 if none are sent.
 func loadReportRounds(hosts, perRound, minRounds int) int {
--- a/gossip/intervals_test.go
+++ b/gossip/intervals_test.go
@@ -62,7 +62,7 @@
 	})
 	restarted := startHost(t, "other", "127.0.7.32")
 	restarted.transport.mu.Lock()
-	restarted.transport.table = member.NewTable("other")
+	restarted.transport.detector = member.NewDetector(member.NewTable("other"))
 	restarted.transport.mu.Unlock()
 	busy.transport.sendLoadReport(busy.heartbeat, []netip.Addr{restarted.heartbeat.IP}, []steer.Load{{Endpoint: 1, Count: 1}}, true)
 	poll.WaitOn(t, hasPeer(restarted), poll.WithTimeout(2*time.Second))
--- /dev/null
+++ b/gossip/loads.go
@@ -0,0 +1,74 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"filberthold/member"
+	"filberthold/steer"
+)
+
+// loadReportLoop sends load reports to the hosts that are alive until ctx ends.
+func (t *Transport) loadReportLoop(ctx context.Context) error {
+	ticker := time.NewTicker(loadRoundInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		t.sendLoadReports(round)
+	}
+}
+
+func (t *Transport) sendLoadReports(round int) {
+	heartbeat := t.callbacks.Heartbeat()
+	var sameRegion, otherRegions []netip.Addr
+	for _, alive := range t.Alive() {
+		if alive.Region == heartbeat.Region {
+			sameRegion = append(sameRegion, alive.IP)
+			continue
+		}
+		otherRegions = append(otherRegions, alive.IP)
+	}
+	if rounds := loadReportRounds(len(sameRegion), sameRegionPerRound, 1); isDue(round, rounds) {
+		isFull := isFullReportDue(round, rounds)
+		t.sendLoadReport(heartbeat, sameRegion, t.callbacks.Loads(isFull), isFull)
+	}
+	if rounds := loadReportRounds(len(otherRegions), otherRegionsPerRound, minOtherRegionsRounds); isDue(round, rounds) {
+		t.sendLoadReport(heartbeat, otherRegions, t.callbacks.Loads(true), true)
+	}
+}
+
+func (t *Transport) sendLoadReport(heartbeat member.Heartbeat, addresses []netip.Addr, loads []steer.Load, isFull bool) {
+	limits := t.callbacks.LimitNews()
+	if len(loads) == 0 && len(limits) == 0 && !isFull {
+		return
+	}
+	report := &loadReport{Host: heartbeat.Host, Incarnation: heartbeat.Incarnation, IsFull: isFull, Limits: limits}
+	for _, load := range loads {
+		report.Endpoints = append(report.Endpoints, load.Endpoint)
+		report.Counts = append(report.Counts, load.Count)
+	}
+	t.sendTo(addresses, datagram{Loads: report})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.detector.RecordSent(addresses, time.Now())
+}
+
+func (t *Transport) applyLoads(report loadReport, from netip.Addr) {
+	t.mu.Lock()
+	sends := t.detector.Touch(member.Run{Host: report.Host, Incarnation: report.Incarnation}, from, t.own, time.Now())
+	t.mu.Unlock()
+	t.send(sends)
+	loads := make([]steer.Load, len(report.Endpoints))
+	for i, endpoint := range report.Endpoints {
+		loads[i] = steer.Load{Endpoint: endpoint, Count: report.Counts[i]}
+	}
+	t.callbacks.ApplyLoads(report.Host, loads, report.IsFull)
+	for _, news := range report.Limits {
+		t.callbacks.ApplyLimitNews(news)
+	}
+}
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -45,7 +45,7 @@
 	answer := make(chan steer.Permit, 1)
 	id := t.addPending(answer)
 	defer t.removePending(id)
-	t.sendTo([]netip.Addr{address}, netip.Addr{}, datagram{PermitRequest: &permitRequest{ID: id, News: request.News}})
+	t.sendTo([]netip.Addr{address}, datagram{PermitRequest: &permitRequest{ID: id, News: request.News}})
 	select {
 	case permit := <-answer:
 		return permit, nil
@@ -62,7 +62,7 @@
 		// Another host becomes the owner, which learns the limit from requests.
 		return
 	}
-	t.sendTo([]netip.Addr{address}, netip.Addr{}, datagram{PermitRequest: &permitRequest{News: news}})
+	t.sendTo([]netip.Addr{address}, datagram{PermitRequest: &permitRequest{News: news}})
 }
 
 func (t *Transport) addressOf(name model.HostName) (netip.Addr, error) {
@@ -95,7 +95,7 @@
 		return
 	}
 	permit := t.callbacks.IssuePermit(steer.PermitRequest{News: request.News})
-	t.sendTo([]netip.Addr{from}, netip.Addr{}, datagram{PermitAnswer: &permitAnswer{ID: request.ID, Permit: permit}})
+	t.sendTo([]netip.Addr{from}, datagram{PermitAnswer: &permitAnswer{ID: request.ID, Permit: permit}})
 }
 
 // deliverPermit passes an answer to the request that waits for it.
--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -105,6 +105,10 @@
 		"limit is not a number":         {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{Limit: steer.RateLimit{IsSet: true, PerSecond: math.NaN()}}}},
 		"permit is due in a year":       {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{RetryAfter: 365 * 24 * time.Hour}}},
 		"permit is due in the past":     {PermitAnswer: &permitAnswer{ID: 1, Permit: steer.Permit{RetryAfter: -1}}},
+		"interval is negative":          {Heartbeat: &member.Heartbeat{Host: "h", IP: netip.MustParseAddr("127.0.0.1"), Interval: -1}},
+		"beat without a host":           {Beat: &member.Beat{Interval: time.Second}},
+		"beat once a year":              {Beat: &member.Beat{Host: "h", Interval: 365 * 24 * time.Hour}},
+		"suspicion without a sender":    {Suspicion: &member.Suspicion{Hosts: []member.Run{{Host: "h"}}}},
 		"counts are missing":            {Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}}},
 	}
 	for name, message := range messages {
--- a/member/table.go
+++ b/member/table.go
@@ -9,12 +9,13 @@
 	"slices"
 	"time"
 
+	"filberthold/hashes"
 	"filberthold/model"
 )
 
 const (
-	// A host expires after missedHeartbeats heartbeat intervals and heartbeatDelay
-	// without a message.
+	// A host that sends heartbeats regularly is silent after missedHeartbeats of their
+	// intervals and heartbeatDelay without a message.
 	missedHeartbeats = 4
 	heartbeatDelay   = 100 * time.Millisecond
 	// defaultInterval is assumed for a host whose heartbeats do not contain their
@@ -23,6 +24,15 @@
 	// addressExpiry is how long heartbeats are still sent to an address from which
 	// none arrives.
 	addressExpiry = 30 * time.Second
+	// goneAddressExpiry is the same for the address of a host that was alive before: a
+	// region may be cut off for minutes.
+	goneAddressExpiry = 10 * time.Minute
+	// leavingExpiry is how long a host that is leaving stays in the table. A later
+	// incarnation may be lower, if the clock was set back.
+	leavingExpiry = 5 * time.Second
+	// suspicionTime is how long a host that a single monitor suspects stays alive. The
+	// host is told and announces itself within a round trip between regions.
+	suspicionTime = 500 * time.Millisecond
 )
 
 // Heartbeat is the state that a host sends to other hosts periodically.
@@ -52,17 +62,33 @@
 	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
 	// LinkMbps is the bandwidth of the host's link in Mbit/s, or 0 if it is unknown.
 	LinkMbps float64 `cbor:"15,keyasint,omitempty"`
-	// Interval is the time between heartbeats of the host.
+	// Interval is the time between heartbeats of the host to the receiver. It is 0 if
+	// the host IsMonitored and the receiver is not one of its monitors.
 	Interval time.Duration `cbor:"14,keyasint,omitempty"`
+	// IsMonitored is true if the host sends heartbeats only to its monitors.
+	IsMonitored bool `cbor:"16,keyasint,omitempty"`
 	// Peers are addresses of other hosts from which the host received heartbeats.
 	Peers []netip.Addr `cbor:"13,keyasint,omitempty"`
 }
 
-// record holds the last heartbeat of a host and when its last message was
-// received.
+// record holds the last heartbeat of a host and what is known of its silence.
 type record struct {
-	heartbeat  Heartbeat
+	heartbeat Heartbeat
+	// hash is that of the host's name.
+	hash       uint64
 	receivedAt time.Time
+	// silentAt is the time from which the host is silent unless a message arrives, or
+	// zero if none is expected.
+	silentAt time.Time
+	// askedUntil is the time until which the host should answer a request, or zero if
+	// there is none, and unanswered the number of requests without an answer.
+	askedUntil time.Time
+	unanswered int
+	// accusers are the monitors that told of the host's silence since its last message.
+	accusers []model.HostName
+	// goneAt is the time from which the host is gone by the word of its accusers. It is
+	// zero if there are none.
+	goneAt time.Time
 }
 
 // Table holds the hosts from which heartbeats were received, and the addresses
@@ -72,24 +98,14 @@
 	hosts map[model.HostName]*record
 	// sorted holds the hosts by name.
 	sorted []*record
-	// addresses holds, for each address to which heartbeats are sent, when it
-	// expires.
-	addresses map[netip.Addr]time.Time
+	// addresses holds the addresses to which heartbeats are sent besides those of hosts
+	// that are alive.
+	addresses map[netip.Addr]*contact
 }
 
 // NewTable returns a table without other hosts.
 func NewTable(self model.HostName) *Table {
-	return &Table{self: self, hosts: make(map[model.HostName]*record), addresses: make(map[netip.Addr]time.Time)}
-}
-
-// AddAddresses adds addresses at which there may be hosts. An address that is
-// already in the table keeps its expiry.
-func (t *Table) AddAddresses(addresses []netip.Addr, now time.Time) {
-	for _, address := range addresses {
-		if _, exists := t.addresses[address]; !exists {
-			t.addresses[address] = now.Add(addressExpiry)
-		}
-	}
+	return &Table{self: self, hosts: make(map[model.HostName]*record), addresses: make(map[netip.Addr]*contact)}
 }
 
 // Observe applies a heartbeat and reports whether the host is new, alive again,
@@ -112,7 +128,7 @@
 	hasChanged := before == nil || !before.isAlive(now) || before.heartbeat.IsReady != heartbeat.IsReady ||
 		before.heartbeat.IsLeaving != heartbeat.IsLeaving || before.heartbeat.Incarnation != heartbeat.Incarnation
 	t.set(heartbeat, now)
-	t.addresses[heartbeat.IP] = now.Add(addressExpiry)
+	t.extendAddress(heartbeat.IP, now.Add(addressExpiry))
 	t.AddAddresses(heartbeat.Peers, now)
 	return hasChanged
 }
@@ -120,10 +136,12 @@
 // set stores a heartbeat in place of the host's previous one.
 func (t *Table) set(heartbeat Heartbeat, now time.Time) {
 	if before := t.hosts[heartbeat.Host]; before != nil {
-		before.heartbeat, before.receivedAt = heartbeat, now
+		before.heartbeat = heartbeat
+		before.hear(now)
 		return
 	}
-	added := &record{heartbeat: heartbeat, receivedAt: now}
+	added := &record{heartbeat: heartbeat, hash: hashes.Sum(string(heartbeat.Host))}
+	added.hear(now)
 	t.hosts[heartbeat.Host] = added
 	index, _ := slices.BinarySearchFunc(t.sorted, heartbeat.Host, func(existing *record, name model.HostName) int {
 		return cmp.Compare(existing.heartbeat.Host, name)
@@ -131,15 +149,51 @@
 	t.sorted = slices.Insert(t.sorted, index, added)
 }
 
-// isAlive reports whether the last message of the host is recent in relation to
-// its heartbeat interval. The interval is longer where there are many hosts. A
-// leaving host can be alive here; Table.Alive omits it.
-func (r *record) isAlive(now time.Time) bool {
+// remove removes a host.
+func (t *Table) remove(name model.HostName) {
+	delete(t.hosts, name)
+	t.sorted = slices.DeleteFunc(t.sorted, func(host *record) bool { return host.heartbeat.Host == name })
+}
+
+// hear records a message of the host itself.
+func (r *record) hear(now time.Time) {
+	r.receivedAt, r.silentAt = now, time.Time{}
+	r.askedUntil, r.unanswered = time.Time{}, 0
+	r.accusers, r.goneAt = nil, time.Time{}
 	interval := r.heartbeat.Interval
-	if interval <= 0 {
+	if interval <= 0 && !r.heartbeat.IsMonitored {
 		interval = defaultInterval
 	}
-	return now.Sub(r.receivedAt) < missedHeartbeats*interval+heartbeatDelay
+	switch {
+	case interval > 0:
+		r.silentAt = now.Add(missedHeartbeats*interval + heartbeatDelay)
+	case r.heartbeat.IsLeaving:
+		r.silentAt = now.Add(leavingExpiry)
+	}
+}
+
+// accuse records that a monitor told of the host's silence. One monitor may be wrong, so
+// the host has time to answer; two are not.
+func (r *record) accuse(monitor model.HostName, now time.Time) {
+	if slices.Contains(r.accusers, monitor) {
+		return
+	}
+	r.accusers = append(r.accusers, monitor)
+	goneAt := now.Add(suspicionTime)
+	if len(r.accusers) > 1 {
+		goneAt = now
+	}
+	if r.goneAt.IsZero() || goneAt.Before(r.goneAt) {
+		r.goneAt = goneAt
+	}
+}
+
+func (r *record) isSilent(now time.Time) bool { return !r.silentAt.IsZero() && !now.Before(r.silentAt) }
+
+// isAlive reports whether the host is neither silent nor gone by the word of its
+// monitors. A leaving host can be alive here; Table.Alive omits it.
+func (r *record) isAlive(now time.Time) bool {
+	return !r.isSilent(now) && (r.goneAt.IsZero() || now.Before(r.goneAt))
 }
 
 // Touch records that a message other than a heartbeat was received from a host.
@@ -150,7 +204,19 @@
 	if before == nil || before.heartbeat.Incarnation != incarnation || !before.isAlive(now) {
 		return false
 	}
-	before.receivedAt = now
+	before.hear(now)
+	return true
+}
+
+// Beat applies a beat and returns false if an announcement is needed first, as Touch
+// does.
+func (t *Table) Beat(beat Beat, now time.Time) bool {
+	known := t.hosts[beat.Host]
+	if known == nil || known.heartbeat.Incarnation != beat.Incarnation {
+		return false
+	}
+	known.heartbeat.Interval, known.heartbeat.IsMonitored = beat.Interval, beat.IsMonitored
+	known.hear(now)
 	return true
 }
 
@@ -158,28 +224,26 @@
 func (t *Table) Alive(now time.Time) []Heartbeat {
 	alive := make([]Heartbeat, 0, len(t.sorted))
 	for _, host := range t.sorted {
-		if host.isAlive(now) && !host.heartbeat.IsLeaving {
+		if host.isUsable(now) {
 			alive = append(alive, host.heartbeat)
 		}
 	}
 	return alive
 }
 
-// Addresses returns the addresses to which heartbeats are sent and removes the
-// expired ones.
-func (t *Table) Addresses(now time.Time) []netip.Addr {
-	var addresses []netip.Addr
-	for address, until := range t.addresses {
-		if now.After(until) {
-			delete(t.addresses, address)
-			continue
+// usable returns the records of the hosts that Alive returns.
+func (t *Table) usable(now time.Time) []*record {
+	usable := make([]*record, 0, len(t.sorted))
+	for _, host := range t.sorted {
+		if host.isUsable(now) {
+			usable = append(usable, host)
 		}
-		addresses = append(addresses, address)
 	}
-	slices.SortFunc(addresses, netip.Addr.Compare)
-	return addresses
+	return usable
 }
 
+func (r *record) isUsable(now time.Time) bool { return !r.heartbeat.IsLeaving && r.isAlive(now) }
+
 // Nearest returns the ready hosts that a caller in an availability zone should
 // use: those of the zone, those of the region if the zone has fewer than
 // minimum, or those of all regions if the region has no ready host.
