Start reads early that a caller sends before its first is answered

Cause: net/http reads the next request of a connection only after the response to the one before, so a pipelined read waited for the first one's whole time: 540 ms of work against an aim of 500 ms is late before it starts. While bytes of a next request waited, net/http did not notice that the caller had left, and work went on for it.

Change: package early reads ahead on a connection, bounded to 16 KB and four requests, starts those without a body that may run more than once, and answers in order. Where another reading of the bytes is possible it starts nothing. Requests behind a response that closes the connection are given up.

--- /dev/null
+++ b/early/listener.go
@@ -0,0 +1,175 @@
+// Package early starts requests that a caller sends on a connection before its earlier
+// requests are answered (HTTP pipelining). net/http reads such a request only after the
+// earlier response, so that its work would begin late. Responses keep the order of the
+// requests.
+//
+// A Listener passes the requests of a connection to net/http one at a time and reads the
+// following ones ahead. A Handler starts those that may run more than once, and copies
+// each response when it is the request's turn.
+package early
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+)
+
+const (
+	// maxPending bounds the bytes of a connection that are read ahead.
+	maxPending = 16 << 10
+	// maxStarted bounds the requests of a connection that are started early.
+	maxStarted = 4
+	// readBytes is the size of a read from the socket.
+	readBytes = 4 << 10
+)
+
+// Listener accepts connections whose requests can be started early.
+type Listener struct {
+	net.Listener
+}
+
+// NewListener returns a listener that accepts the connections of another one.
+func NewListener(listener net.Listener) *Listener { return &Listener{Listener: listener} }
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, fmt.Errorf("accept connection: %w", err)
+	}
+	return newConn(accepted), nil
+}
+
+// conn is a connection of a caller. Reads end at the end of the head of a request, so
+// that the reader gets no byte of a request before it asks for that.
+type conn struct {
+	net.Conn
+	// ctx ends when the connection is closed or the caller has left.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// pending holds the bytes that were received and not passed to the reader.
+	pending []byte
+	framing framing
+	// handler starts requests early. It is nil before the first request.
+	handler *Handler
+	// started holds the requests that were started early and not yet passed to the
+	// handler, in their order. They are in the first scanned bytes of pending.
+	started []*exchange
+	scanned int
+	// isBlocked is true if the next request in pending cannot be started early.
+	isBlocked bool
+}
+
+func newConn(accepted net.Conn) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &conn{Conn: accepted, ctx: ctx, cancel: cancel}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.cancel()
+	if err := c.Conn.Close(); err != nil {
+		return fmt.Errorf("close connection: %w", err)
+	}
+	return nil
+}
+
+// CloseWrite closes the sending side. net/http uses it, because closing a connection
+// with unread bytes at once would take back the response.
+func (c *conn) CloseWrite() error {
+	closer, canClose := c.Conn.(interface{ CloseWrite() error })
+	if !canClose {
+		return errors.ErrUnsupported
+	}
+	if err := closer.CloseWrite(); err != nil {
+		return fmt.Errorf("close sending side: %w", err)
+	}
+	return nil
+}
+
+// Read implements net.Conn. net/http reads a single byte while a request is handled, to
+// notice that the caller leaves. Such a read gets no byte of the next request, because
+// that would end it: it receives until its deadline, which net/http then sets.
+func (c *conn) Read(buffer []byte) (int, error) {
+	isWatching := len(buffer) == 1
+	for {
+		if count, isDone := c.deliver(buffer, isWatching); isDone {
+			return count, nil
+		}
+		if err := c.receive(); err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.cancel()
+			}
+			return 0, err
+		}
+	}
+}
+
+// deliver passes pending bytes to the reader, or starts further requests if the reader
+// only watches. It returns false if more bytes must be received first.
+func (c *conn) deliver(buffer []byte, isWatching bool) (int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if isWatching && c.framing.isAtHead() {
+		c.startPending()
+		// The pending bytes are full: the caller's leaving cannot be seen behind them.
+		if len(c.pending) >= maxPending {
+			return c.take(buffer, len(c.pending)), true
+		}
+		return 0, false
+	}
+	count := c.framing.next(c.pending)
+	if count == 0 {
+		return 0, false
+	}
+	return c.take(buffer, count), true
+}
+
+// take passes up to count pending bytes to the reader.
+func (c *conn) take(buffer []byte, count int) int {
+	count = copy(buffer, c.pending[:count])
+	c.framing.advance(c.pending[:count])
+	c.pending = c.pending[count:]
+	c.scanned = max(0, c.scanned-count)
+	if len(c.pending) == 0 {
+		c.pending = nil
+	}
+	return count
+}
+
+// receive adds bytes from the socket to the pending ones.
+func (c *conn) receive() error {
+	received := make([]byte, readBytes)
+	count, err := c.Conn.Read(received)
+	if count > 0 {
+		c.mu.Lock()
+		c.pending = append(c.pending, received[:count]...)
+		c.mu.Unlock()
+		return nil
+	}
+	// The error is not wrapped: net/http compares it with io.EOF and asserts its type.
+	return err
+}
+
+// startPending starts the pending requests that may be started early. c.mu is held.
+func (c *conn) startPending() {
+	for c.handler != nil && !c.isBlocked && len(c.started) < maxStarted {
+		head := c.pending[c.scanned:]
+		head = head[:headLength(head)]
+		if len(head) == 0 {
+			return
+		}
+		exchange := c.handler.start(c, head)
+		if exchange == nil {
+			c.isBlocked = true
+			return
+		}
+		c.started = append(c.started, exchange)
+		c.scanned += len(head)
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,5 +29,6 @@
 	gauge("filberthold_hosts_alive", "Other entry hosts that are alive.", func() float64 { return float64(len(n.transport.Alive())) })
 	gauge("filberthold_store_calls_total", "Calls to the store since the start.", func() float64 { return float64(n.store.Calls()) })
 	gauge("filberthold_relay_sent_bytes_total", "Bytes of the store's rows sent to other hosts since the start.", func() float64 { return float64(n.relay.SentBytes()) })
+	gauge("filberthold_requests_started_early_total", "Requests that were started before the earlier ones of their connections were answered.", func() float64 { return float64(n.server.StartedEarly()) })
 	gauge("filberthold_log_lines_dropped_total", "Log lines that found no room.", func() float64 { return float64(n.logWriter.Dropped()) })
 }
--- /dev/null
+++ b/proxy/early_test.go
@@ -0,0 +1,45 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// Guards against a read that waits at the host for the response to the read before it on
+// the same connection, and against a submit that is sent before its turn.
+func TestReadsOfOneConnectionRunTogether(t *testing.T) {
+	ts := startTestServer(t, 2)
+	for _, endpoint := range ts.endpoints {
+		endpoint.SetLatency(500 * time.Millisecond)
+	}
+	conn, err := net.Dial("tcp", ts.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	for _, request := range []string{"GET /read/1", "GET /read/2", "POST /submit/3"} {
+		_, err = fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n\r\n", request, request[len(request)-1:])
+		assert.NilError(t, err)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ts.runs("1") == 1 && ts.runs("2") == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("both reads: not yet")
+	}, poll.WithTimeout(400*time.Millisecond), poll.WithDelay(time.Millisecond))
+	assert.Equal(t, ts.runs("3"), 0)
+	reader := bufio.NewReader(conn)
+	for _, attempt := range []string{"1", "2", "3"} {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, response.Header.Get("Attempt-Id"), attempt)
+	}
+	assert.Equal(t, ts.server.StartedEarly(), uint64(1))
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -68,9 +68,7 @@
 		server: s, writer: writer, request: request,
 		header: platform.ParseRequestHeader(request.Header), arrivedAt: time.Now(), config: s.core.Config(),
 	}
-	if s.isLeaving() {
-		writer.Header().Set("Connection", "close")
-	}
+	s.announceClose(writer.Header())
 	platform.EchoAttempt(writer.Header(), e.header)
 	if s.isRefusing.Load() {
 		e.refuse("the host is about to stop", unavailableRetryAfter)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"filberthold/conns"
+	"filberthold/early"
 )
 
 const (
@@ -33,6 +34,7 @@
 	core      *Core
 	pool      *conns.Pool
 	http      *http.Server
+	early     *early.Handler
 	metrics   *Metrics
 	freshness Freshness
 	// requestsEnd is the latest deadline of the requests that arrive during a
@@ -45,8 +47,9 @@
 // NewServer returns a server that is not yet listening.
 func NewServer(log *slog.Logger, core *Core, metrics *Metrics, freshness Freshness) *Server {
 	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics, freshness: freshness}
+	server.early = early.NewHandler(http.HandlerFunc(server.handleRequest), server.canStartEarly, server.announceClose)
 	server.http = &http.Server{
-		Handler: http.HandlerFunc(server.handleRequest), IdleTimeout: idleTimeout,
+		Handler: server.early, ConnContext: early.ConnContext, IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
@@ -55,12 +58,36 @@
 
 // Run serves callers until Stop has ended.
 func (s *Server) Run(listener net.Listener) error {
-	if err := s.http.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(early.NewListener(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
 }
 
+// canStartEarly reports whether a request may be started while an earlier one of its
+// connection is not answered: it must be allowed to run more than once, because its
+// connection may close before its turn.
+func (s *Server) canStartEarly(request *http.Request) bool {
+	config := s.core.Config()
+	if config == nil || s.isLeaving() || s.isRefusing.Load() {
+		return false
+	}
+	route, exists := config.Match(request.Host, request.URL.Path)
+	return exists && route.Class.Idempotent()
+}
+
+// announceClose tells the caller in a response that the connection closes if the host is
+// stopping.
+func (s *Server) announceClose(header http.Header) {
+	if s.isLeaving() {
+		header.Set("Connection", "close")
+	}
+}
+
+// StartedEarly returns the number of requests that were started before the earlier ones
+// of their connections were answered.
+func (s *Server) StartedEarly() uint64 { return s.early.Started() }
+
 // CleanupLoop closes expired idle connections to endpoints and updates the
 // metric of opened connections until ctx ends.
 func (s *Server) CleanupLoop(ctx context.Context) error {
