Name all hosts of a large region equally often in lookups

Cause: an answer to a lookup holds 64 hosts. Where more were near, it always held the first 64 by name, and the others got no callers: 107 of the 171 hosts of a region at the planned size.

Change: each answer begins where the previous one ended.

--- a/member/table.go
+++ b/member/table.go
@@ -259,6 +259,16 @@
 	return filter(hosts, func(host Heartbeat) bool { return host.IsReady })
 }
 
+// Limit returns at most a number of hosts. Each turn begins where the previous one ended,
+// so that all hosts are returned equally often.
+func Limit(hosts []Heartbeat, limit int, turn uint64) []Heartbeat {
+	if len(hosts) <= limit {
+		return hosts
+	}
+	first := int(turn * uint64(limit) % uint64(len(hosts)))
+	return slices.Concat(hosts[first:], hosts[:first])[:limit]
+}
+
 func filter(hosts []Heartbeat, keep func(Heartbeat) bool) []Heartbeat {
 	var kept []Heartbeat
 	for _, host := range hosts {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// Guards against lookups of a large region that all name the same hosts, because an
+// answer holds fewer hosts than there are.
+func TestLimitNamesAllHostsEquallyOften(t *testing.T) {
+	var hosts []Heartbeat
+	for i := range 171 {
+		hosts = append(hosts, newHeartbeat(fmt.Sprint("h", i), "za", "north"))
+	}
+	counts := make(map[model.HostName]int)
+	for turn := range uint64(171) {
+		limited := Limit(hosts, 64, turn)
+		assert.Equal(t, len(limited), 64)
+		for _, host := range limited {
+			counts[host.Host]++
+		}
+	}
+	for _, host := range hosts {
+		assert.Equal(t, counts[host.Host], 64)
+	}
+	assert.Equal(t, len(Limit(hosts[:3], 64, 5)), 3)
+}
+
 // Guards against hosts with the same list of hosts that elect different store
 // readers, and against a reader that cannot reach the store.
 func TestSameHostsElectSameStoreReader(t *testing.T) {
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -99,10 +99,9 @@
 		hosts = append(hosts, n.heartbeat())
 	}
 	response := lookupResponse{TTL: n.lookupTTL().Seconds()}
-	for _, host := range member.Nearest(hosts, zone, region, minLookupHosts) {
-		if len(response.Addresses) < maxLookupAddresses {
-			response.Addresses = append(response.Addresses, host.CallerAddress)
-		}
+	nearest := member.Nearest(hosts, zone, region, minLookupHosts)
+	for _, host := range member.Limit(nearest, maxLookupAddresses, n.lookups.Add(1)) {
+		response.Addresses = append(response.Addresses, host.CallerAddress)
 	}
 	if len(response.Addresses) == 0 {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/node/node.go
+++ b/node/node.go
@@ -56,11 +56,13 @@
 	incarnation int64
 	startedAt   time.Time
 	isLeaving   atomic.Bool
-	intervals   intervals
-	replica     *storeReplica
-	reader      *reader
-	follower    *follower
-	relay       *relay.Handler
+	// lookups counts the lookups that were answered.
+	lookups   atomic.Uint64
+	intervals intervals
+	replica   *storeReplica
+	reader    *reader
+	follower  *follower
+	relay     *relay.Handler
 }
 
 // New returns a node that is not yet running. It logs to out and reads its settings
