--- a/early/early_test.go
+++ b/early/early_test.go
@@ -151,7 +151,7 @@
 		return "closed"
 	}
 	body, err := io.ReadAll(response.Body)
-	assert.NilError(c.t, err)
+	assert.NilError(c.t, errors.Join(err, response.Body.Close()))
 	if response.StatusCode != http.StatusOK {
 		return response.Status
 	}
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -231,9 +231,9 @@
 }
 
 // eachFleet runs a test with fleets of several sizes whose hosts know each other.
-func eachFleet(t *testing.T, test func(t *testing.T, f *fleet), sizes ...int) {
+func eachFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
 	t.Helper()
-	for _, count := range append([]int{12, 200}, sizes...) {
+	for _, count := range []int{12, 200} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			f := newFleet(t, count)
 			f.introduceAll()
