Keep beating to hosts that are leaving

Cause: beats went to the hosts that lookups may name. A host that was stopping got none and took all others for gone 1.3 s later, while it still finished requests.

TestLeavingHostStillHearsOthers failed at 12 and 200 hosts and passes.

Change: beats and suspicions go to all hosts that are alive, and a host that is leaving stays known for 15 s, longer than any stop.

--- a/member/detector.go
+++ b/member/detector.go
@@ -134,8 +134,9 @@
 		return append(sends, Send{To: d.table.Addresses(now), Message: Announcement{Heartbeat: own}})
 	}
 	var heard []netip.Addr
-	for _, host := range alive {
-		if _, wasSent := d.sentAt[host.heartbeat.IP]; !wasSent {
+	for _, host := range d.table.sorted {
+		// A host that is leaving still needs the others for the requests that it finishes.
+		if _, wasSent := d.sentAt[host.heartbeat.IP]; !wasSent && host.isAlive(now) {
 			heard = append(heard, host.heartbeat.IP)
 		}
 	}
--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -376,6 +376,23 @@
 	})
 }
 
+// Guards against a host that is stopping and takes all others for gone, because they
+// send it nothing any more: it still needs them for the requests that it finishes.
+func TestLeavingHostStillHearsOthers(t *testing.T) {
+	eachFleet(t, func(t *testing.T, f *fleet) {
+		leaving := f.hosts[3]
+		leaving.heartbeat.IsLeaving = true
+		f.send(leaving, leaving.detector.Announce(leaving.heartbeat, f.now))
+		f.run(noticeTime)
+		assert.Equal(t, f.wrongShare([]*simHost{leaving}, false), 0.0)
+		f.run(4 * time.Second)
+		assert.Equal(t, len(leaving.detector.table.Alive(f.now)), len(f.hosts)-1)
+		killed := f.kill(func(host *simHost) bool { return host.index == 7 })
+		f.run(noticeTime)
+		assert.Equal(t, f.wrongShare(killed, false), 0.0)
+	})
+}
+
 // Guards against two regions that cannot reach each other and do not notice it, against
 // a third one that gives up hosts which it reaches, and against regions that do not find
 // each other again.
--- a/member/suspicion.go
+++ b/member/suspicion.go
@@ -134,7 +134,7 @@
 	}
 	var to []netip.Addr
 	for _, host := range d.table.sorted {
-		if host.heartbeat.Region == own.Region && host.isAlive(now) && !host.heartbeat.IsLeaving {
+		if host.heartbeat.Region == own.Region && host.isAlive(now) {
 			to = append(to, host.heartbeat.IP)
 		}
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -29,7 +29,7 @@
 	goneAddressExpiry = 10 * time.Minute
 	// leavingExpiry is how long a host that is leaving stays in the table. A later
 	// incarnation may be lower, if the clock was set back.
-	leavingExpiry = 5 * time.Second
+	leavingExpiry = 15 * time.Second
 	// suspicionTime is how long a host that a single monitor suspects stays alive. The
 	// host is told and announces itself within a round trip between regions.
 	suspicionTime = 500 * time.Millisecond
