Use a connection again after the deadline of its last request

Cause: the deadline of a request stayed set on its connection. Once it had passed, the check for unread bytes failed with that deadline, and the idle connection was closed although it was usable. A new connection costs two delays between hosts: 110 ms to an endpoint in another region.

TestConnectionIsReusedAfterDeadlineOfLastRequest opened 3 connections instead of 1.

Ruled out: a longer idle time alone (trial, 15 s): the number of connections did not change.

Change: the deadline is removed when a connection becomes idle."

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -145,6 +145,11 @@
 		_ = conn.Close()
 		return
 	}
+	// The check for unread bytes before the next use fails after the deadline.
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		_ = conn.Close()
+		return
+	}
 	p.put(address, conn, idleLifetime(response.Header))
 }
 
--- a/conns/exchange_test.go
+++ b/conns/exchange_test.go
@@ -51,6 +51,20 @@
 	assert.Equal(t, pool.Opened(), uint64(1))
 }
 
+// Guards against a connection that is not used again once the deadline of its last
+// request has passed: the check for unread bytes failed by that deadline.
+func TestConnectionIsReusedAfterDeadlineOfLastRequest(t *testing.T) {
+	endpoint, pool := startEndpoint(t), conns.NewPool()
+	for range 3 {
+		request := newRequest("a")
+		request.Deadline = time.Now().Add(50 * time.Millisecond)
+		_, err := pool.Exchange(context.Background(), address(endpoint), request)
+		assert.NilError(t, err)
+		<-time.After(time.Until(request.Deadline) + time.Millisecond)
+	}
+	assert.Equal(t, pool.Opened(), uint64(1))
+}
+
 // Guards against delivering the response to another request, which a faulty
 // endpoint sends first.
 func TestMismatchedResponseIsSkipped(t *testing.T) {
