Keep idle connections to endpoints for 8 s

Cause: with many hosts and endpoints, the requests of a host to one endpoint are further apart than 4 s, so most of them opened a connection. Endpoints state a keep-alive time of 10 s.

Change: the bound for idle connections is 8 s.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -22,7 +22,7 @@
 	// maxIdle bounds how long a connection may be idle before its next use.
 	// Endpoints close idle connections, and idle connections may break
 	// unnoticed.
-	maxIdle = 4 * time.Second
+	maxIdle = 8 * time.Second
 	// maxIdlePerAddress bounds the idle connections to an endpoint.
 	maxIdlePerAddress = 6
 	// readerBytes is the size of a connection's read buffer.
