Start from another host's data while the store serves no host

Cause: a host without data follows the store readers only. While no host reached the store there was none, so a host that started again stayed not ready until the store was back, although the others had all data.

Evidence: TestRestartedHostUsesNoEndpointThatLeft timed out after 20 s in the case of a store that is away, and passes.

Change: such a host follows the ready hosts, those of its region first, until it is ready itself.

--- a/member/reader.go
+++ b/member/reader.go
@@ -108,6 +108,14 @@
 	return readers(others, self.Region)
 }
 
+// Holders returns the hosts from which a host without any data gets that of the store
+// while no host reaches the store: those that are ready have all of it, as old as it may
+// be. Hosts of its own region come first.
+func Holders(self Heartbeat, others []Heartbeat) []Heartbeat {
+	holders := filter(others, func(host Heartbeat) bool { return host.IsReady && host.Region == self.Region })
+	return append(holders, filter(others, func(host Heartbeat) bool { return host.IsReady && host.Region != self.Region })...)
+}
+
 // readers returns the store reader of each region, that of the given region
 // first.
 func readers(hosts []Heartbeat, region model.RegionName) []Heartbeat {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -136,6 +136,18 @@
 	assert.Equal(t, len(Sources(hosts[2], hosts[:2])), 0)
 }
 
+// Guards against a host that starts while the store serves no host and follows one that
+// has no data either, or that is far although a near one has it.
+func TestHoldersAreReadyAndNearestFirst(t *testing.T) {
+	unready := newHeartbeat("c", "za", "north")
+	unready.IsReady = false
+	hosts := []Heartbeat{newHeartbeat("a", "zc", "south"), newHeartbeat("b", "zb", "north"), unready}
+	holders := Holders(newHeartbeat("self", "za", "north"), hosts)
+	assert.Equal(t, len(holders), 2)
+	assert.Equal(t, holders[0].Host, model.HostName("b"))
+	assert.Equal(t, holders[1].Host, model.HostName("a"))
+}
+
 // Guards against a configuration that arrives late at a whole region because the host
 // that sends it to all others has the smallest link.
 func TestStoreReaderHasLargestLink(t *testing.T) {
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -65,7 +65,12 @@
 
 // sources returns the hosts to follow in order of preference.
 func (n *Node) sources() []member.Heartbeat {
-	return member.Sources(n.heartbeat(), n.transport.Alive())
+	own, others := n.heartbeat(), n.transport.Alive()
+	sources := member.Sources(own, others)
+	if len(sources) == 0 && !n.core.IsReady() {
+		return member.Holders(own, others)
+	}
+	return sources
 }
 
 // updateHosts passes the hosts that are alive to the core, including this one
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -60,3 +61,53 @@
 		c.store.SetRefused(host.node.settings.IP.String(), isAway)
 	}
 }
+
+// Guards against an endpoint that had left and is in use again at a host that starts
+// anew, while the store serves all or no host. In the second case the host gets the
+// entries from another one.
+func TestRestartedHostUsesNoEndpointThatLeft(t *testing.T) {
+	c := startCluster(t)
+	c.start(41, 42)
+	c.removeEndpoint()
+	for _, isAway := range []bool{false, true} {
+		c.setStoreAway(isAway)
+		c.checkRestarted(fmt.Sprint("store away: ", isAway))
+	}
+}
+
+// Guards against the same after the store returned from a copy in which the endpoint had
+// not left.
+func TestRestartedHostUsesNoEndpointThatReturnedStoreRevives(t *testing.T) {
+	c := startCluster(t)
+	c.start(51, 52)
+	older := c.store.Copy()
+	c.removeEndpoint()
+	c.store.Restore(older)
+	c.checkRestarted("store returned from an older copy")
+}
+
+// removeEndpoint removes the entry of the endpoint and waits until all hosts know it.
+func (c *cluster) removeEndpoint() {
+	c.t.Helper()
+	c.store.Remove(platform.EndpointTable, "i-1")
+	for _, host := range c.hosts {
+		c.waitFor("endpoint is gone", func() bool { return c.status(host, "/v1/x") == http.StatusServiceUnavailable })
+	}
+}
+
+// checkRestarted starts the last host again and checks that it does not use the endpoint.
+func (c *cluster) checkRestarted(condition string) {
+	c.t.Helper()
+	last := len(c.hosts) - 1
+	before := c.hosts[last]
+	before.stop()
+	err := <-before.done
+	before.done <- err
+	assert.NilError(c.t, err)
+	ip := before.node.settings.IP.As4()
+	c.hosts[last] = c.run(int(ip[3]))
+	c.waitFor(condition, c.hosts[last].node.isReady)
+	for range 5 {
+		assert.Equal(c.t, c.status(c.hosts[last], "/v1/x"), http.StatusServiceUnavailable, condition)
+	}
+}
--- a/proxy/early_test.go
+++ b/proxy/early_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,26 @@
 	"gotest.tools/v3/poll"
 )
 
+// dialRaw opens a connection and sends bytes on it.
+func (s *testServer) dialRaw(content string) net.Conn {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	_, err = conn.Write([]byte(content))
+	assert.NilError(s.t, err)
+	return conn
+}
+
+// readStatus returns the status of the next response on a connection.
+func readStatus(t *testing.T, conn net.Conn) int {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode
+}
+
 // Guards against a read that waits at the host for the response to the read before it on
 // the same connection, and against a submit that is sent before its turn.
 func TestReadsOfOneConnectionRunTogether(t *testing.T) {
@@ -19,13 +40,11 @@
 	for _, endpoint := range ts.endpoints {
 		endpoint.SetLatency(500 * time.Millisecond)
 	}
-	conn, err := net.Dial("tcp", ts.address)
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
+	var requests strings.Builder
 	for _, request := range []string{"GET /read/1", "GET /read/2", "POST /submit/3"} {
-		_, err = fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n\r\n", request, request[len(request)-1:])
-		assert.NilError(t, err)
+		fmt.Fprintf(&requests, "%s HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n\r\n", request, request[len(request)-1:])
 	}
+	conn := ts.dialRaw(requests.String())
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if ts.runs("1") == 1 && ts.runs("2") == 1 {
 			return poll.Success()
--- /dev/null
+++ b/proxy/running_test.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"filberthold/model"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against work that is cancelled, sent again or answered early because its
+// endpoint or another host is only silent: the entry of the endpoint lapses, the other
+// hosts are believed gone, and the endpoint is evacuated while the request runs.
+func TestRunningRequestSurvivesSuspicion(t *testing.T) {
+	for name, suspect := range map[string]func(ts *testServer){
+		"the entry is removed":         func(ts *testServer) { ts.core.RemoveEntry("i-0", time.Time{}) },
+		"the entry expires in a grace": func(ts *testServer) { ts.core.RemoveEntry("i-0", time.Now()); ts.core.Expire() },
+		"the zone is evacuated":        func(ts *testServer) { ts.core.SetEvacuated([]model.ZoneName{"za"}) },
+		"all hosts are gone":           func(ts *testServer) { ts.core.SetHosts(map[model.RegionName][]model.HostName{}) },
+		"it starts again elsewhere":    func(ts *testServer) { ts.applyEntry(1, 2) },
+	} {
+		for _, path := range []string{"/read/1", "/submit/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				ts := startTestServer(t, 1)
+				ts.endpoints[0].SetLatency(300 * time.Millisecond)
+				method := map[string]string{"/read/1": http.MethodGet, "/submit/1": http.MethodPost}[path]
+				statuses := make(chan int, 1)
+				go func() {
+					status, _, _ := ts.send(method, path, "a1", "")
+					statuses <- status
+				}()
+				waitFor(t, func() bool { return ts.endpoints[0].RequestCount() == 1 })
+				suspect(ts)
+				assert.Equal(t, <-statuses, http.StatusOK)
+				assert.Equal(t, ts.endpoints[0].RequestCount(), 1)
+			})
+		}
+	}
+}
+
+// Guards against a planned stop that cuts requests which were just accepted: one that is
+// read in part, one that waits for a slot, and one whose endpoint works. A second call of
+// Leave and Refuse, as by a second signal, changes nothing.
+func TestStopAnswersAcceptedRequests(t *testing.T) {
+	ts := startTestServer(t, 1)
+	ts.endpoints[0].SetLatency(400 * time.Millisecond)
+	const requests = 12
+	statuses := make(chan int, requests)
+	for i := range requests {
+		go func() {
+			status, _, _ := ts.send(http.MethodGet, "/read/1", string(rune('a'+i)), "")
+			statuses <- status
+		}()
+	}
+	partial := ts.dialRaw("POST /submit/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: z\r\nContent-Length: 4\r\n\r\nab")
+	// All requests have arrived: the endpoint has some, the others wait for a slot.
+	waitFor(t, func() bool {
+		ts.core.mu.Lock()
+		defer ts.core.mu.Unlock()
+		return ts.core.waitlist.Len() > 0 && ts.core.waitlist.Len()+ts.endpoints[0].RequestCount() == requests
+	})
+	for range 2 {
+		ts.server.Leave(time.Now().Add(5 * time.Second))
+		ts.server.Refuse()
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- ts.server.Stop(t.Context()) }()
+	_, err := partial.Write([]byte("cd"))
+	assert.NilError(t, err)
+	assert.Equal(t, readStatus(t, partial), http.StatusOK)
+	for range requests {
+		status := <-statuses
+		assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "status %d", status)
+	}
+	assert.NilError(t, <-stopped)
+}
