Tell followers of removals that happened before a host started

Cause: a host answers a poll with the rows that changed after a version. One that began with a whole table, read it anew, or had evicted removals does not know what was removed before, and its followers kept these rows for good.

TestFollowerLearnsRemovalFromHostThatStartedLater failed.

Change: a cache knows where its history begins; a poll from before it gets the whole table.

TestOnlySignificantChangesAreRelayed confirms a version before the changes it is about, because the history of its cache began behind them otherwise; what it requires has not changed.

--- a/node/replica.go
+++ b/node/replica.go
@@ -122,11 +122,20 @@
 func (r *storeReplica) applyOperatorTable(rows platform.Rows, confirmedAt time.Time, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	forgetHistory(r.operator, rows.Version)
 	missing := r.keepLostRows(r.operator.Missing(rows.Rows), rows.Version.Era, time.Now())
 	r.putOperatorRows(append(rows.Rows, removedRows(missing, rows.Version)...), rows.Version, source)
 	r.operator.Confirm(rows.Version, confirmedAt)
 }
 
+// forgetHistory records that a cache gets a whole table. In a later era the cache itself
+// knows for which hosts it has all changes.
+func forgetHistory(cache *relay.Cache, version platform.Version) {
+	if known := cache.Version(); known.Era == version.Era && !known.IsZero() {
+		cache.ForgetHistory(version)
+	}
+}
+
 // removedRows returns rows that mark keys as removed.
 func removedRows(keys []string, version platform.Version) []platform.Row {
 	rows := make([]platform.Row, 0, len(keys))
@@ -158,6 +167,7 @@
 
 // applyEndpointTable applies the entries of all endpoints.
 func (r *storeReplica) applyEndpointTable(rows platform.Rows, confirmedAt, graceUntil time.Time) {
+	forgetHistory(r.endpoints, rows.Version)
 	r.applyEndpointRows(append(rows.Rows, removedRows(r.endpoints.Missing(rows.Rows), rows.Version)...), rows.Version, confirmedAt, graceUntil)
 	r.log.Info("endpoints read", "count", len(rows.Rows), "storeVersion", rows.Version)
 }
--- a/node/replica_test.go
+++ b/node/replica_test.go
@@ -29,3 +29,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, rt.core.ApplyEntry(decoded), roster.Unchanged)
 }
+
+// Guards against requests to an endpoint whose removal a follower never gets, because the
+// host that it follows started after the removal.
+func TestFollowerLearnsRemovalFromHostThatStartedLater(t *testing.T) {
+	follower, reader := newReplicaTest(t).replica, newReplicaTest(t).replica
+	version := func(number uint64) platform.Version { return platform.Version{Era: 1, Number: number} }
+	entry := platform.Row{Key: "i-9", Value: []byte(readyEntry), Version: version(5)}
+	follower.applyEndpointRows([]platform.Row{entry}, version(5), time.Now(), time.Time{})
+	reader.applyEndpointTable(platform.Rows{Version: version(8)}, time.Now(), time.Time{})
+	changes, _ := reader.endpoints.Since(follower.endpoints.Version())
+	follower.applyUpdate(relay.Update{Endpoints: changes, ReceivedAt: time.Now()}, "reader")
+	after, _ := follower.endpoints.Since(version(5))
+	assert.Equal(t, len(after.Rows), 1)
+	assert.Assert(t, after.Rows[0].IsRemoved)
+}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -12,9 +12,8 @@
 	"filberthold/platform"
 )
 
-// maxCachedRows is the number of rows above which removals are evicted. A host
-// that has not received them by then has to read all rows from the store: a poll
-// does not tell it that removals are missing.
+// maxCachedRows is the number of rows above which removals are evicted. A host that has
+// not received them by then gets all rows.
 const maxCachedRows = 4096
 
 // Cache holds the newest row of each key of a table, removals included. It is
@@ -28,6 +27,9 @@
 	// earlier is the last version of the era before that of version. It is zero if this
 	// is the first era of the cache.
 	earlier platform.Version
+	// historyStart is the version from which on the cache has all changes, removals
+	// included.
+	historyStart platform.Version
 	// confirmedAt is when the store last confirmed, directly or through other
 	// hosts, that the rows are complete.
 	confirmedAt time.Time
@@ -89,8 +91,12 @@
 		return
 	}
 	for key, cached := range c.rows {
-		if cached.row.IsRemoved {
-			delete(c.rows, key)
+		if !cached.row.IsRemoved {
+			continue
+		}
+		delete(c.rows, key)
+		if cached.changedAt.Compare(c.historyStart) > 0 {
+			c.historyStart = cached.changedAt
 		}
 	}
 }
@@ -123,6 +129,9 @@
 	if version.Era < c.version.Era {
 		return
 	}
+	if c.version.IsZero() {
+		c.historyStart = version
+	}
 	if version.Era > c.version.Era {
 		c.earlier = c.version
 	}
@@ -134,6 +143,14 @@
 	}
 }
 
+// ForgetHistory records that the rows were replaced by the whole table of a version,
+// because changes before it were lost.
+func (c *Cache) ForgetHistory(version platform.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.historyStart = version
+}
+
 // Version returns the version of the store up to which the rows are complete.
 func (c *Cache) Version() platform.Version {
 	c.mu.Lock()
@@ -164,11 +181,17 @@
 	return changes, c.changed
 }
 
-// lacksChanges reports whether the cache may lack changes after a version of an earlier
-// era: a host of that version may have rows that the store lost before this cache got
+// lacksChanges reports whether the cache may lack changes after a version: those before
+// its history, and those of an earlier era that the store lost before this cache got
 // them. c.mu is held.
 func (c *Cache) lacksChanges(after platform.Version) bool {
-	if after.IsZero() || after.Era >= c.version.Era {
+	if after.IsZero() {
+		return false
+	}
+	if after.Era == c.historyStart.Era && after.Compare(c.historyStart) < 0 {
+		return true
+	}
+	if after.Era >= c.version.Era {
 		return false
 	}
 	return after.Era != c.earlier.Era || after.Compare(c.earlier) > 0
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http/httptest"
 	"strings"
@@ -26,6 +27,7 @@
 func TestOnlySignificantChangesAreRelayed(t *testing.T) {
 	cache := NewCache()
 	cache.Put(row("a", 1), true)
+	cache.Confirm(at(1), time.Now())
 	cache.Put(row("b", 2), true)
 	cache.Put(row("a", 3), false)
 	cache.Confirm(at(3), time.Now())
@@ -152,6 +154,36 @@
 	assert.Equal(t, len(update.Operator.Rows), 0)
 }
 
+// Guards against a removal that a follower never gets: the host that it follows began with
+// a whole table, read it anew after its history was lost, or dropped removals, and does
+// not know what was removed before. A host that started anew hid the removal of an
+// endpoint from another one for more than the drain time.
+func TestWholeTableForHostsFromBeforeTheHistory(t *testing.T) {
+	cache := NewCache()
+	cache.Put(row("a", 3), true)
+	cache.Confirm(at(10), time.Now())
+	for after, isWhole := range map[uint64]bool{9: true, 10: false, 11: false} {
+		changes, _ := cache.Since(at(after))
+		assert.Equal(t, changes.IsWhole, isWhole, "after %d", after)
+	}
+	cache.Put(row("b", 12), true)
+	cache.Confirm(at(12), time.Now())
+	changes, _ := cache.Since(at(10))
+	assert.Assert(t, !changes.IsWhole)
+	cache.ForgetHistory(at(20))
+	cache.Confirm(at(20), time.Now())
+	changes, _ = cache.Since(at(12))
+	assert.Assert(t, changes.IsWhole)
+	for i := range maxCachedRows {
+		cache.Put(platform.Row{Key: fmt.Sprint("r", i), Version: at(uint64(21 + i)), IsRemoved: true}, true)
+	}
+	cache.Confirm(at(9000), time.Now())
+	changes, _ = cache.Since(at(30))
+	assert.Assert(t, changes.IsWhole)
+	changes, _ = cache.Since(at(9000))
+	assert.Assert(t, !changes.IsWhole)
+}
+
 // Guards against a whole table for each follower after a return of the store, where
 // their rows are those of this host, and against missing rows where they are not.
 func TestWholeTableOnlyForHostsWithUnknownRows(t *testing.T) {
