--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -164,8 +164,8 @@
 		message string
 		hosts   []model.HostName
 	}{
-		{"hosts silent, taken for gone", changes.Silent},
-		{"hosts taken for gone by the word of their monitors", changes.Accused},
+		{"hosts are silent", changes.Silent},
+		{"hosts were reported gone by their monitors", changes.Reported},
 		{"hosts are back", changes.Returned},
 	} {
 		if len(group.hosts) > 0 {
--- a/member/detector.go
+++ b/member/detector.go
@@ -44,8 +44,8 @@
 	maxTickDelay = 300 * time.Millisecond
 	// orphanTime is how long after a host is gone those are looked for which it monitored.
 	orphanTime = 2 * time.Second
-	// verifyInterval is the time between two checks of all hosts by a host that all hosts
-	// which it monitors seem to have left.
+	// verifyInterval is the least time between two requests to all hosts of a host that
+	// hears none of those which it monitors.
 	verifyInterval = 5 * time.Second
 )
 
@@ -243,7 +243,8 @@
 	return []Send{newBeat(own, dismissed)}
 }
 
-// refresh returns the messages to hosts and addresses that were not heard for long.
+// refresh returns the requests to a host from which no message is expected, and to
+// addresses from which none came.
 func (d *Detector) refresh(own Heartbeat, alive []*record, now time.Time) []Send {
 	if d.tick/refreshTicks%peerListRefreshes == 0 {
 		own.Peers = peersOf(rotate(alive, d.tick))
--- a/member/message.go
+++ b/member/message.go
@@ -56,13 +56,13 @@
 type Changes struct {
 	// Silent are the hosts from which no message came in time.
 	Silent []model.HostName
-	// Accused are the hosts that are gone by the word of their monitors.
-	Accused []model.HostName
+	// Reported are the hosts that their monitors reported gone.
+	Reported []model.HostName
 	// Returned are the hosts that were gone and sent a message.
 	Returned []model.HostName
 }
 
 // IsEmpty reports whether no belief changed.
 func (c Changes) IsEmpty() bool {
-	return len(c.Silent) == 0 && len(c.Accused) == 0 && len(c.Returned) == 0
+	return len(c.Silent) == 0 && len(c.Reported) == 0 && len(c.Returned) == 0
 }
--- a/member/suspicion.go
+++ b/member/suspicion.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// findSilent records the hosts that have fallen silent or are gone by the word of their
+// findSilent records the hosts that have fallen silent or were reported gone by their
 // monitors, and returns the suspicions to the hosts of this region.
 func (d *Detector) findSilent(own Heartbeat, now time.Time) []Send {
 	sends := d.repeatRequests(own, now)
@@ -51,7 +51,7 @@
 		}
 		found++
 		if !host.isSilent(now) {
-			d.changes.Accused = append(d.changes.Accused, name)
+			d.changes.Reported = append(d.changes.Reported, name)
 			continue
 		}
 		d.changes.Silent = append(d.changes.Silent, name)
@@ -218,7 +218,7 @@
 	return []Send{d.request(own, from, now)}
 }
 
-// tellReturned returns the suspicion to a host that its region took for gone, so that it
+// tellReturned returns the suspicion to a host that its region believed gone, so that it
 // announces itself to all hosts.
 func (d *Detector) tellReturned(host model.HostName, incarnation int64, from netip.Addr, own Heartbeat, now time.Time) []Send {
 	known := d.table.hosts[host]
@@ -256,7 +256,7 @@
 			sends = append(sends, Send{To: []netip.Addr{known.heartbeat.IP}, Message: Suspicion{From: message.From, Hosts: []Run{suspect}}})
 			continue
 		}
-		known.accuse(message.From, now)
+		known.suspect(message.From, now)
 	}
 	return sends
 }
--- a/member/table.go
+++ b/member/table.go
@@ -84,10 +84,10 @@
 	// there is none, and unanswered the number of requests without an answer.
 	askedUntil time.Time
 	unanswered int
-	// accusers are the monitors that told of the host's silence since its last message.
-	accusers []model.HostName
-	// goneAt is the time from which the host is gone by the word of its accusers. It is
-	// zero if there are none.
+	// suspectedBy are the monitors that reported the host silent since its last message.
+	suspectedBy []model.HostName
+	// goneAt is the time from which the host is gone by these reports. It is zero if there
+	// are none.
 	goneAt time.Time
 }
 
@@ -159,7 +159,7 @@
 func (r *record) hear(now time.Time) {
 	r.receivedAt, r.silentAt = now, time.Time{}
 	r.askedUntil, r.unanswered = time.Time{}, 0
-	r.accusers, r.goneAt = nil, time.Time{}
+	r.suspectedBy, r.goneAt = nil, time.Time{}
 	interval := r.heartbeat.Interval
 	if interval <= 0 && !r.heartbeat.IsMonitored {
 		interval = defaultInterval
@@ -172,15 +172,15 @@
 	}
 }
 
-// accuse records that a monitor told of the host's silence. One monitor may be wrong, so
-// the host has time to answer; two are not.
-func (r *record) accuse(monitor model.HostName, now time.Time) {
-	if slices.Contains(r.accusers, monitor) {
+// suspect records that a monitor reported the host silent. A single monitor may be wrong,
+// so the host then has time to answer.
+func (r *record) suspect(monitor model.HostName, now time.Time) {
+	if slices.Contains(r.suspectedBy, monitor) {
 		return
 	}
-	r.accusers = append(r.accusers, monitor)
+	r.suspectedBy = append(r.suspectedBy, monitor)
 	goneAt := now.Add(suspicionTime)
-	if len(r.accusers) > 1 {
+	if len(r.suspectedBy) > 1 {
 		goneAt = now
 	}
 	if r.goneAt.IsZero() || goneAt.Before(r.goneAt) {
@@ -190,8 +190,7 @@
 
 func (r *record) isSilent(now time.Time) bool { return !r.silentAt.IsZero() && !now.Before(r.silentAt) }
 
-// isAlive reports whether the host is neither silent nor gone by the word of its
-// monitors. A leaving host can be alive here; Table.Alive omits it.
+// isAlive reports whether the host is neither silent nor reported gone by its monitors. A leaving host can be alive here; Table.Alive omits it.
 func (r *record) isAlive(now time.Time) bool {
 	return !r.isSilent(now) && (r.goneAt.IsZero() || now.Before(r.goneAt))
 }
