Fix three faults of requests that are started early, found by reading

Cause: the rest of a response of more than 1 MiB could be written before the part that was kept, because the handler was released before that part had been written. A request was admitted by its decoded path, while it is routed by its path as sent: one that may run once only could start early, and run although its caller sends it again. The error of the listener was wrapped: net/http recognises temporary ones, such as too many open files, by their type, and the process would have ended.

Change: the handler is released at the end, the same function reads the target of a request for both decisions, and the error is returned as it is.

--- a/early/exchange.go
+++ b/early/exchange.go
@@ -63,8 +63,9 @@
 func (e *exchange) attach(target http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	// A handler that waits goes on only when what was kept has been written.
+	defer close(e.attached)
 	e.target = target
-	close(e.attached)
 	if e.status == 0 {
 		return
 	}
--- a/early/listener.go
+++ b/early/listener.go
@@ -38,7 +38,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
-		return nil, fmt.Errorf("accept connection: %w", err)
+		// The error is not wrapped: net/http goes on after temporary errors, which it
+		// recognises by their type.
+		return nil, err
 	}
 	return newConn(accepted), nil
 }
--- a/proxy/early_test.go
+++ b/proxy/early_test.go
@@ -62,3 +62,14 @@
 	}
 	assert.Equal(t, ts.server.StartedEarly(), uint64(1))
 }
+
+// Guards against a submit that starts early because its path, once decoded, is that of a
+// read: it could run although its connection closes before its turn, and be sent again.
+func TestRouteOfEarlyRequestIsThatOfItsTarget(t *testing.T) {
+	ts := startTestServer(t, 1)
+	for target, canStart := range map[string]bool{"/read/1?q=2": true, "/%72ead/1": false, "/submit/1": false} {
+		request, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET " + target + " HTTP/1.1\r\nHost: a.example\r\n\r\n")))
+		assert.NilError(t, err)
+		assert.Equal(t, ts.server.canStartEarly(request), canStart, target)
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -89,11 +89,13 @@
 }
 
 // requestTarget returns the path and query as the caller sent them.
-func (e *exchange) requestTarget() string {
-	if strings.HasPrefix(e.request.RequestURI, "/") {
-		return e.request.RequestURI
+func (e *exchange) requestTarget() string { return requestTarget(e.request) }
+
+func requestTarget(request *http.Request) string {
+	if strings.HasPrefix(request.RequestURI, "/") {
+		return request.RequestURI
 	}
-	return e.request.URL.RequestURI()
+	return request.URL.RequestURI()
 }
 
 func (e *exchange) serve() {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -72,7 +73,8 @@
 	if config == nil || s.isLeaving() || s.isRefusing.Load() {
 		return false
 	}
-	route, exists := config.Match(request.Host, request.URL.Path)
+	path, _, _ := strings.Cut(requestTarget(request), "?")
+	route, exists := config.Match(request.Host, path)
 	return exists && route.Class.Idempotent()
 }
 
