Relay removals of endpoints before their grace period ends

Cause: a store reader without news for over two heartbeats holds removals back for 2 s, because the endpoints may write their entries again. It confirmed the store's version all the same and passed it on. A version means that all changes up to it are known, and followers ask for later ones only; the reader alone repeated the removal when its grace period ended. If another host had become the reader by then, the removal reached nobody.

Change: the cache keeps a held removal beside the entry, and relays both at once with the rest of the grace period. Each host decides by its own knowledge whether there was an outage: one that had news applies the removal at once, one that had none keeps the endpoint to the end of the same grace period and ends it by itself, and so does one that starts meanwhile. An entry that is written again is relayed also where it renews only, because others may have dropped the endpoint. Versions that the store never gave out are no longer made up for endpoints, entries that the replica has are not applied again, and a whole table of another host is confirmed only after its missing entries are removed: a follower that polled in between missed them for the same cause.

The tests of applyEndpointTable and graceUntil lose a parameter and change their receiver; what they check is unchanged.

--- a/node/freshness_test.go
+++ b/node/freshness_test.go
@@ -38,7 +38,7 @@
 	core := proxy.NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, proxy.DefaultRetryLimit())
 	return &replicaTest{
 		t: t, store: store, transport: fake.NewTransport(store), core: core,
-		replica: newStoreReplica(slog.New(slog.DiscardHandler), core), intervals: newIntervals(platform.Settings{ConfigApplyTime: applyTime, DrainTime: applyTime}),
+		replica: newStoreReplica(slog.New(slog.DiscardHandler), core, time.Second), intervals: newIntervals(platform.Settings{ConfigApplyTime: applyTime, DrainTime: applyTime}),
 	}
 }
 
@@ -54,7 +54,7 @@
 // newReader returns a store reader that does not run.
 func (rt *replicaTest) newReader(isActive func(platform.Table) bool) *reader {
 	store := platform.NewStoreOver("store:1", rt.transport)
-	return newReader(slog.New(slog.DiscardHandler), store, rt.replica, rt.intervals, time.Second, isActive,
+	return newReader(slog.New(slog.DiscardHandler), store, rt.replica, rt.intervals, isActive,
 		func() time.Duration { return 300 * time.Millisecond })
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -80,11 +80,11 @@
 		startedAt:   time.Now(),
 	}
 	node.intervals = newIntervals(settings)
-	node.replica = newStoreReplica(log, core)
+	node.replica = newStoreReplica(log, core, settings.HeartbeatInterval)
 	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, node.intervals.pollWait)
 	node.registerMetrics()
 	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), node.freshness())
-	node.reader = newReader(log, store, node.replica, node.intervals, settings.HeartbeatInterval, node.shouldReadStore, node.probeInterval)
+	node.reader = newReader(log, store, node.replica, node.intervals, node.shouldReadStore, node.probeInterval)
 	node.follower = newFollower(log, node.replica, node.intervals, node.sources, relay.NewClient(node.intervals.pollWait).Poll)
 	return node
 }
--- a/node/reader.go
+++ b/node/reader.go
@@ -22,13 +22,6 @@
 	// maxAnswerTimeout bounds the time in which the store must begin to answer a call
 	// for the operator's rows, in addition to the wait for a change.
 	maxAnswerTimeout = 1500 * time.Millisecond
-	// renewalGrace is the grace period after a store outage in which endpoints
-	// write entries again that expired during the outage.
-	renewalGrace = 2 * time.Second
-	// minOutageHeartbeats is the length of a store outage, in heartbeat intervals,
-	// from which entries may have expired. An entry expires three heartbeat
-	// intervals after its last renewal.
-	minOutageHeartbeats = 2
 )
 
 // reader updates the replica from the store while this host is a store reader.
@@ -45,12 +38,7 @@
 	dependency    dependency
 	// operatorRows logs when the operator's rows cannot be read. The store may be
 	// reachable meanwhile.
-	operatorRows      dependency
-	heartbeatInterval time.Duration
-	// outageEndedAt is the end of the last store outage in which entries may
-	// have expired. graceUntil sets it at the first successful read after the
-	// outage.
-	outageEndedAt time.Time
+	operatorRows dependency
 	// unansweredCalls counts the calls for the operator's rows that ended without an
 	// answer since the last answer. Only operatorLoop uses it.
 	unansweredCalls int
@@ -60,10 +48,10 @@
 	isStoreReachable atomic.Bool
 }
 
-func newReader(log *slog.Logger, store *platform.Store, replica *storeReplica, intervals intervals, heartbeatInterval time.Duration,
+func newReader(log *slog.Logger, store *platform.Store, replica *storeReplica, intervals intervals,
 	isActive func(platform.Table) bool, probeInterval func() time.Duration) *reader {
 	r := &reader{
-		log: log, store: store, replica: replica, intervals: intervals, isActive: isActive, probeInterval: probeInterval, heartbeatInterval: heartbeatInterval,
+		log: log, store: store, replica: replica, intervals: intervals, isActive: isActive, probeInterval: probeInterval,
 		dependency: dependency{log: log, name: "store"}, operatorRows: dependency{log: log, name: "operatorRows"},
 	}
 	r.isStoreReachable.Store(true)
@@ -110,21 +98,6 @@
 	r.logEra()
 }
 
-// graceUntil returns the end of the grace period, in which an entry may be
-// missing only because of a store outage. Only an outdated replica, or a store that
-// returned from an older copy and so lost entries, starts a grace period: then
-// graceUntil sets outageEndedAt to now. There is none if the
-// store refused this host while other hosts read it and kept the replica up to
-// date, nor while one host takes over as store reader from another.
-func (r *reader) graceUntil(now time.Time, era uint64) time.Time {
-	known := r.replica.endpoints.Version()
-	isOutdated := r.replica.endpoints.Age(now) > minOutageHeartbeats*r.heartbeatInterval
-	if !known.IsZero() && (isOutdated || era > known.Era) {
-		r.outageEndedAt = now
-	}
-	return r.outageEndedAt.Add(renewalGrace)
-}
-
 // readEndpoints reads the changed entries, or the whole table if the replica has
 // no version yet or the store no longer has the history after it. The replica is
 // then complete as of startedAt.
@@ -133,7 +106,7 @@
 	if !after.IsZero() {
 		rows, err := r.store.Watch(ctx, platform.EndpointTable, after, 0, 0)
 		if err == nil {
-			r.replica.applyEndpointRows(rows.Rows, rows.Version, startedAt, r.graceUntil(time.Now(), rows.Version.Era))
+			r.replica.applyEndpointRows(rows.Rows, rows.Version, startedAt)
 			return nil
 		}
 		if !r.isHistoryLost(err, platform.EndpointTable, after) {
@@ -144,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	r.replica.applyEndpointTable(rows, startedAt, r.graceUntil(time.Now(), rows.Version.Era))
+	r.replica.applyEndpointTable(rows, startedAt)
 	return nil
 }
 
--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -28,7 +28,7 @@
 	log := slog.New(slog.DiscardHandler)
 	core := proxy.NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, proxy.DefaultRetryLimit())
 	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), netip.Addr{})
-	r := newReader(log, store, newStoreReplica(log, core), newIntervals(platform.Settings{}), heartbeatInterval, func(platform.Table) bool { return true },
+	r := newReader(log, store, newStoreReplica(log, core, heartbeatInterval), newIntervals(platform.Settings{}), func(platform.Table) bool { return true },
 		func() time.Duration { return 0 })
 	fakeStore.Put(platform.EndpointTable, "i-1", readyEntry)
 	fakeStore.Put(platform.EndpointTable, "i-2", readyEntry)
@@ -77,11 +77,11 @@
 	_, r := startReader(t, time.Second)
 	now := time.Now()
 	r.replica.endpoints.Confirm(platform.Version{Era: 1, Number: 2}, now)
-	assert.Assert(t, r.graceUntil(now.Add(1600*time.Millisecond), 1).Before(now))
+	assert.Assert(t, r.replica.graceUntil(now.Add(1600*time.Millisecond), 1).Before(now))
 	outage := now.Add(4 * time.Second)
-	assert.Equal(t, r.graceUntil(outage, 1), outage.Add(renewalGrace))
+	assert.Equal(t, r.replica.graceUntil(outage, 1), outage.Add(renewalGrace))
 	r.replica.endpoints.Confirm(platform.Version{Era: 1, Number: 2}, outage)
-	assert.Equal(t, r.graceUntil(outage.Add(time.Second), 1), outage.Add(renewalGrace))
+	assert.Equal(t, r.replica.graceUntil(outage.Add(time.Second), 1), outage.Add(renewalGrace))
 }
 
 // Guards against dropping an endpoint whose entry the store lost, at once, because the
--- a/node/replica.go
+++ b/node/replica.go
@@ -20,13 +20,17 @@
 // It receives rows from the store or from other hosts and applies them to the
 // core. It is safe for concurrent use.
 type storeReplica struct {
-	log       *slog.Logger
-	core      *proxy.Core
-	operator  *relay.Cache
-	endpoints *relay.Cache
-
-	mu        sync.Mutex
-	evacuated map[model.ZoneName]bool
+	log               *slog.Logger
+	core              *proxy.Core
+	operator          *relay.Cache
+	endpoints         *relay.Cache
+	heartbeatInterval time.Duration
+
+	mu sync.Mutex
+	// outageEndedAt is the end of the last store outage in which entries of endpoints may
+	// have expired: when this host first heard of the store again.
+	outageEndedAt time.Time
+	evacuated     map[model.ZoneName]bool
 	// rejected holds the keys of the entries whose last value was rejected. A key is
 	// logged and counted again only after a value of it was applied or removed.
 	rejected map[string]bool
@@ -40,9 +44,11 @@
 	lostUntil map[string]time.Time
 }
 
-func newStoreReplica(log *slog.Logger, core *proxy.Core) *storeReplica {
+// newStoreReplica returns an empty replica. Endpoints renew their entries at each
+// heartbeat interval.
+func newStoreReplica(log *slog.Logger, core *proxy.Core, heartbeatInterval time.Duration) *storeReplica {
 	return &storeReplica{
-		log: log, core: core, operator: relay.NewCache(), endpoints: relay.NewCache(),
+		log: log, core: core, heartbeatInterval: heartbeatInterval, operator: relay.NewCache(), endpoints: relay.NewCache(),
 		evacuated: make(map[model.ZoneName]bool), rejected: make(map[string]bool),
 		lostUntil: make(map[string]time.Time),
 	}
@@ -145,36 +151,48 @@
 	return rows
 }
 
-// applyEndpointRows applies changed entries of endpoints and ignores older ones than
-// the replica's. An endpoint whose
-// entry was removed stays usable until graceUntil, because it may write the
-// entry again after a store outage.
-func (r *storeReplica) applyEndpointRows(rows []platform.Row, version platform.Version, confirmedAt, graceUntil time.Time) {
+// applyEndpointRows applies changed entries of endpoints, which this host read from the
+// store. The replica is then complete up to the given version as of confirmedAt.
+func (r *storeReplica) applyEndpointRows(rows []platform.Row, version platform.Version, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	graceUntil := r.graceUntil(time.Now(), version.Era)
 	for _, row := range rows {
-		switch {
-		case r.endpoints.HasNewer(row):
-		case row.IsRemoved:
-			r.applyRemoval(row, graceUntil)
-		default:
-			r.applyEntry(row)
-		}
+		r.applyEndpointRow(row, graceUntil)
 	}
-	r.endpoints.Confirm(version, confirmedAt)
-	r.core.MarkEndpointsLoaded()
+	r.confirmEndpoints(version, confirmedAt)
 }
 
-// applyEndpointTable applies the entries of all endpoints.
-func (r *storeReplica) applyEndpointTable(rows platform.Rows, confirmedAt, graceUntil time.Time) {
+// applyEndpointTable applies the entries of all endpoints, which this host read from the
+// store.
+func (r *storeReplica) applyEndpointTable(rows platform.Rows, confirmedAt time.Time) {
 	forgetHistory(r.endpoints, rows.Version)
-	r.applyEndpointRows(append(rows.Rows, removedRows(r.endpoints.Missing(rows.Rows), rows.Version)...), rows.Version, confirmedAt, graceUntil)
+	missing := removedRows(r.endpoints.Missing(rows.Rows), rows.Version)
+	r.applyEndpointRows(append(rows.Rows, missing...), rows.Version, confirmedAt)
 	r.log.Info("endpoints read", "count", len(rows.Rows), "storeVersion", rows.Version)
 }
 
-// applyRemoval applies the removal of an entry. Other hosts receive it only if
-// there is no grace period; otherwise expireEndpoints sends it to them if the entry
-// is not written again.
+// confirmEndpoints records that the entries are complete up to a version. All removals up
+// to it must have been put into the cache, also those in a grace period: followers ask
+// for the changes after their version only. r.mu is held.
+func (r *storeReplica) confirmEndpoints(version platform.Version, confirmedAt time.Time) {
+	r.endpoints.Confirm(version, confirmedAt)
+	r.core.MarkEndpointsLoaded()
+}
+
+// applyEndpointRow applies a changed entry, unless the replica has it already or a newer
+// one. An endpoint whose entry was removed stays usable until graceUntil, because it may
+// write the entry again after a store outage. r.mu is held.
+func (r *storeReplica) applyEndpointRow(row platform.Row, graceUntil time.Time) {
+	switch {
+	case r.endpoints.Has(row):
+	case row.IsRemoved:
+		r.applyRemoval(row, graceUntil)
+	default:
+		r.applyEntry(row)
+	}
+}
+
 func (r *storeReplica) applyRemoval(row platform.Row, graceUntil time.Time) {
 	delete(r.rejected, row.Key)
 	if r.core.RemoveEntry(model.EndpointName(row.Key), graceUntil) {
@@ -182,7 +200,10 @@
 	}
 	if !time.Now().Before(graceUntil) {
 		r.endpoints.Put(row, true)
+		return
 	}
+	r.endpoints.PutHeldRemoval(row, graceUntil)
+	r.log.Info("entry is missing after an outage of the store, endpoint stays in use", "endpoint", row.Key, "rowVersion", row.Version, "until", graceUntil)
 }
 
 func (r *storeReplica) applyEntry(row platform.Row) {
@@ -225,14 +246,8 @@
 func (r *storeReplica) expireEndpoints() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	names := r.core.Expire()
-	if len(names) == 0 {
-		return
-	}
-	r.log.Info("endpoints expired after an outage of the store", "endpoints", names)
-	for _, name := range names {
-		// Followers have the changes up to the current version, so the removal needs
-		// a higher one to be sent to them.
-		r.endpoints.Put(platform.Row{Key: string(name), Version: r.endpoints.Version().Next(), IsRemoved: true}, true)
+	if names := r.core.Expire(); len(names) > 0 {
+		r.log.Info("endpoints expired after an outage of the store", "endpoints", names)
 	}
+	r.endpoints.ExpireRemovals(time.Now())
 }
--- a/node/replica_test.go
+++ b/node/replica_test.go
@@ -23,7 +23,7 @@
 	}, "h2")
 	older := platform.Rows{Version: platform.Version{Number: 50}}
 	rt.replica.applyOperatorTable(older, time.Now(), storeSource)
-	rt.replica.applyEndpointTable(older, time.Now(), time.Time{})
+	rt.replica.applyEndpointTable(older, time.Now())
 	assert.DeepEqual(t, rt.replica.evacuated, map[model.ZoneName]bool{"za": true})
 	decoded, err := platform.DecodeEntry(entry)
 	assert.NilError(t, err)
@@ -36,8 +36,8 @@
 	follower, reader := newReplicaTest(t).replica, newReplicaTest(t).replica
 	version := func(number uint64) platform.Version { return platform.Version{Era: 1, Number: number} }
 	entry := platform.Row{Key: "i-9", Value: []byte(readyEntry), Version: version(5)}
-	follower.applyEndpointRows([]platform.Row{entry}, version(5), time.Now(), time.Time{})
-	reader.applyEndpointTable(platform.Rows{Version: version(8)}, time.Now(), time.Time{})
+	follower.applyEndpointRows([]platform.Row{entry}, version(5), time.Now())
+	reader.applyEndpointTable(platform.Rows{Version: version(8)}, time.Now())
 	changes, _ := reader.endpoints.Since(follower.endpoints.Version())
 	follower.applyUpdate(relay.Update{Endpoints: changes, ReceivedAt: time.Now()}, "reader")
 	after, _ := follower.endpoints.Since(version(5))
--- a/node/update.go
+++ b/node/update.go
@@ -23,22 +23,23 @@
 	r.applyOperatorRows(changes.Rows, changes.Version, confirmedAt, string(source))
 }
 
-// applyEndpointChanges applies changes of the endpoints. Removals apply at once, because
-// the other host sends them only after its grace period. An entry that is missing from a
-// whole table has a grace period if the store may have lost it: in a later era, or if
-// this host was without news for so long that there may have been an outage.
+// applyEndpointChanges applies changes of the endpoints. Removals apply at once, except
+// those in a grace period of the other host. An entry that is missing from a whole table
+// has a grace period if this host saw an outage of the store.
 func (r *storeReplica) applyEndpointChanges(changes relay.Changes, receivedAt time.Time) {
-	confirmedAt := receivedAt.Add(-changes.Age)
-	graceUntil := time.Time{}
-	if changes.Version.Era > r.endpoints.Version().Era || r.endpoints.Age(receivedAt) > renewalGrace {
-		graceUntil = receivedAt.Add(renewalGrace)
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	graceUntil := r.graceUntil(receivedAt, changes.Version.Era)
 	if changes.IsWhole {
 		forgetHistory(r.endpoints, changes.Version)
 	}
-	r.applyEndpointRows(changes.Rows, changes.Version, confirmedAt, time.Time{})
+	for _, row := range changes.Rows {
+		r.applyEndpointRow(row, r.relayedGraceUntil(changes, row, receivedAt, graceUntil))
+	}
 	if changes.IsWhole {
-		missing := removedRows(r.endpoints.Missing(changes.Rows), changes.Version)
-		r.applyEndpointRows(missing, changes.Version, confirmedAt, graceUntil)
+		for _, row := range removedRows(r.endpoints.Missing(changes.Rows), changes.Version) {
+			r.applyEndpointRow(row, graceUntil)
+		}
 	}
+	r.confirmEndpoints(changes.Version, receivedAt.Add(-changes.Age))
 }
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -43,6 +43,29 @@
 type cachedRow struct {
 	row       platform.Row
 	changedAt platform.Version
+	// removal is the removal of the row from the store while its grace period runs.
+	// It is newer than the row. It is nil otherwise.
+	removal *heldRemoval
+}
+
+// heldRemoval is the removal of a row that stays in use until the end of a grace
+// period, unless the row is written again before.
+type heldRemoval struct {
+	version platform.Version
+	until   time.Time
+}
+
+// version returns the version of the last change of the row, its removal included.
+func (r cachedRow) version() platform.Version {
+	if r.removal != nil {
+		return r.removal.version
+	}
+	return r.row.Version
+}
+
+// removedRow returns the row that marks the row as removed.
+func (r cachedRow) removedRow() platform.Row {
+	return platform.Row{Key: r.row.Key, Version: r.version(), IsRemoved: true}
 }
 
 // NewCache returns an empty cache.
@@ -56,24 +79,70 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before, exists := c.rows[row.Key]
-	if exists && row.Version.Compare(before.row.Version) < 0 {
+	if exists && row.Version.Compare(before.version()) < 0 {
 		return
 	}
 	next := cachedRow{row: row, changedAt: before.changedAt}
-	if isSignificant || !exists {
+	// Other hosts may have applied a held removal at once.
+	if isSignificant || !exists || before.removal != nil {
 		next.changedAt = row.Version
-		close(c.changed)
-		c.changed = make(chan struct{})
+		c.notify()
 	}
 	c.rows[row.Key] = next
 	c.evictRemovals()
 }
 
+// PutHeldRemoval stores the removal of a row that this host keeps in use until the end
+// of a grace period. Other hosts receive the removal at once, so that none of them is
+// at a version without it, and decide for themselves.
+func (c *Cache) PutHeldRemoval(row platform.Row, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, exists := c.rows[row.Key]
+	if exists && row.Version.Compare(before.version()) < 0 {
+		return
+	}
+	if !exists || before.row.IsRemoved {
+		before = cachedRow{row: row, changedAt: row.Version}
+	} else {
+		before.removal = &heldRemoval{version: row.Version, until: until}
+	}
+	c.rows[row.Key] = before
+	c.notify()
+	c.evictRemovals()
+}
+
+// ExpireRemovals removes the rows whose grace period has ended. Other hosts have the
+// removals already.
+func (c *Cache) ExpireRemovals(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, cached := range c.rows {
+		if cached.removal != nil && !now.Before(cached.removal.until) {
+			c.rows[key] = cachedRow{row: cached.removedRow(), changedAt: cached.removal.version}
+		}
+	}
+}
+
+// notify wakes the polls that wait for a change. c.mu is held.
+func (c *Cache) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 // HasNewer reports whether the cache has a newer version of a row.
 func (c *Cache) HasNewer(row platform.Row) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rows[row.Key].row.Version.Compare(row.Version) > 0
+	return c.rows[row.Key].version().Compare(row.Version) > 0
+}
+
+// Has reports whether the cache has this version of a row or a newer one.
+func (c *Cache) Has(row platform.Row) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached, exists := c.rows[row.Key]
+	return exists && cached.version().Compare(row.Version) >= 0
 }
 
 // HasValue reports whether the cache has a row with the same value, at any version.
@@ -102,7 +171,7 @@
 }
 
 // Missing returns the sorted keys of cached rows that are not among all rows of
-// the table.
+// the table and not known to be removed.
 func (c *Cache) Missing(rows []platform.Row) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -112,7 +181,7 @@
 	}
 	var missing []string
 	for key, cached := range c.rows {
-		if !present[key] && !cached.row.IsRemoved {
+		if !present[key] && !cached.row.IsRemoved && cached.removal == nil {
 			missing = append(missing, key)
 		}
 	}
@@ -176,6 +245,9 @@
 		if changes.IsWhole || cached.changedAt.Compare(after) > 0 {
 			changes.Rows = append(changes.Rows, cached.row)
 		}
+		if cached.removal != nil && (changes.IsWhole || cached.removal.version.Compare(after) > 0) {
+			changes.addHeldRemoval(cached)
+		}
 	}
 	slices.SortFunc(changes.Rows, func(a, b platform.Row) int { return a.Version.Compare(b.Version) })
 	return changes, c.changed
--- a/relay/http.go
+++ b/relay/http.go
@@ -39,11 +39,23 @@
 	// Age is the time between the last confirmation that the rows were complete
 	// and the send of the response.
 	Age time.Duration `cbor:"age"`
+	// Grace holds, for each removal in Rows whose grace period runs at the sender, how
+	// much longer the sender keeps the row in use, by key. Other removals are final.
+	Grace map[string]time.Duration `cbor:"grace,omitempty"`
 	// Packed holds the values of rows with a large value. It is empty except in
 	// transit.
 	Packed []packedValue `cbor:"packed,omitempty"`
 }
 
+// addHeldRemoval adds the removal of a row whose grace period runs.
+func (c *Changes) addHeldRemoval(cached cachedRow) {
+	c.Rows = append(c.Rows, cached.removedRow())
+	if c.Grace == nil {
+		c.Grace = make(map[string]time.Duration)
+	}
+	c.Grace[cached.row.Key] = time.Until(cached.removal.until)
+}
+
 // Update is a host's response to a poll, with the changes of both tables.
 type Update struct {
 	Operator  Changes `cbor:"operator"`
