Relay rows of the operator that a returned store lost with their end

If a store returned from an older copy without an evacuation, the host that read this first kept the evacuation for 10 s. If it ended meanwhile, or another host became the reader, its followers kept the evacuation for good, and the zone's endpoints were not used there.

Cause: the reader passed on the version of the new era, in which the row is missing, but not that it is missing.

Evidence: TestFollowerEndsEvacuationThatReturnedStoreLost fails on the code before (the follower still has the evacuation when its grace period has ended) and passes now, also for a host that starts in the grace period.

Change: the held removal is put beside the row in the cache and relayed with the rest of its time, as for endpoints. Changes of another host are applied under one lock and confirmed after all of them, as there. applyOperatorTable and applyOperatorRows serve the store only now, so their parameter for the source is gone; tests change in that argument alone.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -157,6 +157,39 @@
 	})
 }
 
+// Guards against an evacuation that stays in force for good at the followers of the host
+// that read the return of the store, because this host ends before the evacuation does,
+// and against one that ends there before its grace period.
+func TestFollowerEndsEvacuationThatReturnedStoreLost(t *testing.T) {
+	for _, passed := range []time.Duration{operatorRenewalGrace - time.Millisecond, operatorRenewalGrace} {
+		synctest.Test(t, func(t *testing.T) {
+			reader, follower, started := newReplicaTest(t), newReplicaTest(t), newReplicaTest(t)
+			older := reader.store.Copy()
+			reader.store.Put(platform.OperatorTable, "evacuate/za", "{}")
+			store := reader.newReader(func(platform.Table) bool { return true })
+			assert.NilError(t, store.readOperator(t.Context()))
+			follower.followOperator(reader)
+			reader.store.Restore(older)
+			assert.NilError(t, store.readOperator(t.Context()))
+			follower.followOperator(reader)
+			time.Sleep(operatorRenewalGrace / 2)
+			started.followOperator(reader)
+			time.Sleep(passed - operatorRenewalGrace/2)
+			for _, host := range []*replicaTest{follower, started} {
+				host.replica.expireOperatorRows(time.Now())
+				assert.Equal(t, host.evacuatedZones()["za"], passed < operatorRenewalGrace)
+			}
+		})
+	}
+}
+
+// followOperator applies the changes of another host's operator's rows since this host's
+// version.
+func (rt *replicaTest) followOperator(source *replicaTest) {
+	changes, _ := source.replica.operator.Since(rt.replica.operator.Version())
+	rt.replica.applyUpdate(relay.Update{Operator: changes, ReceivedAt: time.Now()}, "source")
+}
+
 // Guards against a configuration that is sent again to all followers at once, although
 // they have it, because the store returned from an older copy.
 func TestUnchangedConfigurationIsNotRelayedAgainAfterReturnOfStore(t *testing.T) {
--- a/node/reader.go
+++ b/node/reader.go
@@ -175,7 +175,7 @@
 	if !after.IsZero() {
 		rows, confirmedAt, err := r.watchOperator(ctx, after)
 		if err == nil {
-			r.replica.applyOperatorRows(rows.Rows, rows.Version, confirmedAt, storeSource)
+			r.replica.applyOperatorRows(rows.Rows, rows.Version, confirmedAt)
 			return nil
 		}
 		if !r.isHistoryLost(err, platform.OperatorTable, after) {
@@ -187,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	r.replica.applyOperatorTable(rows, startedAt, storeSource)
+	r.replica.applyOperatorTable(rows, startedAt)
 	return nil
 }
 
--- a/node/replica.go
+++ b/node/replica.go
@@ -68,18 +68,17 @@
 const storeSource = "store"
 
 // applyOperatorRows applies changed rows of the operator's table, which came from
-// a source. It ignores rows older than the replica's, which a call that took longer
-// than another one returns. The replica is then complete up to the given version as
-// of confirmedAt.
-func (r *storeReplica) applyOperatorRows(rows []platform.Row, version platform.Version, confirmedAt time.Time, source string) {
+// the store. The replica is then complete up to the given version as of confirmedAt.
+func (r *storeReplica) applyOperatorRows(rows []platform.Row, version platform.Version, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.putOperatorRows(rows, version, source)
+	r.putOperatorRows(rows, version, storeSource)
 	r.operator.Confirm(version, confirmedAt)
 }
 
-// putOperatorRows applies changed rows of the operator's table without confirming their
-// version. r.mu is held.
+// putOperatorRows applies changed rows of the operator's table, which came from a source,
+// without confirming their version. It ignores rows older than the replica's, which a call
+// that took longer than another one returns. r.mu is held.
 func (r *storeReplica) putOperatorRows(rows []platform.Row, version platform.Version, source string) {
 	for _, row := range rows {
 		if !r.operator.HasNewer(row) {
@@ -123,17 +122,22 @@
 	}
 }
 
-// applyOperatorTable applies all rows of the operator's table, which came from a
-// source.
-func (r *storeReplica) applyOperatorTable(rows platform.Rows, confirmedAt time.Time, source string) {
+// applyOperatorTable applies all rows of the operator's table, which came from the store.
+func (r *storeReplica) applyOperatorTable(rows platform.Rows, confirmedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	forgetHistory(r.operator, rows.Version)
-	missing := r.keepLostRows(r.operator.Missing(rows.Rows), rows.Version.Era, time.Now())
-	r.putOperatorRows(append(rows.Rows, removedRows(missing, rows.Version)...), rows.Version, source)
+	r.putOperatorTable(rows.Rows, rows.Version, storeSource)
 	r.operator.Confirm(rows.Version, confirmedAt)
 }
 
+// putOperatorTable applies all rows of the operator's table without confirming their
+// version. r.mu is held.
+func (r *storeReplica) putOperatorTable(rows []platform.Row, version platform.Version, source string) {
+	forgetHistory(r.operator, version)
+	missing := r.holdLostRows(r.operator.Missing(rows), version, time.Now())
+	r.putOperatorRows(append(rows, removedRows(missing, version)...), version, source)
+}
+
 // forgetHistory records that a cache gets a whole table. In a later era the cache itself
 // knows for which hosts it has all changes.
 func forgetHistory(cache *relay.Cache, version platform.Version) {
--- a/node/replica_test.go
+++ b/node/replica_test.go
@@ -22,7 +22,7 @@
 		Endpoints: relay.Changes{Rows: []platform.Row{entry}, Version: platform.Version{Number: 61}}, ReceivedAt: time.Now(),
 	}, "h2")
 	older := platform.Rows{Version: platform.Version{Number: 50}}
-	rt.replica.applyOperatorTable(older, time.Now(), storeSource)
+	rt.replica.applyOperatorTable(older, time.Now())
 	rt.replica.applyEndpointTable(older, time.Now())
 	assert.DeepEqual(t, rt.replica.evacuated, map[model.ZoneName]bool{"za": true})
 	decoded, err := platform.DecodeEntry(entry)
--- a/node/returned.go
+++ b/node/returned.go
@@ -11,18 +11,29 @@
 // lost when it returned from an older copy. The operator writes it again meanwhile.
 const operatorRenewalGrace = 10 * time.Second
 
-// keepLostRows starts the grace period of the operator's rows that are missing from a
+// holdLostRows starts the grace period of the operator's rows that are missing from a
 // whole table of a later era than the replica's, and returns the keys of the missing
-// rows that are not in one.
-func (r *storeReplica) keepLostRows(missing []string, era uint64, now time.Time) []string {
+// rows that are not in one. r.mu is held.
+func (r *storeReplica) holdLostRows(missing []string, version platform.Version, now time.Time) []string {
 	known := r.operator.Version()
-	if len(missing) > 0 && !known.IsZero() && era > known.Era {
-		for _, key := range missing {
-			r.lostUntil[key] = now.Add(operatorRenewalGrace)
-		}
-		r.log.Info("operator's rows kept that the store lost", "keys", missing, "storeEra", era)
+	if len(missing) == 0 || known.IsZero() || version.Era <= known.Era {
+		return missing
+	}
+	for _, removal := range removedRows(missing, version) {
+		r.holdLostRow(removal, now.Add(operatorRenewalGrace))
+	}
+	return nil
+}
+
+// holdLostRow keeps a row of the operator in force that the store lost, until the given
+// time. r.mu is held.
+func (r *storeReplica) holdLostRow(removal platform.Row, until time.Time) {
+	if r.operator.Has(removal) {
+		return
 	}
-	return slices.DeleteFunc(missing, func(key string) bool { return now.Before(r.lostUntil[key]) })
+	r.lostUntil[removal.Key] = until
+	r.operator.PutHeldRemoval(removal, until)
+	r.log.Info("operator's row kept that the store lost", "key", removal.Key, "storeVersion", removal.Version, "until", until)
 }
 
 // expireOperatorRows removes the operator's rows that were not written again within
--- a/node/update.go
+++ b/node/update.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"filberthold/model"
-	"filberthold/platform"
 	"filberthold/relay"
 )
 
@@ -14,13 +13,21 @@
 	r.applyEndpointChanges(update.Endpoints, update.ReceivedAt)
 }
 
+// applyOperatorChanges applies changes of the operator's rows. A row that the store lost
+// stays in force as long as at the other host.
 func (r *storeReplica) applyOperatorChanges(changes relay.Changes, receivedAt time.Time, source model.HostName) {
-	confirmedAt := receivedAt.Add(-changes.Age)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	final, held := changes.SplitHeld()
 	if changes.IsWhole {
-		r.applyOperatorTable(platform.Rows{Rows: changes.Rows, Version: changes.Version}, confirmedAt, string(source))
-		return
+		r.putOperatorTable(final, changes.Version, string(source))
+	} else {
+		r.putOperatorRows(final, changes.Version, string(source))
+	}
+	for _, removal := range held {
+		r.holdLostRow(removal, receivedAt.Add(changes.Grace[removal.Key]))
 	}
-	r.applyOperatorRows(changes.Rows, changes.Version, confirmedAt, string(source))
+	r.operator.Confirm(changes.Version, receivedAt.Add(-changes.Age))
 }
 
 // applyEndpointChanges applies changes of the endpoints. Removals apply at once, except
--- a/relay/http.go
+++ b/relay/http.go
@@ -47,6 +47,19 @@
 	Packed []packedValue `cbor:"packed,omitempty"`
 }
 
+// SplitHeld returns the rows without the removals whose grace period runs at the sender,
+// and these removals.
+func (c *Changes) SplitHeld() (final, held []platform.Row) {
+	for _, row := range c.Rows {
+		if _, isHeld := c.Grace[row.Key]; isHeld && row.IsRemoved {
+			held = append(held, row)
+			continue
+		}
+		final = append(final, row)
+	}
+	return final, held
+}
+
 // addHeldRemoval adds the removal of a row whose grace period runs.
 func (c *Changes) addHeldRemoval(cached cachedRow) {
 	c.Rows = append(c.Rows, cached.removedRow())
