Compare the ends of cold times to tell that an endpoint is cold again

Cause: an entry counted as a change if it stated a longer cold time than the entry before. The stated time counts down, and a follower of the store reader receives only changes: after 3000, 1500 and 0 ms at the reader, a second 3000 is a change there and none at a follower, which had got the first 3000 only. The revision of its roster did not rise, so its selector took the endpoint for warm.

Change: the ends of the cold times are compared, with 100 ms for different times of arrival, and a renewal leaves the known end as it is. Each host then comes to the same verdict, whichever entries it has received.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -65,7 +65,10 @@
 // record is the latest entry of an endpoint with the state that the roster keeps
 // for it.
 type record struct {
-	entry     Entry
+	entry Entry
+	// coldUntil is the time until which the endpoint is cold, by the last entry that
+	// changed the roster. A renewal does not move it, so that it is the same at hosts
+	// that receive only changes.
 	coldUntil time.Time
 	// isRemoved is true after the entry was removed. The record is kept for
 	// removedRetention, so that a late entry of the same incarnation does not make
@@ -126,18 +129,24 @@
 	if previous != nil && isOlder(entry, previous) {
 		return Stale
 	}
-	change := changeOf(previous, entry)
 	added := &record{entry: entry}
 	if entry.ColdFor > 0 {
 		added.coldUntil = now.Add(entry.ColdFor)
 	}
-	r.records[entry.Endpoint] = added
-	if change != Unchanged {
+	change := changeOf(previous, added)
+	if change == Unchanged {
+		added.coldUntil = previous.coldUntil
+	} else {
 		r.revision++
 	}
+	r.records[entry.Endpoint] = added
 	return change
 }
 
+// coldTolerance is how much later the end of a cold time may be in a renewal. Entries
+// take slightly different times to arrive.
+const coldTolerance = 100 * time.Millisecond
+
 // maxLateEntries is how many entries a late write of an endpoint may be behind the last
 // one. An endpoint writes about one entry a second, and a write that got no response is
 // performed within seconds. A record further ahead was not written by the endpoint.
@@ -169,8 +178,12 @@
 	return entry.Sequence < previous.entry.Sequence
 }
 
-// changeOf returns how an entry that is not older changes the record.
-func changeOf(previous *record, entry Entry) Change {
+// changeOf returns how a record with an entry that is not older changes the previous
+// one. It compares the ends of the cold times and not the times that the entries state:
+// these count down, and a host that receives only changes has not seen the entries
+// between.
+func changeOf(previous, next *record) Change {
+	entry := next.entry
 	switch {
 	case previous == nil || previous.isRemoved || previous.entry.Incarnation != entry.Incarnation:
 		if entry.State == Draining {
@@ -180,7 +193,7 @@
 	case entry.State != previous.entry.State:
 		return Left
 	case entry.Address != previous.entry.Address, entry.Service != previous.entry.Service, entry.Slots != previous.entry.Slots, entry.Zone != previous.entry.Zone,
-		entry.ColdFor > previous.entry.ColdFor:
+		next.coldUntil.After(previous.coldUntil.Add(coldTolerance)):
 		return Updated
 	}
 	return Unchanged
