Bound the memory of all requests and responses of a host together

Report of other operators: an endpoint sent bytes without end, the host that had called it kept them all, and the requests of other callers ended with it.

Cause: each head and body was bounded for itself, but not their sum. A response is kept up to 1 MiB, four responses that were started early up to 4 MiB for each connection of a caller, a request's body up to 64 KiB, and a head without an end up to 64 KiB for each connection.

Change: package memory has a limit that the buffers of a host share, a quarter of its memory. Where it is reached, a body is streamed with what was read so far, a response that was started early waits for its turn, and a connection whose head is longer than 4 KiB is closed. Small buffers of 4 KiB need no reservation, so that short requests are served as before. A body that was kept is released once it is written, not when the rest of it has been copied. Two metrics show the bytes reserved and the reservations refused.

Tests pass a limit to NewPool, NewServer, NewHandler and NewListener; what they check is unchanged.

--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -66,7 +66,7 @@
 				near, far := net.Pipe()
 				peer := &endlessPeer{conn: far, beginning: test.beginning, bytes: test.bytes}
 				go peer.run()
-				pool := NewPool()
+				pool := NewPool(nil)
 				pool.dial = func(context.Context, string, string) (net.Conn, error) { return near, nil }
 				startedAt := time.Now()
 				_, err := pool.Exchange(t.Context(), netip.AddrPort{}, Request{
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"filberthold/memory"
 )
 
 const (
@@ -64,15 +66,52 @@
 type Response struct {
 	Status int
 	Header http.Header
-	// Body is the complete body, or its beginning if Rest is not nil.
+	// Body is the complete body, or its beginning if Rest is not nil. It must not be used
+	// after Close.
 	Body []byte
-	// Rest is the rest of a long body. It ends with io.EOF only if the body is
-	// complete. The receiver must close it.
-	Rest io.ReadCloser
+	// Rest is the rest of a body that is long, or that the memory for bodies has no room
+	// for. It ends with io.EOF only if the body is complete.
+	Rest io.Reader
 	// Length is the length of the complete body in bytes, or -1 if it is unknown.
 	Length int64
 	// WillClose is true if the connection is closed after the response.
 	WillClose bool
+	// kept holds Body.
+	kept *memory.Buffer
+	// conn is the connection of Rest, which is not used again. It is nil without Rest.
+	conn *connection
+}
+
+// CopyTo writes the body to a writer and closes the response.
+func (r *Response) CopyTo(writer io.Writer) error {
+	_, err := writer.Write(r.Body)
+	// The rest may take long.
+	r.releaseBody()
+	if r.Rest != nil && err == nil {
+		_, err = io.Copy(writer, r.Rest)
+	}
+	if err != nil {
+		err = fmt.Errorf("copy body: %w", err)
+	}
+	return errors.Join(err, r.Close())
+}
+
+func (r *Response) releaseBody() {
+	r.kept.Release()
+	r.Body = nil
+}
+
+// Close releases the memory of the body, and closes the connection if there is a Rest.
+// The receiver of a response must call it.
+func (r *Response) Close() error {
+	r.releaseBody()
+	if r.conn == nil {
+		return nil
+	}
+	if err := r.conn.Close(); err != nil {
+		return fmt.Errorf("close connection of long response: %w", err)
+	}
+	return nil
 }
 
 // NotSentError reports that no byte of a request was written.
@@ -108,7 +147,7 @@
 
 // Exchange sends a request and reads its response. A NotSentError proves that
 // nothing was sent. After an IncompleteError the request may have run. The
-// connection is closed if ctx ends.
+// connection is closed if ctx ends. The response must be closed.
 func (p *Pool) Exchange(ctx context.Context, address netip.AddrPort, request Request) (*Response, error) {
 	if !time.Now().Before(request.Deadline) {
 		return nil, &NotSentError{cause: errors.New("deadline has passed")}
@@ -118,7 +157,7 @@
 		return nil, &NotSentError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	response, err := exchangeOn(conn, request)
+	response, err := exchangeOn(conn, request, memory.NewBuffer(p.limit))
 	if err != nil || response.Rest == nil {
 		isOpen := stop()
 		if err != nil || !isOpen {
@@ -153,7 +192,9 @@
 	p.put(address, conn, idleLifetime(response.Header))
 }
 
-func exchangeOn(conn *connection, request Request) (*Response, error) {
+// exchangeOn sends a request on a connection and reads its response, with the body in
+// kept.
+func exchangeOn(conn *connection, request Request, kept *memory.Buffer) (*Response, error) {
 	// The process may have been paused since the first check. It must not start
 	// to send after the deadline.
 	if !time.Now().Before(request.Deadline) {
@@ -173,8 +214,9 @@
 	if request.Stream != nil {
 		go (&bodyWriter{conn: conn, request: request}).run()
 	}
-	response, err := readResponse(conn, request)
+	response, err := readResponse(conn, request, kept)
 	if err != nil {
+		kept.Release()
 		return nil, &IncompleteError{cause: err, isReused: conn.isReused, isTimeout: isTimeout(err)}
 	}
 	return response, nil
@@ -209,7 +251,7 @@
 
 // readResponse reads the response to a request. It skips responses to other
 // requests, which faulty endpoints send late or repeat.
-func readResponse(conn *connection, request Request) (*Response, error) {
+func readResponse(conn *connection, request Request, kept *memory.Buffer) (*Response, error) {
 	for skipped := range maxMismatches + 1 {
 		parsed, err := readHead(conn, request.Method) //nolint:bodyclose // the body is read to its end or becomes part of the response
 		if err != nil {
@@ -225,7 +267,7 @@
 			conn.isReused = true
 			continue
 		}
-		return readBody(conn, parsed)
+		return readBody(conn, parsed, kept)
 	}
 	return nil, errors.New("only responses to other requests came")
 }
@@ -254,34 +296,20 @@
 	}
 }
 
-func readBody(conn *connection, parsed *http.Response) (*Response, error) {
-	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, WillClose: parsed.Close}
-	body, err := io.ReadAll(io.LimitReader(parsed.Body, maxBufferedBody+1))
+func readBody(conn *connection, parsed *http.Response, kept *memory.Buffer) (*Response, error) {
+	response := &Response{Status: parsed.StatusCode, Header: parsed.Header, Length: parsed.ContentLength, WillClose: parsed.Close, kept: kept}
+	isComplete, err := kept.Fill(parsed.Body, maxBufferedBody, parsed.ContentLength)
 	if err != nil {
 		return nil, fmt.Errorf("read response body: %w", err)
 	}
-	response.Body = body
-	if len(body) > maxBufferedBody {
-		response.Rest = &bodyRest{Reader: parsed.Body, conn: conn}
+	response.Body = kept.Bytes()
+	if !isComplete {
+		response.Rest, response.conn = parsed.Body, conn
 		response.WillClose = true
 	}
 	return response, nil
 }
 
-// bodyRest is the rest of a long body. Its connection is not used again.
-type bodyRest struct {
-	io.Reader
-	conn *connection
-}
-
-// Close implements io.Closer.
-func (r *bodyRest) Close() error {
-	if err := r.conn.Close(); err != nil {
-		return fmt.Errorf("close connection of long response: %w", err)
-	}
-	return nil
-}
-
 // idleLifetime returns how long an idle connection stays usable, from the
 // Keep-Alive header of the endpoint's last response.
 func idleLifetime(header http.Header) time.Duration {
--- a/conns/exchange_test.go
+++ b/conns/exchange_test.go
@@ -42,7 +42,7 @@
 
 // Guards against a new connection for each request.
 func TestConnectionsAreReused(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	for range 5 {
 		response, err := pool.Exchange(context.Background(), address(endpoint), newRequest("a"))
 		assert.NilError(t, err)
@@ -54,7 +54,7 @@
 // Guards against a connection that is not used again once the deadline of its last
 // request has passed: the check for unread bytes failed by that deadline.
 func TestConnectionIsReusedAfterDeadlineOfLastRequest(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	for range 3 {
 		request := newRequest("a")
 		request.Deadline = time.Now().Add(50 * time.Millisecond)
@@ -68,7 +68,7 @@
 // Guards against delivering the response to another request, which a faulty
 // endpoint sends first.
 func TestMismatchedResponseIsSkipped(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	endpoint.SetBehaviour(fake.WrongResponseFirst)
 	response, err := pool.Exchange(context.Background(), address(endpoint), newRequest("a"))
 	assert.NilError(t, err)
@@ -82,7 +82,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, listener.Close()) })
 	go respondTwice(listener)
-	pool := conns.NewPool()
+	pool := conns.NewPool(nil)
 	target := netip.MustParseAddrPort(listener.Addr().String())
 	for range 3 {
 		response, err := pool.Exchange(context.Background(), target, newRequest("a"))
@@ -108,7 +108,7 @@
 
 // Guards against taking a truncated response as complete.
 func TestTruncatedResponseIsIncomplete(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	endpoint.SetBehaviour(fake.Truncate)
 	_, err := pool.Exchange(context.Background(), address(endpoint), newRequest("a"))
 	var incomplete *conns.IncompleteError
@@ -119,7 +119,7 @@
 // Guards against a pool that retries a request itself when a reused connection
 // breaks.
 func TestResetConnectionIsNotRetried(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	_, err := pool.Exchange(context.Background(), address(endpoint), newRequest("a"))
 	assert.NilError(t, err)
 	endpoint.SetBehaviour(fake.Reset)
@@ -132,7 +132,7 @@
 
 // Guards against a request that is sent after its deadline has passed.
 func TestNothingIsSentAfterDeadline(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	lateRequest := newRequest("a")
 	lateRequest.Deadline = time.Now().Add(-time.Millisecond)
 	_, err := pool.Exchange(context.Background(), address(endpoint), lateRequest)
@@ -144,7 +144,7 @@
 // Guards against a refused connection that is reported as a request that may
 // have run.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	closedListener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	target := netip.MustParseAddrPort(closedListener.Addr().String())
@@ -158,7 +158,7 @@
 // Guards against an unresponsive endpoint that is not reported as a timeout. The
 // caller gets a different status for a timeout.
 func TestUnresponsiveEndpointIsTimeout(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	endpoint.SetLatency(time.Second)
 	shortRequest := newRequest("a")
 	shortRequest.Deadline = time.Now().Add(50 * time.Millisecond)
@@ -170,7 +170,7 @@
 
 // Guards against an exchange that continues after its caller has disconnected.
 func TestCancelledRequestEnds(t *testing.T) {
-	endpoint, pool := startEndpoint(t), conns.NewPool()
+	endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 	endpoint.SetLatency(time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
@@ -183,7 +183,7 @@
 func TestStreamedBodyIsSentCompletely(t *testing.T) {
 	for name, length := range map[string]int64{"with a length": 200_000, "in chunks": -1} {
 		t.Run(name, func(t *testing.T) {
-			endpoint, pool := startEndpoint(t), conns.NewPool()
+			endpoint, pool := startEndpoint(t), conns.NewPool(nil)
 			longRequest := newRequest("a")
 			longRequest.Method = http.MethodPost
 			longRequest.Stream, longRequest.Length = strings.NewReader(strings.Repeat("x", 200_000)), length
--- a/conns/fuzz_test.go
+++ b/conns/fuzz_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"filberthold/memory"
 )
 
 // FuzzReadResponse reads responses from arbitrary bytes. It guards against
@@ -23,7 +25,7 @@
 		request := Request{Method: http.MethodGet, MatchesResponse: func(_ int, header http.Header, _ bool) bool {
 			return strings.TrimSpace(header.Get("Attempt-Id")) == "a"
 		}}
-		response, err := readResponse(conn, request)
+		response, err := readResponse(conn, request, memory.NewBuffer(nil))
 		if err != nil {
 			return
 		}
--- a/conns/late_copy_test.go
+++ b/conns/late_copy_test.go
@@ -86,7 +86,7 @@
 				t.Cleanup(func() { assert.NilError(t, listener.Close()) })
 				endpoint := &copyingEndpoint{listener: listener, copied: copied, sendsWhileIdle: sent, idleSent: make(chan struct{})}
 				go endpoint.run()
-				pool := conns.NewPool()
+				pool := conns.NewPool(nil)
 				target := netip.MustParseAddrPort(listener.Addr().String())
 				response, err := pool.Exchange(context.Background(), target, newRequest("a"))
 				assert.NilError(t, err)
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"filberthold/memory"
 )
 
 const (
@@ -32,8 +34,10 @@
 // Pool holds idle connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*connection
+	// limit bounds the bodies of all responses that are not closed.
+	limit *memory.Limit
+	mu    sync.Mutex
+	idle  map[netip.AddrPort][]*connection
 	// opened is the number of connections opened so far.
 	opened uint64
 }
@@ -54,11 +58,12 @@
 	isReused bool
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
+// NewPool returns an empty pool. The bodies of responses count towards limit.
+func NewPool(limit *memory.Limit) *Pool {
 	return &Pool{
-		dial: (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
-		idle: make(map[netip.AddrPort][]*connection),
+		limit: limit,
+		dial:  (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
+		idle:  make(map[netip.AddrPort][]*connection),
 	}
 }
 
--- a/conns/truncated_test.go
+++ b/conns/truncated_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	near, far := net.Pipe()
 	t.Cleanup(func() { assert.NilError(t, errors.Join(near.Close(), far.Close())) })
-	pool := NewPool()
+	pool := NewPool(nil)
 	pool.dial = func(context.Context, string, string) (net.Conn, error) {
 		return &truncatedConn{Conn: near, part: strings.NewReader(part), end: end}, nil
 	}
--- a/early/early_test.go
+++ b/early/early_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"filberthold/memory"
+
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -24,6 +26,7 @@
 	address string
 	handler *Handler
 	server  *http.Server
+	limit   *memory.Limit
 
 	mu      sync.Mutex
 	order   []string
@@ -33,14 +36,20 @@
 }
 
 func startServer(t *testing.T) *testServer {
+	t.Helper()
+	return startServerWithin(t, memory.NewLimit(16<<20))
+}
+
+// startServerWithin starts a server whose memory is limited.
+func startServerWithin(t *testing.T, limit *memory.Limit) *testServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &testServer{t: t, address: listener.Addr().String(), release: make(map[string]chan struct{}), left: make(map[string]bool), closes: make(map[string]bool)}
-	s.handler = NewHandler(http.HandlerFunc(s.handle), func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe") }, func(http.Header) {})
+	s := &testServer{t: t, limit: limit, address: listener.Addr().String(), release: make(map[string]chan struct{}), left: make(map[string]bool), closes: make(map[string]bool)}
+	s.handler = NewHandler(http.HandlerFunc(s.handle), func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe") }, func(http.Header) {}, limit)
 	s.server = &http.Server{Handler: s.handler, ConnContext: ConnContext, ReadHeaderTimeout: time.Minute}
 	done := make(chan error, 1)
-	go func() { done <- s.server.Serve(NewListener(listener)) }()
+	go func() { done <- s.server.Serve(NewListener(listener, limit)) }()
 	t.Cleanup(func() {
 		assert.NilError(t, s.server.Close())
 		assert.ErrorIs(t, <-done, http.ErrServerClosed)
--- a/early/exchange.go
+++ b/early/exchange.go
@@ -1,13 +1,14 @@
 package early
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"maps"
 	"net/http"
 	"reflect"
 	"sync"
+
+	"filberthold/memory"
 )
 
 // maxBuffered bounds the body of a response that waits for its turn, in bytes. The
@@ -27,15 +28,20 @@
 
 	mu     sync.Mutex
 	status int
-	body   bytes.Buffer
+	body   *memory.Buffer
 	// target is the writer of the connection once it is the turn of the request.
 	target http.ResponseWriter
+	// isAbandoned is true if the turn of the request will not come. Nothing is kept then.
+	isAbandoned bool
 	// attached is closed when target is set.
 	attached chan struct{}
 }
 
-func newExchange(handler http.Handler, request *http.Request) *exchange {
-	return &exchange{handler: handler, request: request, header: make(http.Header), done: make(chan struct{}), attached: make(chan struct{})}
+func newExchange(handler http.Handler, request *http.Request, limit *memory.Limit) *exchange {
+	return &exchange{
+		handler: handler, request: request, header: make(http.Header), body: memory.NewBuffer(limit),
+		done: make(chan struct{}), attached: make(chan struct{}),
+	}
 }
 
 // isFor reports whether the request that was started is the one that net/http has read.
@@ -73,6 +79,16 @@
 	// An error means that the caller has left. The handler gets it with its next write, and
 	// the context of the request ends.
 	_, _ = target.Write(e.body.Bytes())
+	e.body.Release()
+}
+
+// abandon releases what is kept of a response whose turn will not come. Its handler gets
+// an error, because the context of the request has ended.
+func (e *exchange) abandon() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isAbandoned = true
+	e.body.Release()
 }
 
 // writeHead writes the status and headers to the connection. e.mu is held.
@@ -115,13 +131,9 @@
 }
 
 // buffer keeps content until the turn of the request. It returns false if the turn has
-// come or too much is kept.
+// come or will not come, or if too much is kept.
 func (e *exchange) buffer(content []byte) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.target != nil || e.body.Len()+len(content) > maxBuffered {
-		return false
-	}
-	e.body.Write(content)
-	return true
+	return e.target == nil && !e.isAbandoned && e.body.Append(content, maxBuffered)
 }
--- a/early/handler.go
+++ b/early/handler.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"filberthold/memory"
 )
 
 // Handler passes requests to another handler, and starts those early that callers have
@@ -18,13 +20,16 @@
 	canStart func(request *http.Request) bool
 	// onTurn adds headers to the response of a request that was started early, when it is
 	// written.
-	onTurn  func(header http.Header)
+	onTurn func(header http.Header)
+	// limit bounds the responses that wait for their turn.
+	limit   *memory.Limit
 	started atomic.Uint64
 }
 
-// NewHandler returns a handler for requests of the connections of a Listener.
-func NewHandler(next http.Handler, canStart func(request *http.Request) bool, onTurn func(header http.Header)) *Handler {
-	return &Handler{next: next, canStart: canStart, onTurn: onTurn}
+// NewHandler returns a handler for requests of the connections of a Listener. Responses
+// that wait for their turn count towards limit.
+func NewHandler(next http.Handler, canStart func(request *http.Request) bool, onTurn func(header http.Header), limit *memory.Limit) *Handler {
+	return &Handler{next: next, canStart: canStart, onTurn: onTurn, limit: limit}
 }
 
 // Started returns the number of requests that were started early.
@@ -68,7 +73,7 @@
 	}
 	h.started.Add(1)
 	request.RemoteAddr = connection.RemoteAddr().String()
-	started := newExchange(h.next, request.WithContext(connection.ctx))
+	started := newExchange(h.next, request.WithContext(connection.ctx), h.limit)
 	go started.run()
 	return started
 }
@@ -101,6 +106,8 @@
 	}
 	// The requests are not in step. Those that were started are given up.
 	c.cancel()
-	c.started, c.isBlocked = nil, true
+	first.abandon()
+	c.abandonStarted()
+	c.isBlocked = true
 	return nil
 }
--- a/early/listener.go
+++ b/early/listener.go
@@ -15,6 +15,8 @@
 	"net"
 	"os"
 	"sync"
+
+	"filberthold/memory"
 )
 
 const (
@@ -22,17 +24,24 @@
 	maxPending = 16 << 10
 	// maxStarted bounds the requests of a connection that are started early.
 	maxStarted = 4
-	// readBytes is the size of a read from the socket.
+	// readBytes is the size of a read from the socket. A head of up to this size needs
+	// no reservation.
 	readBytes = 4 << 10
+	// maxHeadBytes is the memory that a longer head may need, here and in net/http.
+	maxHeadBytes = 64 << 10
 )
 
 // Listener accepts connections whose requests can be started early.
 type Listener struct {
 	net.Listener
+	limit *memory.Limit
 }
 
-// NewListener returns a listener that accepts the connections of another one.
-func NewListener(listener net.Listener) *Listener { return &Listener{Listener: listener} }
+// NewListener returns a listener that accepts the connections of another one. Long heads
+// of requests count towards limit.
+func NewListener(listener net.Listener, limit *memory.Limit) *Listener {
+	return &Listener{Listener: listener, limit: limit}
+}
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -42,7 +51,7 @@
 		// recognises by their type.
 		return nil, err
 	}
-	return newConn(accepted), nil
+	return newConn(accepted, l.limit), nil
 }
 
 // conn is a connection of a caller. Reads end at the end of the head of a request, so
@@ -65,22 +74,72 @@
 	scanned int
 	// isBlocked is true if the next request in pending cannot be started early.
 	isBlocked bool
+	// limit bounds the heads of requests, and reserved is what this connection has
+	// reserved of it.
+	limit    *memory.Limit
+	reserved int
+	isClosed bool
 }
 
-func newConn(accepted net.Conn) *conn {
+func newConn(accepted net.Conn, limit *memory.Limit) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &conn{Conn: accepted, ctx: ctx, cancel: cancel}
+	return &conn{Conn: accepted, ctx: ctx, cancel: cancel, limit: limit}
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.cancel()
+	c.release()
 	if err := c.Conn.Close(); err != nil {
 		return fmt.Errorf("close connection: %w", err)
 	}
 	return nil
 }
 
+// release gives the memory back that was reserved for the connection.
+func (c *conn) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abandonStarted()
+	c.isClosed = true
+	c.limit.Release(c.reserved)
+	c.reserved = 0
+}
+
+// releaseHead gives the memory back that was reserved for a head, unless it was passed on
+// in part: net/http keeps it then. c.mu is held.
+func (c *conn) releaseHead() {
+	if c.framing.isOpaque {
+		return
+	}
+	c.limit.Release(c.reserved)
+	c.reserved = 0
+}
+
+// abandonStarted gives up the requests that were started early. c.mu is held.
+func (c *conn) abandonStarted() {
+	for _, started := range c.started {
+		started.abandon()
+	}
+	c.started = nil
+}
+
+// reserve reserves memory for a head that is longer than usual. It returns an error if
+// there is none left. c.mu is held.
+func (c *conn) reserve() error {
+	if len(c.pending) <= readBytes || !c.framing.isAtHead() || c.reserved > 0 || c.isClosed {
+		return nil
+	}
+	if !c.limit.Reserve(maxHeadBytes) {
+		return errNoMemory
+	}
+	c.reserved = maxHeadBytes
+	return nil
+}
+
+// errNoMemory ends a connection with a long head while memory is short.
+var errNoMemory = errors.New("no memory for a long head of a request")
+
 // CloseWrite closes the sending side. net/http uses it, because closing a connection
 // with unread bytes at once would take back the response.
 func (c *conn) CloseWrite() error {
@@ -140,6 +199,7 @@
 	c.scanned = max(0, c.scanned-count)
 	if len(c.pending) == 0 {
 		c.pending = nil
+		c.releaseHead()
 	}
 	return count
 }
@@ -150,9 +210,9 @@
 	count, err := c.Conn.Read(received)
 	if count > 0 {
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.pending = append(c.pending, received[:count]...)
-		c.mu.Unlock()
-		return nil
+		return c.reserve()
 	}
 	// The error is not wrapped: net/http compares it with io.EOF and asserts its type.
 	return err
--- a/early/order_test.go
+++ b/early/order_test.go
@@ -36,7 +36,7 @@
 		_, _ = writer.Write([]byte(strings.Repeat("a", maxBuffered)))
 		close(kept)
 		_, _ = writer.Write([]byte("b"))
-	}), request)
+	}), request, nil)
 	go e.run()
 	<-kept
 	target := &slowWriter{header: make(http.Header), order: make(chan string, 2)}
@@ -55,6 +55,6 @@
 // net/http goes on only if it recognises the error by its type.
 func TestAcceptReturnsErrorOfListener(t *testing.T) {
 	cause := &net.OpError{Op: "accept", Err: errors.New("too many open files")}
-	_, err := NewListener(failingListener{err: cause}).Accept()
+	_, err := NewListener(failingListener{err: cause}, nil).Accept()
 	assert.Equal(t, err, error(cause))
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -30,5 +30,7 @@
 	gauge("filberthold_store_calls_total", "Calls to the store since the start.", func() float64 { return float64(n.store.Calls()) })
 	gauge("filberthold_relay_sent_bytes_total", "Bytes of the store's rows sent to other hosts since the start.", func() float64 { return float64(n.relay.SentBytes()) })
 	gauge("filberthold_requests_started_early_total", "Requests that were started before the earlier ones of their connections were answered.", func() float64 { return float64(n.server.StartedEarly()) })
+	gauge("filberthold_buffered_bytes", "Bytes reserved for requests and responses that are kept in memory.", func() float64 { return float64(n.buffers.Used()) })
+	gauge("filberthold_buffers_refused_total", "Reservations for which there was no memory: bodies that were streamed, and connections with long heads that were closed.", func() float64 { return float64(n.buffers.Refused()) })
 	gauge("filberthold_log_lines_dropped_total", "Log lines that found no room.", func() float64 { return float64(n.logWriter.Dropped()) })
 }
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"filberthold/gossip"
 	"filberthold/logs"
 	"filberthold/member"
+	"filberthold/memory"
 	"filberthold/platform"
 	"filberthold/proxy"
 	"filberthold/relay"
@@ -32,6 +33,9 @@
 	// memoryPercent is the percentage of Settings.MemoryBytes that the runtime may
 	// use before it collects garbage more often.
 	memoryPercent = 60
+	// buffersPercent is the percentage of Settings.MemoryBytes for requests and responses
+	// that are kept in memory until they are passed on.
+	buffersPercent = 25
 	// expiryCheckInterval is how often expired endpoints and hosts are looked for
 	// and removed.
 	expiryCheckInterval = 200 * time.Millisecond
@@ -51,6 +55,8 @@
 	server    *proxy.Server
 	transport *gossip.Transport
 	registry  *prometheus.Registry
+	// buffers bounds the requests and responses that are kept in memory.
+	buffers *memory.Limit
 	// incarnation is the start time in Unix milliseconds. It is higher for each
 	// start of the host unless its clock was set back.
 	incarnation int64
@@ -76,6 +82,7 @@
 	store := platform.NewStore(settings.StoreAddress, settings.IP)
 	node := &Node{
 		hangups: hangups, settings: settings, log: log, logWriter: logWriter, store: store, core: core, registry: registry,
+		buffers:     memory.NewLimit(settings.MemoryBytes * buffersPercent / 100),
 		incarnation: time.Now().UnixMilli(),
 		startedAt:   time.Now(),
 	}
@@ -83,7 +90,7 @@
 	node.replica = newStoreReplica(log, core, settings.HeartbeatInterval)
 	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, node.intervals.pollWait)
 	node.registerMetrics()
-	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), node.freshness())
+	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), node.freshness(), node.buffers)
 	node.reader = newReader(log, store, node.replica, node.intervals, node.shouldReadStore, node.probeInterval)
 	node.follower = newFollower(log, node.replica, node.intervals, node.sources, relay.NewClient(node.intervals.pollWait).Poll)
 	return node
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,8 +1,8 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +10,7 @@
 	"time"
 
 	"filberthold/conns"
+	"filberthold/memory"
 	"filberthold/model"
 	"filberthold/platform"
 	"filberthold/route"
@@ -48,8 +49,10 @@
 	// deadline is when the caller stops waiting: after the timeout of the route or
 	// its own, whichever is shorter.
 	deadline time.Time
-	body     []byte
-	// stream is the body if it is too long to be buffered.
+	// body is the body, or its beginning if stream is not nil.
+	body *memory.Buffer
+	// stream is the body if it is too long to be buffered, or the memory for bodies has
+	// no room for it.
 	stream io.Reader
 	// tried holds the endpoints to which the request was sent, in order.
 	tried []model.EndpointName
@@ -66,8 +69,9 @@
 func (s *Server) handleRequest(writer http.ResponseWriter, request *http.Request) {
 	e := &exchange{
 		server: s, writer: writer, request: request,
-		header: platform.ParseRequestHeader(request.Header), arrivedAt: time.Now(), config: s.core.Config(),
+		header: platform.ParseRequestHeader(request.Header), arrivedAt: time.Now(), config: s.core.Config(), body: memory.NewBuffer(s.limit),
 	}
+	defer e.body.Release()
 	s.announceClose(writer.Header())
 	platform.EchoAttempt(writer.Header(), e.header)
 	if s.isRefusing.Load() {
@@ -127,19 +131,25 @@
 		e.stream = e.request.Body
 		return true
 	}
-	buffered, err := io.ReadAll(io.LimitReader(e.request.Body, maxBufferedBody+1))
+	isComplete, err := e.body.Fill(e.request.Body, maxBufferedBody, e.request.ContentLength)
 	if err != nil {
 		e.fail(http.StatusBadRequest, "the body did not arrive: "+err.Error())
 		return false
 	}
-	if len(buffered) > maxBufferedBody {
-		e.stream = io.MultiReader(strings.NewReader(string(buffered)), e.request.Body)
-		return true
+	if !isComplete {
+		e.stream = io.MultiReader(bytes.NewReader(e.body.Bytes()), e.request.Body)
 	}
-	e.body = buffered
 	return true
 }
 
+// completeBody returns the body if it is buffered as a whole.
+func (e *exchange) completeBody() []byte {
+	if e.stream != nil {
+		return nil
+	}
+	return e.body.Bytes()
+}
+
 // attempt sends the request to an endpoint. It reports whether the exchange has
 // ended; otherwise serve calls it again.
 func (e *exchange) attempt() bool {
@@ -227,7 +237,7 @@
 	platform.SetTarget(header, decision.Endpoint.Name, e.deadline.Sub(startedAt))
 	response, err := e.server.pool.Exchange(ctx, decision.Endpoint.Address, conns.Request{
 		Method: e.request.Method, Target: e.requestTarget(), Domain: e.request.Host, Header: header,
-		Body: e.body, Stream: e.stream, Length: e.request.ContentLength,
+		Body: e.completeBody(), Stream: e.stream, Length: e.request.ContentLength,
 		Deadline: e.deadline.Add(responseMargin), MaxIdle: e.maxIdle(), MatchesResponse: e.matchesResponse,
 	})
 	var responseHeader platform.ResponseHeader
@@ -313,10 +323,7 @@
 		header.Set("Content-Length", strconv.FormatInt(outcome.response.Length, 10))
 	}
 	e.writer.WriteHeader(outcome.response.Status)
-	_, err := e.writer.Write(outcome.response.Body)
-	if hasRest {
-		err = errors.Join(err, e.copyRest(outcome.response.Rest))
-	}
+	err := outcome.response.CopyTo(e.writer)
 	e.logAndCount(outcome.response.Status, "delivered", err)
 	if err != nil {
 		// The connection is aborted, so that the caller does not take the
@@ -325,11 +332,6 @@
 	}
 }
 
-func (e *exchange) copyRest(rest io.ReadCloser) error {
-	_, err := io.Copy(e.writer, rest)
-	return errors.Join(err, rest.Close())
-}
-
 // refuse responds with status 503 and a Retry-After. It states that the request
 // has not run and will not run.
 func (e *exchange) refuse(reason string, retryAfter time.Duration) {
--- a/proxy/next_action.go
+++ b/proxy/next_action.go
@@ -52,11 +52,11 @@
 	return o.response != nil && o.err == nil && !o.responseHeader.NotStarted && !isInvalid(o.response, o.responseHeader)
 }
 
-// discard closes the rest of a long response that is not delivered.
+// discard closes a response that is not delivered.
 func (o attemptOutcome) discard() {
-	if o.response != nil && o.response.Rest != nil {
+	if o.response != nil {
 		// The response is not used, so an error has no effect.
-		_ = o.response.Rest.Close()
+		_ = o.response.Close()
 	}
 }
 
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -13,6 +13,7 @@
 
 	"filberthold/conns"
 	"filberthold/early"
+	"filberthold/memory"
 )
 
 const (
@@ -31,9 +32,11 @@
 
 // Server serves callers' requests. It is safe for concurrent use.
 type Server struct {
-	log       *slog.Logger
-	core      *Core
-	pool      *conns.Pool
+	log  *slog.Logger
+	core *Core
+	pool *conns.Pool
+	// limit bounds the memory for requests and responses in flight.
+	limit     *memory.Limit
 	http      *http.Server
 	early     *early.Handler
 	metrics   *Metrics
@@ -45,10 +48,11 @@
 	isRefusing atomic.Bool
 }
 
-// NewServer returns a server that is not yet listening.
-func NewServer(log *slog.Logger, core *Core, metrics *Metrics, freshness Freshness) *Server {
-	server := &Server{log: log, core: core, pool: conns.NewPool(), metrics: metrics, freshness: freshness}
-	server.early = early.NewHandler(http.HandlerFunc(server.handleRequest), server.canStartEarly, server.announceClose)
+// NewServer returns a server that is not yet listening. What it keeps of requests and
+// responses counts towards limit.
+func NewServer(log *slog.Logger, core *Core, metrics *Metrics, freshness Freshness, limit *memory.Limit) *Server {
+	server := &Server{log: log, core: core, pool: conns.NewPool(limit), limit: limit, metrics: metrics, freshness: freshness}
+	server.early = early.NewHandler(http.HandlerFunc(server.handleRequest), server.canStartEarly, server.announceClose, limit)
 	server.http = &http.Server{
 		Handler: server.early, ConnContext: early.ConnContext, IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -59,7 +63,7 @@
 
 // Run serves callers until Stop has ended.
 func (s *Server) Run(listener net.Listener) error {
-	if err := s.http.Serve(early.NewListener(listener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(early.NewListener(listener, s.limit)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"filberthold/memory"
 	"filberthold/model"
 	"filberthold/platform/fake"
 	"filberthold/roster"
@@ -30,6 +31,9 @@
 	endpoints []*fake.Endpoint
 }
 
+// testMemory is the memory for bodies in the tests, in bytes.
+const testMemory = 16 << 20
+
 // currentFreshness is the freshness of a host that has all changes.
 func currentFreshness() Freshness {
 	zero := func() time.Duration { return 0 }
@@ -37,10 +41,16 @@
 }
 
 func startTestServer(t *testing.T, endpoints int) *testServer {
+	t.Helper()
+	return startTestServerWithin(t, endpoints, memory.NewLimit(testMemory))
+}
+
+// startTestServerWithin starts a server whose memory for bodies is limited.
+func startTestServerWithin(t *testing.T, endpoints int, limit *memory.Limit) *testServer {
 	t.Helper()
 	regions := map[model.ZoneName]model.RegionName{"za": "north"}
 	ts := &testServer{t: t, core: NewCore("h", "za", regions, DefaultRetryLimit())}
-	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), currentFreshness())
+	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), currentFreshness(), limit)
 	ts.core.SetConfig(route.NewConfig(1, []route.Route{
 		ts.route("/read/", model.Read), ts.route("/submit/", model.Submit), ts.route("/export/", model.Export),
 	}, []route.Service{{Name: "s", ColdRate: 2}}, route.Limits{MaxBodyBytes: 1 << 20}))
@@ -191,7 +201,7 @@
 // configuration and so no routes yet.
 func TestHostWithoutConfigurationRefuses(t *testing.T) {
 	ts := &testServer{t: t, core: NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, DefaultRetryLimit())}
-	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), currentFreshness())
+	ts.server = NewServer(slog.New(slog.DiscardHandler), ts.core, NewMetrics(prometheus.NewRegistry()), currentFreshness(), memory.NewLimit(testMemory))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ts.address = listener.Addr().String()
