Bound the heads of requests to the ports that serve no callers' requests

The ports for lookups, readiness and other hosts kept up to 1 MB for each connection, the default of net/http, for a head that does not end: 180 connections fill the memory of the smallest host.

--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,9 @@
 	// expiryCheckInterval is how often expired endpoints and hosts are looked for
 	// and removed.
 	expiryCheckInterval = 200 * time.Millisecond
+	// maxHeadBytes bounds the head of a request for a lookup, for readiness or of another
+	// host. The default of net/http is 1 MB for each connection.
+	maxHeadBytes = 16 << 10
 	// metricsPort is the port of the host's IP address that serves metrics.
 	metricsPort = "9464"
 )
@@ -179,7 +182,7 @@
 		}
 		mux := http.NewServeMux()
 		mux.Handle(route.pattern, route.handler)
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
 		listener, err := net.Listen("tcp", route.address)
 		if err != nil {
 			return fmt.Errorf("listen for %s: %w", route.pattern, err)
