Spend the credit of a retry before it waits for its permit

A retry to an endpoint with a rate limit asks the endpoint's owner for a permit, for up to 250 ms. The budget was checked before and charged after the wait, and the result of the charge was ignored, so any number of retries that waited at the same time were sent on the credit of one.

Evidence: TestRetriesThatWaitForPermitsSpendTheirCredit fails on the code before: a second retry is chosen while the first one waits.

Change: the credit is spent when the endpoint is chosen, and given back if the request is not sent.

--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -7,6 +7,7 @@
 	"filberthold/model"
 	"filberthold/route"
 	"filberthold/score"
+	"filberthold/steer"
 
 	"gotest.tools/v3/assert"
 )
@@ -50,3 +51,29 @@
 	}
 	assert.Assert(t, !budget.CanSpend())
 }
+
+// Guards against several retries that are sent on the credit of one, because each of them
+// waits for a permit while the others are chosen.
+func TestRetriesThatWaitForPermitsSpendTheirCredit(t *testing.T) {
+	permits := &fakePermits{}
+	ts := startLimitedServer(t, 2, permits)
+	for _, name := range []model.EndpointName{"i-0", "i-1"} {
+		ts.core.recordOutcome(steer.Outcome{Endpoint: name, Result: steer.Answered, Limit: steer.RateLimit{IsSet: true, PerSecond: 2.5}}, false)
+	}
+	budget := ts.core.budgets["s"]
+	for budget.Spend() {
+	}
+	for range 10 {
+		budget.Earn()
+	}
+	query := steer.Query{Service: "s", AttemptID: "a1", Route: ts.route("/read/", model.Read), Tried: []model.EndpointName{"i-0"}}
+	send, isSend := ts.core.choose(query).(steer.Send)
+	assert.Assert(t, isSend && send.Permit.IsNeeded())
+	for range 5 {
+		_, isSend := ts.core.choose(query).(steer.Send)
+		assert.Assert(t, !isSend, "a second retry was chosen")
+	}
+	_, err := ts.core.obtainPermit(t.Context(), query, send)
+	assert.NilError(t, err)
+	assert.Assert(t, budget.CanSpend(), "the credit of a retry that got no permit is lost")
+}
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -227,16 +227,18 @@
 		return steer.Reject{Reason: "the retry budget is used up", RetryAfter: max(budgetRetryAfter, c.selector.MinRetryAfter(query, time.Now()))}
 	}
 	decision := c.selector.Choose(query, time.Now())
-	if send, isSend := decision.(steer.Send); isSend && !send.Permit.IsNeeded() {
-		c.spendRetry(query)
+	// Other retries may be chosen while this one waits for a permit, so its credit is
+	// spent now.
+	if _, isSend := decision.(steer.Send); isSend && len(query.Tried) > 0 {
+		c.budgets[query.Service].Spend()
 	}
 	return decision
 }
 
-// spendRetry spends retry budget if the query is a retry.
-func (c *Core) spendRetry(query steer.Query) {
+// refundRetry gives the credit of a retry back that is not sent.
+func (c *Core) refundRetry(query steer.Query) {
 	if len(query.Tried) > 0 {
-		c.budgets[query.Service].Spend()
+		c.budgets[query.Service].Refund()
 	}
 }
 
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -71,11 +71,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateSelector()
-	isSent := c.selector.ApplyPermit(send, permit, time.Now())
-	switch {
-	case isSent:
-		c.spendRetry(query)
-	case permit.IsGranted:
+	if c.selector.ApplyPermit(send, permit, time.Now()) {
+		return permit, err
+	}
+	c.refundRetry(query)
+	if permit.IsGranted {
 		return send.Permit.Refusal(), errNotUsable
 	}
 	return permit, err
--- a/score/budget.go
+++ b/score/budget.go
@@ -60,6 +60,9 @@
 	return true
 }
 
+// Refund gives the credit of an extra attempt back that was spent and not made.
+func (b *Budget) Refund() { b.credit = min(b.credit+attemptCost, b.maxCredit) }
+
 const (
 	// windowSize is the number of recent response times for which quantiles are
 	// computed.
