Divide the slack of the retry limit by the hosts of the last ten minutes

Hosts share the slack of the limit: each may accumulate its part. A host that no longer heard the others took them for gone and accumulated up to 10 retries, and the others did the same, so that hosts which had been cut off from each other for some time exceeded the limit together when their endpoints failed.

Evidence: TestHostsThatWereCutOffShareTheRetryLimit fails on the code before: ten hosts allow 100 retries for 100 requests, where 80 are allowed.

Change: a host counts the others for ten minutes after it last heard them. The retry limit moves into a file of its own.

--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"filberthold/model"
 	"filberthold/route"
@@ -38,6 +40,71 @@
 	}
 }
 
+// newRetryCores returns the cores of hosts that share a retry limit, with the service s.
+func newRetryCores(hosts int, limit RetryLimit) []*Core {
+	var cores []*Core
+	for range hosts {
+		core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, limit)
+		core.SetConfig(route.NewConfig(1, []route.Route{{Name: "r", Shares: []route.Share{{Service: "s", Weight: 1}}}},
+			[]route.Service{{Name: "s"}}, route.Limits{}))
+		cores = append(cores, core)
+	}
+	return cores
+}
+
+// setAlive tells cores that a number of hosts are alive, repeatedly for some time.
+func setAlive(cores []*Core, hosts int, duration time.Duration) {
+	alive := map[model.RegionName][]model.HostName{"north": make([]model.HostName, hosts)}
+	for range duration / time.Second {
+		for _, core := range cores {
+			core.SetHosts(alive)
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// retries returns the number of retries that cores allow together if all of a number of
+// requests at each of them need retries.
+func retries(cores []*Core, requests int) int {
+	count := 0
+	for _, core := range cores {
+		for range requests {
+			core.budgets["s"].Earn()
+			for core.budgets["s"].Spend() {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// earn counts requests without retries.
+func earn(cores []*Core, requests int) {
+	for _, core := range cores {
+		for range requests {
+			core.budgets["s"].Earn()
+		}
+	}
+}
+
+// Guards against hosts that together exceed the retry limit after they were cut off from
+// each other: each of them took itself for the only one and accumulated a larger burst.
+func TestHostsThatWereCutOffShareTheRetryLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, busyRequests = 10, 10
+		limit := RetryLimit{Ratio: 0.2, Slack: 60}
+		cores := newRetryCores(hosts, limit)
+		setAlive(cores, hosts, time.Minute)
+		setAlive(cores, 1, time.Minute)
+		earn(cores, 200)
+		count := retries(cores, busyRequests)
+		assert.Assert(t, float64(count) <= limit.Ratio*hosts*busyRequests+limit.Slack, "%d retries", count)
+		setAlive(cores, 1, hostPeakTime)
+		earn(cores[:1], 200)
+		assert.Assert(t, retries(cores[:1], 1) == 10, "the hosts that are gone for good are counted still")
+	})
+}
+
 // Guards against a retry limit in the settings that is read but not applied.
 func TestRetryLimitFollowsSettings(t *testing.T) {
 	core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, RetryLimit{Ratio: 0.02, Slack: 1})
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -14,30 +14,6 @@
 	"filberthold/steer"
 )
 
-// RetryLimit bounds the retries that all hosts together send to a service: at
-// most Ratio times the number of requests plus Slack.
-type RetryLimit struct {
-	// Ratio is a fraction of the service's requests.
-	Ratio float64
-	// Slack is the number of retries that are allowed in addition to Ratio.
-	Slack float64
-}
-
-// DefaultRetryLimit returns the limit that applies if the settings contain none.
-func DefaultRetryLimit() RetryLimit { return RetryLimit{Ratio: 0.2, Slack: 60} }
-
-// ownFraction is the fraction of the ratio that a host applies to the requests
-// that it received itself. The rest leaves room for requests that move between
-// hosts and for unused budget that the hosts have accumulated.
-const ownFraction = 0.5
-
-// percent returns the percentage of its requests that a host may retry.
-func (l RetryLimit) percent() int { return max(1, int(l.Ratio*ownFraction*100)) }
-
-// burst returns the number of retries that each of a number of hosts may
-// accumulate.
-func (l RetryLimit) burst(hosts int) int { return int(l.Slack) / max(1, hosts) }
-
 // Core holds the configuration, the endpoints, the retry budgets and the
 // waiting requests of a host, and selects the endpoints of its requests. It is
 // safe for concurrent use. Only chooseOrWait waits.
@@ -49,9 +25,9 @@
 	splitter   *route.Splitter
 	budgets    map[model.ServiceName]*score.Budget
 	retryLimit RetryLimit
-	// hostCount is the number of hosts that are alive, including this one.
-	hostCount int
-	services  []model.ServiceName
+	// retryHosts is the number of hosts that share the retry limit.
+	retryHosts hostPeak
+	services   []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
 	selectorRevision uint64
 	// isSelectorOutdated is true if the selector was not yet updated to config or to
@@ -79,7 +55,7 @@
 		roster: roster.New(regions), selector: selector,
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
-		retryLimit: retryLimit, hostCount: 1,
+		retryLimit: retryLimit,
 	}
 }
 
@@ -96,7 +72,7 @@
 	for _, name := range c.services {
 		if c.budgets[name] == nil {
 			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), 1)
-			c.budgets[name].LimitBurst(c.retryLimit.burst(c.hostCount))
+			c.budgets[name].LimitBurst(c.retryLimit.burst(c.retryHosts.count))
 		}
 	}
 	c.isSelectorOutdated = true
@@ -165,12 +141,11 @@
 	for _, names := range hosts {
 		count += len(names)
 	}
-	if count == c.hostCount {
+	if !c.retryHosts.observe(count, time.Now()) {
 		return
 	}
-	c.hostCount = count
 	for _, budget := range c.budgets {
-		budget.LimitBurst(c.retryLimit.burst(count))
+		budget.LimitBurst(c.retryLimit.burst(c.retryHosts.count))
 	}
 }
 
--- /dev/null
+++ b/proxy/retry_limit.go
@@ -0,0 +1,50 @@
+package proxy
+
+import "time"
+
+// RetryLimit bounds the retries that all hosts together send to a service: at
+// most Ratio times the number of requests plus Slack.
+type RetryLimit struct {
+	// Ratio is a fraction of the service's requests.
+	Ratio float64
+	// Slack is the number of retries that are allowed in addition to Ratio.
+	Slack float64
+}
+
+// DefaultRetryLimit returns the limit that applies if the settings contain none.
+func DefaultRetryLimit() RetryLimit { return RetryLimit{Ratio: 0.2, Slack: 60} }
+
+// ownFraction is the fraction of the ratio that a host applies to the requests
+// that it received itself. The rest leaves room for requests that move between
+// hosts and for unused budget that the hosts have accumulated.
+const ownFraction = 0.5
+
+// percent returns the percentage of its requests that a host may retry.
+func (l RetryLimit) percent() int { return max(1, int(l.Ratio*ownFraction*100)) }
+
+// burst returns the number of retries that each of a number of hosts may
+// accumulate.
+func (l RetryLimit) burst(hosts int) int { return int(l.Slack) / max(1, hosts) }
+
+const (
+	// hostPeakTime is how long a host counts the others that it no longer hears. They may
+	// only be cut off from it, and go on to spend their part of the retry limit.
+	hostPeakTime = 10 * time.Minute
+)
+
+// hostPeak is the largest number of hosts that were alive within hostPeakTime.
+type hostPeak struct {
+	count int
+	// until is when a smaller number counts.
+	until time.Time
+}
+
+// observe records the number of hosts that are alive, including this one. It reports
+// whether the bursts must be limited anew.
+func (p *hostPeak) observe(count int, now time.Time) bool {
+	before := p.count
+	if count >= p.count || !now.Before(p.until) {
+		p.count, p.until = count, now.Add(hostPeakTime)
+	}
+	return p.count != before
+}
