Let credit for retries expire where hosts outnumber the slack

Each host could hold the credit of at least one retry, also where there are more hosts than the slack of the limit allows retries. Such a fleet exceeded the limit in a quiet time, or after its start, if all hosts retried at once. No deployment in force has so many hosts.

Change: without a burst, credit is lost every 10 s. What all hosts retry in 10 s was then earned in these and the 10 s before, at half of the ratio, which the limit allows without its slack.

--- a/proxy/retry_limit.go
+++ b/proxy/retry_limit.go
@@ -23,13 +23,17 @@
 func (l RetryLimit) percent() int { return max(1, int(l.Ratio*ownFraction*100)) }
 
 // burst returns the number of retries that each of a number of hosts may
-// accumulate.
+// accumulate. It is 0 if there are more hosts than the slack allows retries.
 func (l RetryLimit) burst(hosts int) int { return int(l.Slack) / max(1, hosts) }
 
 const (
 	// hostPeakTime is how long a host counts the others that it no longer hears. They may
 	// only be cut off from it, and go on to spend their part of the retry limit.
 	hostPeakTime = 10 * time.Minute
+	// creditTime is how long a host may keep the credit of retries if there are too many
+	// hosts for a burst. The retries in such a time are then those earned in it and in the
+	// time before, which is within the limit without its slack.
+	creditTime = 10 * time.Second
 )
 
 // hostPeak is the largest number of hosts that were alive within hostPeakTime.
@@ -37,6 +41,8 @@
 	count int
 	// until is when a smaller number counts.
 	until time.Time
+	// expiresAt is when the credit that was accumulated without a burst is lost.
+	expiresAt time.Time
 }
 
 // observe records the number of hosts that are alive, including this one. It reports
@@ -46,5 +52,9 @@
 	if count >= p.count || !now.Before(p.until) {
 		p.count, p.until = count, now.Add(hostPeakTime)
 	}
-	return p.count != before
+	if p.count == before && now.Before(p.expiresAt) {
+		return false
+	}
+	p.expiresAt = now.Add(creditTime)
+	return true
 }
--- a/score/budget.go
+++ b/score/budget.go
@@ -38,10 +38,11 @@
 
 // LimitBurst bounds the credit to that many extra attempts. Where many hosts
 // share a bound, the burst of each must be smaller, because all of them may
-// spend their credit at the same time.
+// spend their credit at the same time. Without a burst (0), the credit so far is lost,
+// and the budget holds that of one attempt from now on.
 func (b *Budget) LimitBurst(attempts int) {
 	b.maxCredit = max(1, min(attempts, maxBurst)) * attemptCost
-	b.credit = min(b.credit, b.maxCredit)
+	b.credit = min(b.credit, b.maxCredit, attempts*attemptCost)
 }
 
 // Earn adds the credit of one request.
