Give hosts that start again no retries before they have earned them

Each host could retry once for each service before its requests had earned a retry, so that a new service or host with few requests could use the budget at all. A host that is restarted has it again each time, while the retries of its last run are in the window of the rule too. Hosts that are restarted in series, as in a rollout or after kills, exceeded the limit together when their endpoints failed.

Evidence: TestHostsRestartedInSeriesShareTheRetryLimit fails on the code before: 100 retries, where 80 are allowed.

Change: only a host of a system that starts for the first time has the reserve.

--- a/node/node.go
+++ b/node/node.go
@@ -80,8 +80,7 @@
 	logWriter := logs.NewWriter(out)
 	log := slog.New(slog.NewJSONHandler(logWriter, nil)).With("host", settings.Host)
 	registry := prometheus.NewRegistry()
-	core := proxy.NewCore(settings.Host, settings.Zone, settings.Regions,
-		proxy.RetryLimit{Ratio: settings.RetryRatio, Slack: settings.RetrySlack})
+	core := proxy.NewCore(settings.Host, settings.Zone, settings.Regions, retryLimit(settings))
 	store := platform.NewStore(settings.StoreAddress, settings.IP)
 	node := &Node{
 		hangups: hangups, settings: settings, log: log, logWriter: logWriter, store: store, core: core, registry: registry,
@@ -99,6 +98,15 @@
 	return node
 }
 
+// retryLimit returns the retry limit of the settings.
+func retryLimit(settings platform.Settings) proxy.RetryLimit {
+	limit := proxy.RetryLimit{Ratio: settings.RetryRatio, Slack: settings.RetrySlack}
+	if settings.IsFirstStart {
+		limit.Reserve = 1
+	}
+	return limit
+}
+
 // Run serves until ctx ends, and then until the requests in flight have ended, but
 // at most for Settings.StopGrace less stopMargin.
 func (n *Node) Run(ctx context.Context) error {
--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -78,10 +78,10 @@
 	return count
 }
 
-// earn counts requests without retries.
-func earn(cores []*Core, requests int) {
+// fillBudgets counts as many requests without retries as fill the budgets of cores.
+func fillBudgets(cores []*Core) {
 	for _, core := range cores {
-		for range requests {
+		for range 200 {
 			core.budgets["s"].Earn()
 		}
 	}
@@ -96,26 +96,43 @@
 		cores := newRetryCores(hosts, limit)
 		setAlive(cores, hosts, time.Minute)
 		setAlive(cores, 1, time.Minute)
-		earn(cores, 200)
+		fillBudgets(cores)
 		count := retries(cores, busyRequests)
 		assert.Assert(t, float64(count) <= limit.Ratio*hosts*busyRequests+limit.Slack, "%d retries", count)
 		setAlive(cores, 1, hostPeakTime)
-		earn(cores[:1], 200)
+		fillBudgets(cores[:1])
 		assert.Assert(t, retries(cores[:1], 1) == 10, "the hosts that are gone for good are counted still")
 	})
 }
 
+// Guards against hosts that together exceed the retry limit because they are restarted in
+// series and may retry before they have earned it each time.
+func TestHostsRestartedInSeriesShareTheRetryLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, restarts, requests = 10, 4, 2
+		limit := RetryLimit{Ratio: 0.2, Slack: 60}
+		cores := newRetryCores(hosts, limit)
+		setAlive(cores, hosts, time.Second)
+		fillBudgets(cores)
+		count := retries(cores, requests)
+		for range restarts {
+			count += retries(newRetryCores(hosts, limit), requests)
+		}
+		assert.Assert(t, float64(count) <= limit.Ratio*hosts*requests*(1+restarts)+limit.Slack, "%d retries", count)
+	})
+}
+
 // Guards against hosts that together exceed the retry limit because there are more of them
 // than its slack allows retries, and each of them has the credit of one.
 func TestMoreHostsThanSlackShareTheRetryLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const hosts, busyRequests = 680, 1
-		limit := RetryLimit{Ratio: 0.2, Slack: 60}
+		limit := RetryLimit{Ratio: 0.2, Slack: 60, Reserve: 1}
 		cores := newRetryCores(hosts, limit)
 		setAlive(cores, hosts, time.Second)
 		count := retries(cores, busyRequests)
 		assert.Assert(t, float64(count) <= limit.Ratio*hosts*busyRequests+limit.Slack, "%d retries after the start", count)
-		earn(cores, 200)
+		fillBudgets(cores)
 		setAlive(cores, hosts, creditTime+time.Second)
 		count = retries(cores, busyRequests)
 		assert.Assert(t, float64(count) <= limit.Ratio*hosts*busyRequests+limit.Slack, "%d retries after a quiet time", count)
@@ -125,7 +142,7 @@
 
 // Guards against a retry limit in the settings that is read but not applied.
 func TestRetryLimitFollowsSettings(t *testing.T) {
-	core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, RetryLimit{Ratio: 0.02, Slack: 2})
+	core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, RetryLimit{Ratio: 0.02, Slack: 2, Reserve: 1})
 	core.SetConfig(route.NewConfig(1, []route.Route{{Name: "r", Shares: []route.Share{{Service: "s", Weight: 1}}}},
 		[]route.Service{{Name: "s"}}, route.Limits{}))
 	core.SetHosts(map[model.RegionName][]model.HostName{"north": {"h", "i"}})
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -45,10 +45,13 @@
 }
 
 // NewCore returns the core of a host without configuration and endpoints. A
-// retry limit without a positive ratio is replaced by DefaultRetryLimit.
+// retry limit without a positive ratio is replaced by DefaultRetryLimit, but for its
+// reserve.
 func NewCore(host model.HostName, zone model.ZoneName, regions map[model.ZoneName]model.RegionName, retryLimit RetryLimit) *Core {
 	if retryLimit.Ratio <= 0 {
+		reserve := retryLimit.Reserve
 		retryLimit = DefaultRetryLimit()
+		retryLimit.Reserve = reserve
 	}
 	selector := steer.New(host, zone, regions)
 	return &Core{
@@ -71,7 +74,7 @@
 	c.services = config.Services()
 	for _, name := range c.services {
 		if c.budgets[name] == nil {
-			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), 1)
+			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), c.retryLimit.Reserve)
 			c.budgets[name].LimitBurst(c.retryLimit.burst(c.retryHosts.count))
 		}
 	}
