Check the retry limit in the soak

The soak counts what arrives at the endpoints beyond the first time for each request and compares it with the limit of the settings, in sliding windows. A connection that was closed starts no request early any more: what its response kept would count towards the memory limit for good.

--- a/early/listener.go
+++ b/early/listener.go
@@ -78,6 +78,7 @@
 	// reserved of it.
 	limit    *memory.Limit
 	reserved int
+	// isClosed is true after Close. No request is started early then.
 	isClosed bool
 }
 
@@ -220,7 +221,7 @@
 
 // startPending starts the pending requests that may be started early. c.mu is held.
 func (c *conn) startPending() {
-	for c.handler != nil && !c.isBlocked && len(c.started) < maxStarted {
+	for c.handler != nil && !c.isClosed && !c.isBlocked && len(c.started) < maxStarted {
 		head := c.pending[c.scanned:]
 		head = head[:headLength(head)]
 		if len(head) == 0 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -102,6 +102,7 @@
 	callerGroup.Wait()
 	callers.checkExecutions()
 	callers.checkNotices()
+	callers.checkRetries()
 	for _, host := range b.hosts {
 		if err := host.stop(); err != nil {
 			b.recordViolation("%v", err)
