Play restarts in series against the retry limit in real processes

Ten hosts are killed and started in series while their endpoints fail; arrivals are counted at the endpoints.

--- /dev/null
+++ b/soak/restart_test.go
@@ -0,0 +1,83 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"filberthold/platform/fake"
+
+	"gotest.tools/v3/assert"
+)
+
+// startTestbed starts hosts as processes, with endpoints for a number of requests at once.
+func startTestbed(t *testing.T, hosts, endpoints int, subnet string) *testbed {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "filberthold")
+	output, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	b := &testbed{
+		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Subnet: subnet, Log: &strings.Builder{}},
+		store:   fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
+	}
+	server := httptest.NewServer(b.store)
+	t.Cleanup(server.Close)
+	t.Cleanup(b.close)
+	assert.NilError(t, b.start(strings.TrimPrefix(server.URL, "http://")))
+	for i := len(b.endpoints); i < endpoints; i++ {
+		assert.NilError(t, b.addEndpoint(fmt.Sprint("i-", i)))
+	}
+	assert.Assert(t, b.waitUntilServing(t.Context()))
+	return b
+}
+
+// sendEvenly sends reads to all hosts in turn, for a time. It uses POST, because net/http
+// repeats a GET by itself if its connection breaks.
+func (c *callers) sendEvenly(group *sync.WaitGroup, phase string, perSecond int, duration time.Duration) {
+	for number := range perSecond * int(duration/time.Second) {
+		host := c.testbed.hosts[number%len(c.testbed.hosts)]
+		attempt := fmt.Sprintf("%s-%d", phase, number)
+		c.mu.Lock()
+		c.ended = append(c.ended, endedRequest{attempt: attempt, sentAt: time.Now()})
+		c.mu.Unlock()
+		group.Go(func() { send(context.Background(), host, "POST", fmt.Sprint("/read/", number%40), attempt) })
+		time.Sleep(time.Second / time.Duration(perSecond))
+	}
+}
+
+// Guards against hosts that together exceed the retry limit because each of them may retry
+// again, before it has earned that, whenever it is started.
+func TestRetryLimitHoldsWhileHostsRestartInSeries(t *testing.T) {
+	const slowRate = 12
+	b := startTestbed(t, 10, 16, "127.0.11")
+	c := newCallers(b)
+	var group sync.WaitGroup
+	// The hosts accumulate credit. The requests for it are no longer in the window when the
+	// endpoints fail.
+	c.sendEvenly(&group, "fast", 100, 8*time.Second)
+	c.sendEvenly(&group, "slow", slowRate, 2*retryWindow)
+	for _, endpoint := range b.endpoints {
+		endpoint.SetBehaviour(fake.Fail)
+	}
+	group.Go(func() { c.sendEvenly(&group, "failing", slowRate, 13*time.Second) })
+	time.Sleep(5 * time.Second)
+	for range 5 {
+		for _, host := range b.hosts {
+			assert.NilError(t, host.kill())
+		}
+		for _, host := range b.hosts {
+			assert.NilError(t, host.start())
+		}
+		time.Sleep(1200 * time.Millisecond)
+	}
+	group.Wait()
+	c.checkRetries()
+	assert.Equal(t, len(b.report.Violations), 0, "%q", b.report.Violations)
+	assert.Assert(t, len(c.repeats(map[string]bool{"failing-1": true, "failing-2": true, "failing-3": true})) > 0, "nothing was retried")
+}
