--- a/admin/server.go
+++ b/admin/server.go
@@ -16,8 +16,13 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-// shutdownTimeout is how long Shutdown waits for requests in flight.
-const shutdownTimeout = 2 * time.Second
+const (
+	// shutdownTimeout is how long Shutdown waits for requests in flight.
+	shutdownTimeout = 2 * time.Second
+	// maxHeaderBytes bounds the head of a request. The default of net/http is 1 MB for
+	// each connection.
+	maxHeaderBytes = 16 << 10
+)
 
 // Server is the HTTP server for operators.
 type Server struct {
@@ -45,7 +50,7 @@
 	})
 	mux.HandleFunc("GET /v1/status", statusHandler(status))
 	return &Server{
-		http:     &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second},
+		http:     &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHeaderBytes},
 		registry: registry,
 		metrics:  NewMetrics(registry),
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -67,6 +67,9 @@
 }
 
 const (
+	// maxHeaderBytes bounds the head of a request. The default of net/http is 1 MB for
+	// each connection.
+	maxHeaderBytes = 64 << 10
 	// lookupTTL bounds how long a caller may use a lookup response.
 	lookupTTL = 5 * time.Second
 	// leavingPropagation bounds the time until no other host returns a leaving
@@ -88,7 +91,7 @@
 	mux.HandleFunc("GET /v1/entries", server.handleEntries)
 	mux.HandleFunc("POST /v1/keys", server.handleKeys)
 	mux.HandleFunc("/s/{service}/{path...}", server.handleRequest)
-	server.http = &http.Server{Handler: server.closeWhenLeaving(mux), ReadHeaderTimeout: 5 * time.Second}
+	server.http = &http.Server{Handler: server.closeWhenLeaving(mux), ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxHeaderBytes}
 	return server
 }
 
