--- a/early/listener.go
+++ b/early/listener.go
@@ -27,8 +27,8 @@
 	// readBytes is the size of a read from the socket. A head of up to this size needs
 	// no reservation.
 	readBytes = 4 << 10
-	// maxHeadBytes is the memory that a longer head may need, here and in net/http.
-	maxHeadBytes = 64 << 10
+	// longHeadBytes is the memory that a longer head may need, here and in net/http.
+	longHeadBytes = 64 << 10
 )
 
 // Listener accepts connections whose requests can be started early.
@@ -131,10 +131,10 @@
 	if len(c.pending) <= readBytes || !c.framing.isAtHead() || c.reserved > 0 || c.isClosed {
 		return nil
 	}
-	if !c.limit.Reserve(maxHeadBytes) {
+	if !c.limit.Reserve(longHeadBytes) {
 		return errNoMemory
 	}
-	c.reserved = maxHeadBytes
+	c.reserved = longHeadBytes
 	return nil
 }
 
--- a/node/grace.go
+++ b/node/grace.go
@@ -20,10 +20,10 @@
 // graceUntil returns the end of the grace period, in which an entry may be
 // missing only because of a store outage. Only an outdated replica, or a store that
 // returned from an older copy and so lost entries, starts a grace period: then
-// graceUntil sets outageEndedAt to now. There is none if the
-// store refused this host while other hosts read it and kept the replica up to
-// date, nor while one host takes over as store reader from another. It is called before
-// the version of an update from the store or another host is confirmed. r.mu is held.
+// graceUntil sets outageEndedAt to now. There is none if the store refused this host
+// while other hosts read it and kept the replica up to date, nor while one host takes
+// over as store reader from another. It must be called before the version of an update
+// is confirmed. r.mu is held.
 func (r *storeReplica) graceUntil(now time.Time, era uint64) time.Time {
 	known := r.endpoints.Version()
 	isOutdated := r.endpoints.Age(now) > minOutageHeartbeats*r.heartbeatInterval
--- a/node/replica.go
+++ b/node/replica.go
@@ -197,6 +197,8 @@
 	}
 }
 
+// applyRemoval applies the removal of an entry. Other hosts receive it at once, also if
+// the endpoint stays usable here until graceUntil. r.mu is held.
 func (r *storeReplica) applyRemoval(row platform.Row, graceUntil time.Time) {
 	delete(r.rejected, row.Key)
 	if r.core.RemoveEntry(model.EndpointName(row.Key), graceUntil) {
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -25,8 +25,7 @@
 	splitter   *route.Splitter
 	budgets    map[model.ServiceName]*score.Budget
 	retryLimit RetryLimit
-	// retryHosts is the number of hosts that share the retry limit.
-	retryHosts hostPeak
+	retryHosts sharingHosts
 	services   []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
 	selectorRevision uint64
--- a/proxy/retry_limit.go
+++ b/proxy/retry_limit.go
@@ -40,8 +40,9 @@
 	creditTime = 10 * time.Second
 )
 
-// hostPeak is the largest number of hosts that were alive within hostPeakTime.
-type hostPeak struct {
+// sharingHosts are the hosts that share the retry limit.
+type sharingHosts struct {
+	// count is the largest number of hosts that were alive within hostPeakTime.
 	count int
 	// until is when a smaller number counts.
 	until time.Time
@@ -50,15 +51,15 @@
 }
 
 // observe records the number of hosts that are alive, including this one. It reports
-// whether the bursts must be limited anew.
-func (p *hostPeak) observe(count int, now time.Time) bool {
-	before := p.count
-	if count >= p.count || !now.Before(p.until) {
-		p.count, p.until = count, now.Add(hostPeakTime)
+// whether the bursts must be limited anew: the count has changed, or credit expires.
+func (s *sharingHosts) observe(count int, now time.Time) bool {
+	before := s.count
+	if count >= s.count || !now.Before(s.until) {
+		s.count, s.until = count, now.Add(hostPeakTime)
 	}
-	if p.count == before && now.Before(p.expiresAt) {
+	if s.count == before && now.Before(s.expiresAt) {
 		return false
 	}
-	p.expiresAt = now.Add(creditTime)
+	s.expiresAt = now.Add(creditTime)
 	return true
 }
