--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
@@ -23,7 +24,7 @@
 	output, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
 	b := &testbed{
-		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Subnet: subnet, Log: &strings.Builder{}},
+		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Subnet: subnet, Log: io.Discard},
 		store:   fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
 	}
 	server := httptest.NewServer(b.store)
