--- a/memory/limit.go
+++ b/memory/limit.go
@@ -8,7 +8,8 @@
 // for concurrent use. A nil Limit allows any number.
 type Limit struct {
 	maxBytes int64
-	// used is the number of bytes that are reserved. It is at most maxBytes.
+	// used is the number of bytes that are reserved. It exceeds maxBytes only until a
+	// reservation that does not fit is refused.
 	used atomic.Int64
 	// refused counts the reservations that did not fit.
 	refused atomic.Uint64
