Give each run of tests and of the soak a loopback subnet of its own

Two runs at the same moment on one machine reached each other's hosts and endpoints, because the subnets and the ids of requests were fixed.

A run reserves a subnet by a listener on its last address, which the system releases when the process ends; a second run gets another one, or an error that names the subnet if it asked for the same. Endpoints and proxies listen in the subnet too, so that no request of another run arrives there.

--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -28,11 +28,12 @@
 			"and faults by name, and each violated guarantee. The exit code is 1 if there is one.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			program, err := os.Executable()
-			if err != nil {
-				return fmt.Errorf("find own program: %w", err)
+			var err error
+			if options.Program == "" {
+				if options.Program, err = os.Executable(); err != nil {
+					return fmt.Errorf("find own program: %w", err)
+				}
 			}
-			options.Program = program
 			if options.Directory, err = os.MkdirTemp("", "soak"); err != nil {
 				return fmt.Errorf("make directory for settings: %w", err)
 			}
@@ -59,7 +60,8 @@
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the faults and of the load")
 	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "duration of the fault injection")
 	flags.IntVar(&options.Hosts, "hosts", 4, "number of hosts")
-	flags.StringVar(&options.Subnet, "subnet", "127.0.9", "first three numbers of the hosts' loopback addresses")
+	flags.StringVar(&options.Subnet, "subnet", "", "first three numbers of the loopback addresses, as in 127.0.9 (default: a free subnet)")
+	flags.StringVar(&options.Program, "program", "", "program under test (default: this one)")
 	flags.BoolVar(&showLog, "log", false, "write the log of the hosts to standard error")
 	return command
 }
--- a/gossip/intervals_test.go
+++ b/gossip/intervals_test.go
@@ -48,7 +48,7 @@
 // Guards against a restarted host that does not discover the peers that send it
 // load reports: these peers otherwise leave out heartbeats to its address.
 func TestRestartedHostDiscoversBusyHosts(t *testing.T) {
-	busy := startHost(t, "busy", "127.0.7.31", "127.0.7.32")
+	busy := startHost(t, "busy", 31, 32)
 	hasPeer := func(other *testHost) func(poll.LogT) poll.Result {
 		return func(poll.LogT) poll.Result {
 			if len(other.transport.Alive()) == 1 {
@@ -58,9 +58,9 @@
 		}
 	}
 	t.Run("first start", func(t *testing.T) {
-		poll.WaitOn(t, hasPeer(startHost(t, "other", "127.0.7.32")))
+		poll.WaitOn(t, hasPeer(startHost(t, "other", 32)))
 	})
-	restarted := startHost(t, "other", "127.0.7.32")
+	restarted := startHost(t, "other", 32)
 	restarted.transport.mu.Lock()
 	restarted.transport.detector = member.NewDetector(member.NewTable("other"))
 	restarted.transport.mu.Unlock()
--- a/gossip/permit_test.go
+++ b/gossip/permit_test.go
@@ -15,7 +15,7 @@
 // Guards against a permit request that the owner of an endpoint does not get or
 // whose answer reaches another request, and against lost news of a limit.
 func TestPermitRequestReachesOwner(t *testing.T) {
-	asker, owner := startHost(t, "asker", "127.0.7.41"), startHost(t, "owner", "127.0.7.42", "127.0.7.41")
+	asker, owner := startHost(t, "asker", 41), startHost(t, "owner", 42, 41)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if len(asker.transport.Alive()) == 1 {
 			return poll.Success()
@@ -39,7 +39,7 @@
 
 // Guards against a request that waits for the permit of a host that is gone.
 func TestPermitOfUnknownHostIsNotGranted(t *testing.T) {
-	asker := startHost(t, "asker", "127.0.7.43")
+	asker := startHost(t, "asker", 43)
 	permit, err := asker.transport.AskPermit(t.Context(), steer.PermitRequest{Owner: "gone"})
 	assert.Assert(t, errors.Is(err, errUnknownHost), "got %v", err)
 	assert.Assert(t, !permit.IsGranted)
@@ -48,7 +48,7 @@
 // Guards against a host that learns of a limit only from its own requests: with
 // many hosts each of them would send one to an endpoint in need.
 func TestLoadReportsTellOfLimits(t *testing.T) {
-	first, second := startHost(t, "first", "127.0.7.44"), startHost(t, "second", "127.0.7.45", "127.0.7.44")
+	first, second := startHost(t, "first", 44), startHost(t, "second", 45, 44)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		for _, h := range []*testHost{first, second} {
 			h.mu.Lock()
--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -12,6 +12,7 @@
 	"filberthold/member"
 	"filberthold/model"
 	"filberthold/steer"
+	"filberthold/subnet"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
@@ -30,15 +31,29 @@
 
 const peerPort = 17540
 
-func startHost(t *testing.T, name, ip string, seeds ...string) *testHost {
+// testSubnet holds the hosts of all tests of this process. Each number is used by one
+// test.
+var testSubnet = sync.OnceValues(subnet.ReserveAny)
+
+// hostIP returns the address with a number in the subnet of the tests.
+func hostIP(t *testing.T, number int) string {
+	t.Helper()
+	reserved, err := testSubnet()
+	assert.NilError(t, err)
+	return reserved.Address(number)
+}
+
+// startHost starts a host. Its number and those of its seeds are the last parts of their
+// addresses.
+func startHost(t *testing.T, name string, number int, seeds ...int) *testHost {
 	t.Helper()
 	h := &testHost{
-		heartbeat: member.Heartbeat{Host: model.HostName(name), Zone: "za", Region: "north", Incarnation: 1, IP: netip.MustParseAddr(ip), IsReady: true},
+		heartbeat: member.Heartbeat{Host: model.HostName(name), Zone: "za", Region: "north", Incarnation: 1, IP: netip.MustParseAddr(hostIP(t, number)), IsReady: true},
 		loads:     make(map[model.HostName][]steer.Load),
 	}
 	table := member.NewTable(h.heartbeat.Host)
 	for _, seed := range seeds {
-		table.AddAddresses([]netip.Addr{netip.MustParseAddr(seed)}, time.Now())
+		table.AddAddresses([]netip.Addr{netip.MustParseAddr(hostIP(t, seed))}, time.Now())
 	}
 	transport, err := Listen(slog.New(slog.DiscardHandler), netip.AddrPortFrom(h.heartbeat.IP, peerPort), table, Callbacks{
 		Heartbeat:    func() member.Heartbeat { return h.heartbeat },
@@ -76,9 +91,9 @@
 // Guards against hosts that do not discover each other if they start while the
 // store is unreachable and have only a common seed.
 func TestHostsDiscoverEachOtherThroughSeed(t *testing.T) {
-	startHost(t, "seed", "127.0.7.1")
-	first := startHost(t, "first", "127.0.7.2", "127.0.7.1")
-	second := startHost(t, "second", "127.0.7.3", "127.0.7.1")
+	startHost(t, "seed", 1)
+	first := startHost(t, "first", 2, 1)
+	second := startHost(t, "second", 3, 1)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if len(first.transport.Alive()) == 2 && len(second.transport.Alive()) == 2 && first.hasLoadsOf("second") {
 			return poll.Success()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -9,17 +9,34 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"filberthold/model"
 	"filberthold/platform"
 	"filberthold/platform/fake"
+	"filberthold/subnet"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
 
+// testSubnet holds the hosts of all tests of this process. Each number is used by one
+// test.
+var testSubnet = sync.OnceValues(subnet.ReserveAny)
+
+// hostIP returns the address with a number in the subnet of the tests.
+func hostIP(t *testing.T, number int) string {
+	t.Helper()
+	reserved, err := testSubnet()
+	assert.NilError(t, err)
+	return reserved.Address(number)
+}
+
+// endpointNumber is the number of the endpoints' address.
+const endpointNumber = 200
+
 // cluster is a fake store, a fake endpoint and hosts on loopback addresses.
 type cluster struct {
 	t     *testing.T
@@ -44,7 +61,7 @@
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.Close)
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
-	endpoint, err := fake.StartEndpoint("i-1", "127.0.0.1:0")
+	endpoint, err := fake.StartEndpoint("i-1", hostIP(t, endpointNumber)+":0")
 	assert.NilError(t, err)
 	go endpoint.Run()
 	t.Cleanup(func() { _ = endpoint.Close() })
@@ -70,13 +87,13 @@
 // number.
 func (c *cluster) run(number int) *runningHost {
 	c.t.Helper()
-	ip := fmt.Sprintf("127.0.8.%d", number)
+	ip := hostIP(c.t, number)
 	settings := platform.Settings{
 		Host: model.HostName(fmt.Sprintf("h%d", number)), Zone: "za", Region: "north", IP: netip.MustParseAddr(ip), PeerPort: 17541,
 		Regions:       map[model.ZoneName]model.RegionName{"za": "north"},
 		CallerAddress: ip + ":18548", ReadyAddress: ip + ":18542", ControlAddress: ip + ":18544", DirectoryAddress: ip + ":18546",
 		StoreAddress: c.storeAddress, MemoryBytes: 1 << 28, HeartbeatInterval: time.Second, StopGrace: c.stopGrace,
-		Seeds: []netip.Addr{netip.MustParseAddr(fmt.Sprintf("127.0.8.%d", number-1))},
+		Seeds: []netip.Addr{netip.MustParseAddr(hostIP(c.t, number-1))},
 	}
 	host := &runningHost{node: New(settings, io.Discard, nil), done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -120,17 +137,17 @@
 	c := startCluster(t)
 	c.start(1, 2, 3)
 	for i, host := range c.hosts {
-		c.store.SetRefused(fmt.Sprintf("127.0.8.%d", i+1), true)
+		c.store.SetRefused(hostIP(t, i+1), true)
 		c.waitFor("store is unreachable", func() bool {
 			return !host.node.reader.isStoreReachable.Load() || !host.node.shouldReadStore(platform.EndpointTable)
 		})
 		version := i + 2
 		c.store.Put(platform.OperatorTable, platform.ConfigKey, fake.VersionedConfig(version))
 		c.waitFor("configuration arrives", func() bool { return c.status(host, fmt.Sprintf("/v%d/x", version)) == http.StatusOK })
-		c.store.SetRefused(fmt.Sprintf("127.0.8.%d", i+1), false)
+		c.store.SetRefused(hostIP(t, i+1), false)
 	}
 	for i := range c.hosts {
-		c.store.SetRefused(fmt.Sprintf("127.0.8.%d", i+1), i < 2)
+		c.store.SetRefused(hostIP(t, i+1), i < 2)
 	}
 	c.store.Put(platform.EndpointTable, "i-1", c.endpoint.Entry("s", "za", "draining", 2))
 	for _, host := range c.hosts {
@@ -171,7 +188,7 @@
 func TestHostStartsWithoutStore(t *testing.T) {
 	c := startCluster(t)
 	c.start(11)
-	c.store.SetRefused("127.0.8.12", true)
+	c.store.SetRefused(hostIP(t, 12), true)
 	lateHost := c.run(12)
 	c.waitFor("host is ready", lateHost.node.isReady)
 	assert.Equal(t, c.status(lateHost, "/v1/x"), http.StatusOK)
@@ -246,12 +263,13 @@
 // Guards against a host that keeps running without a listener for callers.
 func TestAddressInUseFailsStart(t *testing.T) {
 	c := startCluster(t)
-	occupied, err := net.Listen("tcp", "127.0.8.15:18548")
+	ip := hostIP(t, 15)
+	occupied, err := net.Listen("tcp", ip+":18548")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = occupied.Close() })
 	settings := platform.Settings{
-		Host: "h15", Zone: "za", Region: "north", IP: netip.MustParseAddr("127.0.8.15"), PeerPort: 17541,
-		CallerAddress: "127.0.8.15:18548", StoreAddress: c.storeAddress, MemoryBytes: 1 << 28,
+		Host: "h15", Zone: "za", Region: "north", IP: netip.MustParseAddr(ip), PeerPort: 17541,
+		CallerAddress: ip + ":18548", StoreAddress: c.storeAddress, MemoryBytes: 1 << 28,
 	}
 	assert.ErrorContains(t, New(settings, io.Discard, nil).Run(t.Context()), "listen for callers")
 }
@@ -261,7 +279,7 @@
 func TestMetricsReportConfigVersionAndAge(t *testing.T) {
 	c := startCluster(t)
 	c.start(16)
-	response, err := http.Get("http://127.0.8.16:9464/metrics")
+	response, err := http.Get("http://" + hostIP(t, 16) + ":9464/metrics")
 	assert.NilError(t, err)
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
--- a/node/reload_test.go
+++ b/node/reload_test.go
@@ -23,7 +23,8 @@
 	hangups <- syscall.SIGHUP
 	t.Setenv(platform.SettingsVariable, "missing.toml")
 	var output syncBuffer
-	settings := platform.Settings{Host: "h27", Zone: "za", Region: "north", IP: netip.MustParseAddr("127.0.8.27"), PeerPort: 17541, CallerAddress: "127.0.8.27:18548", MemoryBytes: 1 << 28, StopGrace: time.Second}
+	ip := hostIP(t, 27)
+	settings := platform.Settings{Host: "h27", Zone: "za", Region: "north", IP: netip.MustParseAddr(ip), PeerPort: 17541, CallerAddress: ip + ":18548", MemoryBytes: 1 << 28, StopGrace: time.Second}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- New(settings, &output, hangups).Run(ctx) }()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -46,9 +46,10 @@
 // faultTime is the time of a fault.
 type faultTime struct{ from, to time.Time }
 
-// startProxy listens on a loopback port. Only run accepts and forwards.
-func startProxy(target string) (*faultProxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// startProxy listens on a free port of a loopback address. Only run accepts and
+// forwards.
+func startProxy(ip, target string) (*faultProxy, error) {
+	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, fmt.Errorf("start proxy: %w", err)
 	}
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -18,13 +18,13 @@
 )
 
 // startTestbed starts hosts as processes, with endpoints for a number of requests at once.
-func startTestbed(t *testing.T, hosts, endpoints int, subnet string) *testbed {
+func startTestbed(t *testing.T, hosts, endpoints int) *testbed {
 	t.Helper()
 	program := filepath.Join(t.TempDir(), "filberthold")
 	output, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
 	b := &testbed{
-		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Subnet: subnet, Log: io.Discard},
+		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Log: io.Discard},
 		store:   fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
 	}
 	server := httptest.NewServer(b.store)
@@ -56,7 +56,7 @@
 // again, before it has earned that, whenever it is started.
 func TestRetryLimitHoldsWhileHostsRestartInSeries(t *testing.T) {
 	const slowRate = 12
-	b := startTestbed(t, 10, 16, "127.0.11")
+	b := startTestbed(t, 10, 16)
 	c := newCallers(b)
 	var group sync.WaitGroup
 	// The hosts accumulate credit. The requests for it are no longer in the window when the
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,6 +18,7 @@
 
 	"filberthold/platform"
 	"filberthold/platform/fake"
+	"filberthold/subnet"
 )
 
 const (
@@ -26,6 +27,12 @@
 	// recoveryTimeout is the time after the start, and after the last fault,
 	// within which every host must serve requests.
 	recoveryTimeout = 8 * time.Second
+	// endpointNumber and proxyNumber are the numbers of the endpoints' address, and of the
+	// proxies', in the subnet.
+	endpointNumber = 251
+	proxyNumber    = 252
+	// maxHosts is the number of addresses before these.
+	maxHosts = endpointNumber - 1
 	// maxViolations bounds the number of violations in a report.
 	maxViolations = 20
 )
@@ -40,8 +47,8 @@
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	Hosts    int
-	// Subnet is the first three parts of the hosts' loopback addresses, as in
-	// "127.0.10".
+	// Subnet is the first three parts of the loopback addresses of all processes, as in
+	// "127.0.10". If it is empty, a free subnet is used.
 	Subnet string
 	// Log receives the output of the processes.
 	Log io.Writer
@@ -61,7 +68,9 @@
 // report.
 type testbed struct {
 	options Options
-	store   *fake.Store
+	// subnet has the addresses of the hosts, from 1, and of the endpoints and proxies.
+	subnet *subnet.Subnet
+	store  *fake.Store
 	// storeProxy and endpointProxies forward connections to the store and the
 	// endpoints.
 	storeProxy      *faultProxy
@@ -114,7 +123,10 @@
 }
 
 func (b *testbed) start(store string) error {
-	proxy, err := startProxy(store)
+	if err := b.reserveSubnet(); err != nil {
+		return err
+	}
+	proxy, err := startProxy(b.subnet.Address(proxyNumber), store)
 	if err != nil {
 		return err
 	}
@@ -128,7 +140,7 @@
 	}
 	var seeds []string
 	for i := range b.options.Hosts {
-		seeds = append(seeds, fmt.Sprintf("%s.%d", b.options.Subnet, i+1))
+		seeds = append(seeds, b.subnet.Address(i+1))
 	}
 	for i, ip := range seeds {
 		host, err := newHostProcess(b.options, fake.HostSettings{
@@ -146,13 +158,13 @@
 }
 
 func (b *testbed) addEndpoint(name string) error {
-	endpoint, err := fake.StartEndpoint(name, "127.0.0.1:0")
+	endpoint, err := fake.StartEndpoint(name, b.subnet.Address(endpointNumber)+":0")
 	if err != nil {
 		return fmt.Errorf("add endpoint: %w", err)
 	}
 	go endpoint.Run()
 	endpoint.SetLatency(20 * time.Millisecond)
-	proxy, err := startProxy(endpoint.Address())
+	proxy, err := startProxy(b.subnet.Address(proxyNumber), endpoint.Address())
 	if err != nil {
 		return err
 	}
@@ -185,6 +197,22 @@
 	if b.storeProxy != nil {
 		_ = b.storeProxy.listener.Close()
 	}
+	if b.subnet != nil {
+		_ = b.subnet.Release()
+	}
+}
+
+// reserveSubnet reserves the subnet of the options, or any one.
+func (b *testbed) reserveSubnet() (err error) {
+	if b.options.Hosts > maxHosts {
+		return fmt.Errorf("%d hosts: a subnet has addresses for %d", b.options.Hosts, maxHosts)
+	}
+	if b.options.Subnet == "" {
+		b.subnet, err = subnet.ReserveAny()
+		return err
+	}
+	b.subnet, err = subnet.Reserve(b.options.Subnet)
+	return err
 }
 
 // recordViolation adds a violated guarantee to the report.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,7 +19,7 @@
 	assert.NilError(t, err, "%s", output)
 	report, err := soak.Run(t.Context(), soak.Options{
 		Program: program, Directory: t.TempDir(), Seed: 1, Duration: 6 * time.Second, Hosts: 3,
-		Subnet: "127.0.10", Log: t.Output(),
+		Log: t.Output(),
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, len(report.Violations), 0, "%q", report.Violations)
