Measure the memory of many bodies once no buffer grows

Cause: the test measured when the endpoints had written their parts, while the host still read them. A buffer that grows leaves its old copy, and the collection that the test starts does not free copies that are left while it runs. The limit counts both copies while the content is copied.

The test now waits until each body is in a full buffer or has been passed on, as seen by its callers, and collects twice. Its callers read through 4 KB, because io.Copy would add 32 KB for each of them to the heap.

--- a/proxy/memory_test.go
+++ b/proxy/memory_test.go
@@ -58,8 +58,26 @@
 	_, _ = io.Copy(io.Discard, reader)
 }
 
-// heapBytes returns the bytes of the heap that are in use.
+// byteCount counts what callers receive.
+type byteCount struct{ atomic.Int64 }
+
+// readFrom reads a connection to its end, through a buffer that is small against what a
+// request may need.
+func (c *byteCount) readFrom(conn net.Conn) {
+	buffer := make([]byte, 4<<10)
+	for {
+		count, err := conn.Read(buffer)
+		c.Add(int64(count))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// heapBytes returns the bytes of the heap that are in use. The second collection frees
+// the copies that buffers left while the first one ran, when they grew.
 func heapBytes() uint64 {
+	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
@@ -83,6 +101,8 @@
 	const requests = 64
 	// Besides the bodies, a request may need some small buffers.
 	const maxPerRequest = 64 << 10
+	// A response body of which more has arrived is passed on.
+	const maxBody = 1 << 20
 	limit := memory.NewLimit(testMemory)
 	ts := startTestServerWithin(t, 0, limit)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -90,13 +110,14 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	endpoint := &stallingEndpoint{listener: listener, part: make([]byte, 1_000_000)}
 	go endpoint.run()
+	var received byteCount
 	for i := range requests {
 		ts.applyReady(model.EndpointName(fmt.Sprintf("i-%d", i)), listener.Addr().String())
 	}
 	before := heapBytes()
 	for i := range requests {
 		conn := ts.dialRaw(fmt.Sprintf("GET /export/%d HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a%d\r\nDeadline-Ms: 2000\r\n\r\n", i, i))
-		go func() { _, _ = io.Copy(io.Discard, conn) }()
+		go received.readFrom(conn)
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if endpoint.stalled.Load() == requests {
@@ -104,6 +125,15 @@
 		}
 		return poll.Continue("%d responses have stalled", endpoint.stalled.Load())
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+	// Buffers that still grow leave copies. Once none grows, each body is in a buffer of full
+	// size or has been passed on.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		buffered := limit.Used() / maxBody
+		if received.Load() >= (requests-buffered)*int64(len(endpoint.part)) {
+			return poll.Success()
+		}
+		return poll.Continue("%d bodies are buffered, %d bytes were passed on", buffered, received.Load())
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
 	after := heapBytes()
 	assert.Assert(t, after < before+testMemory+requests*maxPerRequest, "the heap grew by %d bytes", after-before)
 	waitForRelease(t, limit)
@@ -136,9 +166,9 @@
 	limit := memory.NewLimit(maxLongHeads * maxHeaderBytes)
 	ts := startTestServerWithin(t, 1, limit)
 	head := "GET /read/1 HTTP/1.1\r\nHost: a.example\r\nX: " + strings.Repeat("x", 8<<10)
-	var conns []net.Conn
+	var callers []net.Conn
 	for range 3 * maxLongHeads {
-		conns = append(conns, ts.dialRaw(head))
+		callers = append(callers, ts.dialRaw(head))
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if limit.Refused() == 2*maxLongHeads {
@@ -148,7 +178,7 @@
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
 	status, _, _ := ts.send(http.MethodGet, "/read/1", "a1", "")
 	assert.Equal(t, status, http.StatusOK)
-	for _, conn := range conns {
+	for _, conn := range callers {
 		assert.NilError(t, conn.Close())
 	}
 	waitForRelease(t, limit)
