--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
 	"net/netip"
 	"testing"
 
+	"filberthold/logs"
 	"filberthold/model"
 	"filberthold/roster"
 	"filberthold/route"
+
+	"gotest.tools/v3/assert"
 )
 
 // BenchmarkReadTable measures how long a starting host takes to apply the
@@ -25,3 +31,17 @@
 		core.Loads(true)
 	}
 }
+
+// BenchmarkExchange measures a request on kept connections, from the caller through the
+// host to an endpoint and back, with the log lines.
+func BenchmarkExchange(b *testing.B) {
+	ts := startTestServer(b, 1)
+	writer := logs.NewWriter(io.Discard)
+	go func() { _ = writer.Run(b.Context()) }()
+	ts.server.log = slog.New(slog.NewJSONHandler(writer, nil))
+	b.ReportAllocs()
+	for b.Loop() {
+		status, _, _ := ts.send(http.MethodGet, "/read/1", "a1", "")
+		assert.Equal(b, status, http.StatusOK)
+	}
+}
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -24,7 +24,7 @@
 
 // testServer is a Server with fake endpoints.
 type testServer struct {
-	t         *testing.T
+	t         testing.TB
 	core      *Core
 	server    *Server
 	address   string
@@ -40,13 +40,13 @@
 	return Freshness{OperatorAge: zero, EndpointAge: zero, NewestConfig: func() uint64 { return 0 }, ApplyTime: time.Second}
 }
 
-func startTestServer(t *testing.T, endpoints int) *testServer {
+func startTestServer(t testing.TB, endpoints int) *testServer {
 	t.Helper()
 	return startTestServerWithin(t, endpoints, memory.NewLimit(testMemory))
 }
 
 // startTestServerWithin starts a server whose memory for bodies is limited.
-func startTestServerWithin(t *testing.T, endpoints int, limit *memory.Limit) *testServer {
+func startTestServerWithin(t testing.TB, endpoints int, limit *memory.Limit) *testServer {
 	t.Helper()
 	regions := map[model.ZoneName]model.RegionName{"za": "north"}
 	ts := &testServer{t: t, core: NewCore("h", "za", regions, DefaultRetryLimit())}
