Record what an exchange did on its connection

The logs could not tell a new connection from a used one, how much of a request was written, whether a response was read, or whether responses to other requests came first: the hypotheses 1, 3, 4 and 5 of docs/incidents/issue-37-refused.md look alike in them.

A request may have a Trace now, which Exchange fills in case of success and of an error alike: the connection's own address, its idle time, the times to connect and to write, the bytes of the request and those that the operating system took, those that the other side had not acknowledged when the exchange failed, whether the head of the response was read, whether it was the first one of the connection, and the number of responses to other requests. What is sent, kept and closed is the same.

Tests: five runs of ./conns with the race detector.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -60,6 +60,8 @@
 	// headers belongs to this request. isFirst is true if the connection carried
 	// no response before it.
 	MatchesResponse func(status int, header http.Header, isFirst bool) bool
+	// Trace is filled by the exchange. It may be nil.
+	Trace *Trace
 }
 
 // Response is an endpoint's response.
@@ -149,7 +151,8 @@
 // nothing was sent. After an IncompleteError the request may have run. The
 // connection is closed if ctx ends. The response must be closed.
 func (p *Pool) Exchange(ctx context.Context, address netip.AddrPort, request Request) (*Response, error) {
-	if !time.Now().Before(request.Deadline) {
+	startedAt := time.Now()
+	if !startedAt.Before(request.Deadline) {
 		return nil, &NotSentError{cause: errors.New("deadline has passed")}
 	}
 	conn, err := p.get(ctx, address, request.MaxIdle)
@@ -157,7 +160,9 @@
 		return nil, &NotSentError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	request.Trace.start(conn, startedAt, time.Now())
 	response, err := exchangeOn(conn, request, memory.NewBuffer(p.limit))
+	request.Trace.end(conn, err)
 	if err != nil || response.Rest == nil {
 		isOpen := stop()
 		if err != nil || !isOpen {
@@ -204,7 +209,9 @@
 		return nil, &NotSentError{cause: fmt.Errorf("set deadline: %w", err)}
 	}
 	head := encodeHead(request)
+	startedAt := time.Now()
 	written, err := conn.Write(append(head, request.Body...))
+	request.Trace.recordWrite(encodedSize(len(head), request), time.Since(startedAt))
 	if err != nil {
 		if written == 0 {
 			return nil, &NotSentError{cause: fmt.Errorf("write request: %w", err)}
@@ -258,6 +265,7 @@
 			return nil, withSkipped(err, skipped)
 		}
 		if !request.MatchesResponse(parsed.StatusCode, parsed.Header, !conn.isReused) {
+			request.Trace.countForeign()
 			if parsed.ContentLength < 0 || parsed.ContentLength > maxSkippedBody {
 				return nil, errors.New("response belongs to another request")
 			}
@@ -267,6 +275,7 @@
 			conn.isReused = true
 			continue
 		}
+		request.Trace.recordHead(!conn.isReused)
 		return readBody(conn, parsed, kept)
 	}
 	return nil, errors.New("only responses to other requests came")
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,9 @@
 	usableUntil time.Time
 	// isReused is true if the connection has carried a response before.
 	isReused bool
+	// written counts the bytes of the current request that were written. A streamed body
+	// is written while the response is read.
+	written atomic.Int64
 }
 
 // NewPool returns an empty pool. The bodies of responses count towards limit.
