Report a host's credit of retries and each change of its part of the limit

Logs and metrics told nothing of the credit of retries: whether retries beyond the limit come from a reserve that each start brings, from a host that does not know the others, or from requests that were counted twice (hypotheses 1, 2 and 4 of docs/incidents/issue-37-budget.md) looked alike.

`host starts` has the limit and the reserve. `retry limit changed` has the number of hosts that share the limit, the burst and the credit of all services, before and after, with the reason; there is one line a change. Metrics for each service: the credit now, the requests that earned credit, the retries that were chosen, refunded and rejected; for the host: the hosts that share the limit and the burst. No decision changes.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -83,7 +83,9 @@
 	for _, alive := range n.transport.Alive() {
 		hosts[alive.Region] = append(hosts[alive.Region], alive.Host)
 	}
-	n.core.SetHosts(hosts)
+	if change := n.core.SetHosts(hosts); change.IsChange() {
+		n.log.Info("retry limit changed", change.LogFields()...)
+	}
 }
 
 // registration is what a host knows of its row in the store.
--- a/node/node.go
+++ b/node/node.go
@@ -124,8 +124,10 @@
 }
 
 func (n *Node) serve(ctx context.Context) error {
+	limit := n.core.RetryLimit()
 	n.log.Info("host starts", "zone", n.settings.Zone, "region", n.settings.Region, "incarnation", n.incarnation,
-		"callers", n.settings.CallerAddress, "store", n.settings.StoreAddress)
+		"callers", n.settings.CallerAddress, "store", n.settings.StoreAddress,
+		"retryRatio", limit.Ratio, "retrySlack", limit.Slack, "retryReserve", limit.Reserve)
 	table := member.NewTable(n.settings.Host)
 	table.AddAddresses(n.settings.Seeds, time.Now())
 	transport, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, gossip.Callbacks{
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -46,6 +46,8 @@
 	endpoint     *fake.Endpoint
 	stopGrace    time.Duration
 	hosts        []*runningHost
+	// output receives the logs of the hosts.
+	output io.Writer
 }
 
 // runningHost is a node with the means to stop it.
@@ -57,7 +59,7 @@
 
 func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: fake.NewStore(), stopGrace: 2 * time.Second}
+	c := &cluster{t: t, store: fake.NewStore(), stopGrace: 2 * time.Second, output: io.Discard}
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.Close)
 	c.storeAddress = strings.TrimPrefix(server.URL, "http://")
@@ -95,7 +97,7 @@
 		StoreAddress: c.storeAddress, MemoryBytes: 1 << 28, HeartbeatInterval: time.Second, StopGrace: c.stopGrace,
 		Seeds: []netip.Addr{netip.MustParseAddr(hostIP(c.t, number-1))},
 	}
-	host := &runningHost{node: New(settings, io.Discard, nil), done: make(chan error, 1)}
+	host := &runningHost{node: New(settings, c.output, nil), done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	host.stop = cancel
 	go func() { host.done <- host.node.Run(ctx) }()
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -26,7 +26,9 @@
 	budgets    map[model.ServiceName]*score.Budget
 	retryLimit RetryLimit
 	retryHosts sharingHosts
-	services   []model.ServiceName
+	// retryUses counts what was done with the credit of each service.
+	retryUses map[model.ServiceName]*retryUse
+	services  []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
 	selectorRevision uint64
 	// isSelectorOutdated is true if the selector was not yet updated to config or to
@@ -57,7 +59,7 @@
 		roster: roster.New(regions), selector: selector,
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
-		retryLimit: retryLimit,
+		retryLimit: retryLimit, retryUses: make(map[model.ServiceName]*retryUse),
 	}
 }
 
@@ -134,8 +136,9 @@
 	return c.roster.Expire(time.Now())
 }
 
-// SetHosts replaces the entry hosts that are alive.
-func (c *Core) SetHosts(hosts map[model.RegionName][]model.HostName) {
+// SetHosts replaces the entry hosts that are alive, and returns what this changes in
+// the retry limit.
+func (c *Core) SetHosts(hosts map[model.RegionName][]model.HostName) RetryLimitChange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.selector.SetHosts(hosts)
@@ -143,12 +146,15 @@
 	for _, names := range hosts {
 		count += len(names)
 	}
+	hostsBefore := c.retryHosts.count
 	if !c.retryHosts.observe(count, time.Now()) {
-		return
+		return RetryLimitChange{}
 	}
+	before := c.retryState(hostsBefore)
 	for _, budget := range c.budgets {
 		budget.LimitBurst(c.retryLimit.burst(c.retryHosts.count))
 	}
+	return RetryLimitChange{before: before, after: c.retryState(c.retryHosts.count)}
 }
 
 // Loads returns this host's load report for other hosts: the counts that
@@ -190,6 +196,7 @@
 	service := c.splitter.Pick(version, matchedRoute)
 	if budget := c.budgets[service]; budget != nil {
 		budget.Earn()
+		c.retryUse(service).earned++
 	}
 	return service
 }
@@ -201,6 +208,7 @@
 	defer c.mu.Unlock()
 	c.updateSelector()
 	if len(query.Tried) > 0 && !c.canRetry(query) {
+		c.retryUse(query.Service).rejected++
 		return steer.Reject{Reason: "the retry budget is used up", RetryAfter: max(budgetRetryAfter, c.selector.MinRetryAfter(query, time.Now()))}
 	}
 	decision := c.selector.Choose(query, time.Now())
@@ -208,6 +216,7 @@
 	// spent now.
 	if _, isSend := decision.(steer.Send); isSend && len(query.Tried) > 0 {
 		c.budgets[query.Service].Spend()
+		c.retryUse(query.Service).chosen++
 	}
 	return decision
 }
@@ -216,6 +225,7 @@
 func (c *Core) refundRetry(query steer.Query) {
 	if len(query.Tried) > 0 {
 		c.budgets[query.Service].Refund()
+		c.retryUse(query.Service).refunded++
 	}
 }
 
--- /dev/null
+++ b/proxy/retry_report.go
@@ -0,0 +1,138 @@
+package proxy
+
+import (
+	"maps"
+	"slices"
+
+	"filberthold/model"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// retryUse counts what a host did with the credit of a service's retries since its start.
+type retryUse struct {
+	// earned counts the requests that earned credit.
+	earned uint64
+	// chosen counts the retries that spent credit, refunded those of them that were not
+	// sent and got it back, and rejected those for which there was none.
+	chosen, refunded, rejected uint64
+}
+
+// retryUse returns the counts of a service.
+func (c *Core) retryUse(service model.ServiceName) *retryUse {
+	use := c.retryUses[service]
+	if use == nil {
+		use = new(retryUse)
+		c.retryUses[service] = use
+	}
+	return use
+}
+
+// RetryLimit returns the retry limit of the host.
+func (c *Core) RetryLimit() RetryLimit { return c.retryLimit }
+
+// retryState is this host's part of the retry limit.
+type retryState struct {
+	// hosts is the number of hosts that share the limit.
+	hosts int
+	// burst is the number of retries to a service that this host may accumulate.
+	burst int
+	// credit is the credit of all services together, in retries.
+	credit float64
+}
+
+// retryState returns this host's part of the retry limit if a number of hosts share it.
+func (c *Core) retryState(hosts int) retryState {
+	state := retryState{hosts: hosts, burst: c.retryLimit.burst(hosts)}
+	for _, budget := range c.budgets {
+		state.credit += budget.Credit()
+	}
+	return state
+}
+
+// RetryLimitChange is what a change of the hosts that are alive does to the retry limit.
+type RetryLimitChange struct{ before, after retryState }
+
+// IsChange reports whether the number of hosts that share the limit changed, or the
+// burst. Credit that only expires is no change.
+func (c RetryLimitChange) IsChange() bool {
+	return c.before.hosts != c.after.hosts || c.before.burst != c.after.burst
+}
+
+// reason returns why the limit changed.
+func (c RetryLimitChange) reason() string {
+	switch {
+	case c.before.hosts == 0:
+		return "first count of the hosts"
+	case c.after.hosts > c.before.hosts:
+		return "more hosts are alive"
+	}
+	return "fewer hosts were alive for " + hostPeakTime.String()
+}
+
+// LogFields returns names and values for a log line.
+func (c RetryLimitChange) LogFields() []any {
+	return []any{"reason", c.reason(), "hosts", c.after.hosts, "hostsBefore", c.before.hosts,
+		"burst", c.after.burst, "burstBefore", c.before.burst, "credit", c.after.credit, "creditBefore", c.before.credit}
+}
+
+// retryCollector reads the metrics of retries from a core.
+type retryCollector struct {
+	core                                   *Core
+	hosts, burst, credit, earned, decision *prometheus.Desc
+}
+
+// RegisterRetryMetrics registers the metrics of a core's retry limit.
+func RegisterRetryMetrics(registry *prometheus.Registry, core *Core) {
+	describe := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(name, help, labels, nil)
+	}
+	registry.MustRegister(&retryCollector{
+		core:     core,
+		hosts:    describe("filberthold_retry_hosts", "Hosts that share the retry limit, including this one."),
+		burst:    describe("filberthold_retry_burst", "Retries to a service that this host may accumulate."),
+		credit:   describe("filberthold_retry_credit", "Retries to a service that this host may send now.", "service"),
+		earned:   describe("filberthold_retry_requests_total", "Requests that earned credit for retries.", "service"),
+		decision: describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, or rejected for lack of credit.", "service", "decision"),
+	})
+}
+
+// Describe implements prometheus.Collector.
+func (r *retryCollector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, description := range []*prometheus.Desc{r.hosts, r.burst, r.credit, r.earned, r.decision} {
+		descriptions <- description
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (r *retryCollector) Collect(metrics chan<- prometheus.Metric) {
+	for _, metric := range r.read() {
+		metrics <- metric
+	}
+}
+
+// read returns the metrics. It sends none, because a slow receiver would then delay the
+// requests that need the core.
+func (r *retryCollector) read() []prometheus.Metric {
+	r.core.mu.Lock()
+	defer r.core.mu.Unlock()
+	var metrics []prometheus.Metric
+	gauge := func(description *prometheus.Desc, value float64, labels ...string) {
+		metrics = append(metrics, prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, labels...))
+	}
+	counter := func(description *prometheus.Desc, value uint64, labels ...string) {
+		metrics = append(metrics, prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...))
+	}
+	hosts := r.core.retryHosts.count
+	gauge(r.hosts, float64(hosts))
+	gauge(r.burst, float64(r.core.retryLimit.burst(hosts)))
+	for _, service := range slices.Sorted(maps.Keys(r.core.budgets)) {
+		use := r.core.retryUse(service)
+		gauge(r.credit, r.core.budgets[service].Credit(), string(service))
+		counter(r.earned, use.earned, string(service))
+		counter(r.decision, use.chosen, string(service), "chosen")
+		counter(r.decision, use.refunded, string(service), "refunded")
+		counter(r.decision, use.rejected, string(service), "rejected")
+	}
+	return metrics
+}
--- a/score/budget.go
+++ b/score/budget.go
@@ -45,6 +45,9 @@
 	b.credit = min(b.credit, b.maxCredit, attempts*attemptCost)
 }
 
+// Credit returns the credit, as a number of extra attempts.
+func (b *Budget) Credit() float64 { return float64(b.credit) / attemptCost }
+
 // Earn adds the credit of one request.
 func (b *Budget) Earn() { b.credit = min(b.credit+b.percent, b.maxCredit) }
 
