Log the connection, the bytes and the proof of each attempt

After a report that a refused submit had run, the logs did not tell on what the refusal rested: `attempt failed` had a result and an error text, and an endpoint's refusal with a status other than 429 and 503 left no line at all.

`attempt failed` has the address of the endpoint, the time handed on, the status, the proof that the attempt did not run (not sent, stated with or without the attempt id), the connection with its own address and idle time, the times to connect and to write, the bytes written out of how many and those not acknowledged, whether a response was read and was the first one of the connection, the responses to other requests, and for a retry the credit left at its choice. It is written for each refusal now, whatever its status. `request ended` has the caller's address and the time until the latest attempt, from which arrivals in a window are counted; where they apply, the proof of a refusal, the credit of retries and the responses to other requests. A successful first attempt still has no line of its own. `filberthold_foreign_responses_total` counts the responses to other requests, which were skipped silently.

Tests: ./proxy, also with the race detector, and ./conns.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -62,6 +62,13 @@
 	lastSend steer.Send
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
+	// lastTrace and proof are those of the latest attempt, for the log.
+	lastTrace *conns.Trace
+	proof     refusalProof
+	// isRetryChosen is true once a further attempt was chosen, or rejected for lack of
+	// credit. retryCredit is the service's credit of retries just after that.
+	isRetryChosen bool
+	retryCredit   float64
 	// refusedPermits counts the permits for limited endpoints that were not granted.
 	refusedPermits int
 }
@@ -158,7 +165,9 @@
 		return true
 	}
 	query := e.query()
-	switch decision := e.server.core.chooseOrWait(e.request.Context(), query, e.waitDeadline()).(type) {
+	decision := e.server.core.chooseOrWait(e.request.Context(), query, e.waitDeadline())
+	e.noteRetryCredit()
+	switch decision := decision.(type) {
 	case steer.Reject:
 		e.handleReject(decision)
 		return true
@@ -235,10 +244,11 @@
 	}
 	header := forwardedHeader(e.request.Header)
 	platform.SetTarget(header, decision.Endpoint.Name, e.deadline.Sub(startedAt))
+	trace := new(conns.Trace)
 	response, err := e.server.pool.Exchange(ctx, decision.Endpoint.Address, conns.Request{
 		Method: e.request.Method, Target: e.requestTarget(), Domain: e.request.Host, Header: header,
 		Body: e.completeBody(), Stream: e.stream, Length: e.request.ContentLength,
-		Deadline: e.deadline.Add(responseMargin), MaxIdle: e.maxIdle(), MatchesResponse: e.matchesResponse,
+		Deadline: e.deadline.Add(responseMargin), MaxIdle: e.maxIdle(), MatchesResponse: e.matchesResponse, Trace: trace,
 	})
 	var responseHeader platform.ResponseHeader
 	if response != nil {
@@ -258,7 +268,7 @@
 		// Other idle connections to the endpoint may be broken too.
 		e.server.pool.CloseIdle(decision.Endpoint.Address)
 	}
-	e.reportAttempt(decision, outcome, startedAt)
+	e.reportAttempt(outcome, trace)
 	return outcome
 }
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -13,6 +13,7 @@
 	latency  *prometheus.HistogramVec
 	notices  *prometheus.CounterVec
 	opened   prometheus.Gauge
+	foreign  *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of requests.
@@ -34,8 +35,11 @@
 		opened: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "filberthold_endpoint_connections_opened", Help: "Connections to endpoints opened since the start.",
 		}),
+		foreign: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "filberthold_foreign_responses_total", Help: "Responses of endpoints that belong to another request, by service of the request that they reached.",
+		}, []string{"service"}),
 	}
-	registry.MustRegister(metrics.requests, metrics.attempts, metrics.latency, metrics.notices, metrics.opened)
+	registry.MustRegister(metrics.requests, metrics.attempts, metrics.latency, metrics.notices, metrics.opened, metrics.foreign)
 	return metrics
 }
 
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -31,6 +31,16 @@
 // RetryLimit returns the retry limit of the host.
 func (c *Core) RetryLimit() RetryLimit { return c.retryLimit }
 
+// retryCredit returns the credit that a service has now, in retries.
+func (c *Core) retryCredit(service model.ServiceName) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if budget := c.budgets[service]; budget != nil {
+		return budget.Credit()
+	}
+	return 0
+}
+
 // retryState is this host's part of the retry limit.
 type retryState struct {
 	// hosts is the number of hosts that share the limit.
