Give each attempt exactly one time in the logs

An attempt with a line of its own was in `request ended` too, by its `sentAfter`, so that a count of the arrivals in a window from the logs of all hosts would count it twice. `sentAfter` is now written only if the latest attempt has no line of its own. TestEachAttemptHasOneTime guards it.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -65,6 +65,8 @@
 	// lastTrace and proof are those of the latest attempt, for the log.
 	lastTrace *conns.Trace
 	proof     refusalProof
+	// hasAttemptLine is true if the latest attempt has a log line of its own.
+	hasAttemptLine bool
 	// isRetryChosen is true once a further attempt was chosen, or rejected for lack of
 	// credit. retryCredit is the service's credit of retries just after that.
 	isRetryChosen bool
--- a/proxy/report.go
+++ b/proxy/report.go
@@ -22,7 +22,8 @@
 	if trace.ForeignResponses() > 0 {
 		metrics.foreign.WithLabelValues(string(e.service)).Add(float64(trace.ForeignResponses()))
 	}
-	if outcome.result == steer.Answered && e.proof == noProof {
+	e.hasAttemptLine = outcome.result != steer.Answered || e.proof != noProof
+	if !e.hasAttemptLine {
 		return
 	}
 	status := 0
@@ -79,9 +80,10 @@
 }
 
 // appendAttempts appends the log fields of an ended request's attempts: when the latest
-// one was sent, the credit left at the choice of a retry, and the proof of a refusal.
+// one was sent if no line of its own tells that, the credit left at the choice of a retry,
+// and the proof of a refusal.
 func (e *exchange) appendAttempts(fields []any, status int) []any {
-	if len(e.tried) > 0 {
+	if len(e.tried) > 0 && !e.hasAttemptLine {
 		fields = append(fields, "sentAfter", e.sentAt.Sub(e.arrivedAt))
 	}
 	if e.isRetryChosen {
--- a/proxy/report_test.go
+++ b/proxy/report_test.go
@@ -212,6 +212,26 @@
 	assertFields(t, ended, logLine{"retryCredit": 0.2, "attempts": 1.0, "outcome": "the retry budget is used up"})
 }
 
+// Guards against attempts that are counted twice or not at all in a window: each one has
+// either a line of its own or the time in the line of its request.
+func TestEachAttemptHasOneTime(t *testing.T) {
+	ts := startTestServer(t, 2)
+	recorder := ts.recordLog()
+	for i, behaviour := range []fake.Behaviour{fake.Serve, fake.Shed, fake.Fail, fake.Reset} {
+		ts.setBehaviour(behaviour)
+		for _, path := range []string{"/read/", "/submit/"} {
+			id := fmt.Sprint(path, i)
+			ts.send(http.MethodPost, path+"1", id, "content")
+			ended, attempts := recorder.ended(t, id)
+			times := len(attempts)
+			if ended["sentAfter"] != nil {
+				times++
+			}
+			assert.Equal(t, float64(times), ended["attempts"], "%s: %v %v", id, ended, attempts)
+		}
+	}
+}
+
 // Guards against a field that docs/OPERATIONS.md explains and that is renamed or dropped.
 // The golden file lists the fields of a refused request's lines in their order.
 func TestFieldsOfLines(t *testing.T) {
