--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -45,7 +45,8 @@
 type retryState struct {
 	// hosts is the number of hosts that share the limit.
 	hosts int
-	// burst is the number of retries to a service that this host may accumulate.
+	// burst is this host's part of the slack, in retries to a service. A budget may hold
+	// fewer.
 	burst int
 	// credit is the credit of all services together, in retries.
 	credit float64
@@ -100,7 +101,7 @@
 	registry.MustRegister(&retryCollector{
 		core:     core,
 		hosts:    describe("filberthold_retry_hosts", "Hosts that share the retry limit, including this one."),
-		burst:    describe("filberthold_retry_burst", "Retries to a service that this host may accumulate."),
+		burst:    describe("filberthold_retry_burst", "This host's part of the slack of the retry limit, in retries to a service."),
 		credit:   describe("filberthold_retry_credit", "Retries to a service that this host may send now.", "service"),
 		earned:   describe("filberthold_retry_requests_total", "Requests that earned credit for retries.", "service"),
 		decision: describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, or rejected for lack of credit.", "service", "decision"),
