Compare the retry limit before and after each count of the hosts

The change of the limit is now taken from one function of the limit in force, so that another way to count the hosts needs no second one.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -59,7 +59,8 @@
 		roster: roster.New(regions), selector: selector,
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
-		retryLimit: retryLimit, retryUses: make(map[model.ServiceName]*retryUse),
+		retryLimit: retryLimit,
+		retryUses:  make(map[model.ServiceName]*retryUse),
 	}
 }
 
@@ -146,15 +147,13 @@
 	for _, names := range hosts {
 		count += len(names)
 	}
-	hostsBefore := c.retryHosts.count
-	if !c.retryHosts.observe(count, time.Now()) {
-		return RetryLimitChange{}
-	}
-	before := c.retryState(hostsBefore)
-	for _, budget := range c.budgets {
-		budget.LimitBurst(c.retryLimit.burst(c.retryHosts.count))
+	before := c.retryState()
+	if c.retryHosts.observe(count, time.Now()) {
+		for _, budget := range c.budgets {
+			budget.LimitBurst(c.retryLimit.burst(c.retryHosts.count))
+		}
 	}
-	return RetryLimitChange{before: before, after: c.retryState(c.retryHosts.count)}
+	return RetryLimitChange{before: before, after: c.retryState()}
 }
 
 // Loads returns this host's load report for other hosts: the counts that
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -52,9 +52,9 @@
 	credit float64
 }
 
-// retryState returns this host's part of the retry limit if a number of hosts share it.
-func (c *Core) retryState(hosts int) retryState {
-	state := retryState{hosts: hosts, burst: c.retryLimit.burst(hosts)}
+// retryState returns this host's part of the retry limit.
+func (c *Core) retryState() retryState {
+	state := retryState{hosts: c.retryHosts.count, burst: c.retryLimit.burst(c.retryHosts.count)}
 	for _, budget := range c.budgets {
 		state.credit += budget.Credit()
 	}
@@ -134,9 +134,9 @@
 	counter := func(description *prometheus.Desc, value uint64, labels ...string) {
 		metrics = append(metrics, prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...))
 	}
-	hosts := r.core.retryHosts.count
-	gauge(r.hosts, float64(hosts))
-	gauge(r.burst, float64(r.core.retryLimit.burst(hosts)))
+	state := r.core.retryState()
+	gauge(r.hosts, float64(state.hosts))
+	gauge(r.burst, float64(state.burst))
 	for _, service := range slices.Sorted(maps.Keys(r.core.budgets)) {
 		use := r.core.retryUse(service)
 		gauge(r.credit, r.core.budgets[service].Credit(), string(service))
