Close a connection behind the last request that was started early

Cause: two decisions to close did not know the requests that package early had started. The host added "Connection: close" to every response once it was stopping, and net/http closes each connection behind the current response once Shutdown was called.

TestStoppingServerAnswersReadsThatStartedEarly failed before this change ("true (response.Close bool) != false" at the first of four responses).

Package early now announces the close in the response to the last request that was started, and starts none from then on.

--- a/early/early_test.go
+++ b/early/early_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	handler *Handler
 	server  *http.Server
 	limit   *memory.Limit
+	// isClosing is true once the server closes connections.
+	isClosing atomic.Bool
 
 	mu      sync.Mutex
 	order   []string
@@ -46,7 +49,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &testServer{t: t, limit: limit, address: listener.Addr().String(), release: make(map[string]chan struct{}), left: make(map[string]bool), closes: make(map[string]bool)}
-	s.handler = NewHandler(http.HandlerFunc(s.handle), func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe") }, func(http.Header) {}, limit)
+	s.handler = NewHandler(http.HandlerFunc(s.handle), func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe") }, s.isClosing.Load, limit)
 	s.server = &http.Server{Handler: s.handler, ConnContext: ConnContext, ReadHeaderTimeout: time.Minute}
 	done := make(chan error, 1)
 	go func() { done <- s.server.Serve(NewListener(listener, limit)) }()
@@ -275,6 +278,34 @@
 	assert.NilError(t, <-stopped)
 }
 
+// Guards against a stop that closes a connection behind a request although later ones were
+// started: endpoints have run them, and their callers get no answer.
+func TestStopAnswersAllStartedRequests(t *testing.T) {
+	s := startServer(t)
+	c := s.dial()
+	var requests, answered, expected []string
+	for i := range 3 + maxStarted {
+		requests = append(requests, get(fmt.Sprint("/safe", i)))
+	}
+	for i := range 1 + maxStarted {
+		expected = append(expected, fmt.Sprint("/safe", i))
+	}
+	c.send(requests...)
+	s.waitFor("some run", func() bool { return len(s.started()) == 1+maxStarted })
+	s.isClosing.Store(true)
+	stopped := make(chan error, 1)
+	go func() { stopped <- errors.Join(s.handler.Wait(t.Context()), s.server.Shutdown(t.Context())) }()
+	for i := range requests {
+		s.end(fmt.Sprint("/safe", i))
+	}
+	for response := c.receive(); response != "closed"; response = c.receive() {
+		answered = append(answered, response)
+	}
+	assert.NilError(t, <-stopped)
+	assert.DeepEqual(t, answered, expected)
+	assert.Equal(t, len(s.started()), len(expected))
+}
+
 // Guards against a caller that makes a host keep any number of requests and bytes.
 func TestRequestsOfOneConnectionAreBounded(t *testing.T) {
 	s := startServer(t)
--- a/early/handler.go
+++ b/early/handler.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"filberthold/memory"
 )
@@ -18,23 +20,44 @@
 	// canStart reports whether a request without a body may be started before its turn. It
 	// may then run although its connection ends before.
 	canStart func(request *http.Request) bool
-	// onTurn adds headers to the response of a request that was started early, when it is
-	// written.
-	onTurn func(header http.Header)
+	// isClosing reports whether the connections close. It never becomes false again.
+	isClosing func() bool
 	// limit bounds the responses that wait for their turn.
 	limit   *memory.Limit
 	started atomic.Uint64
+	// waiting is the number of requests that were started and whose turn has not come.
+	waiting atomic.Int64
 }
 
-// NewHandler returns a handler for requests of the connections of a Listener. Responses
-// that wait for their turn count towards limit.
-func NewHandler(next http.Handler, canStart func(request *http.Request) bool, onTurn func(header http.Header), limit *memory.Limit) *Handler {
-	return &Handler{next: next, canStart: canStart, onTurn: onTurn, limit: limit}
+// NewHandler returns a handler for requests of the connections of a Listener. Once
+// isClosing returns true, it starts none early, and the last response to a request that
+// was started on a connection announces that the connection closes. Responses that wait
+// for their turn count towards limit.
+func NewHandler(next http.Handler, canStart func(request *http.Request) bool, isClosing func() bool, limit *memory.Limit) *Handler {
+	return &Handler{next: next, canStart: canStart, isClosing: isClosing, limit: limit}
 }
 
 // Started returns the number of requests that were started early.
 func (h *Handler) Started() uint64 { return h.started.Load() }
 
+// waitInterval is how often Wait looks whether requests wait for their turn.
+const waitInterval = 5 * time.Millisecond
+
+// Wait waits until the turn of all requests that were started early has come, or until
+// ctx ends. A server that shuts down before closes their connections without a response.
+func (h *Handler) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for h.waiting.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for requests that were started early: %w", context.Cause(ctx))
+		}
+	}
+	return nil
+}
+
 type connKey struct{}
 
 // ConnContext is the function of that name of an http.Server: it lets the Handler find
@@ -50,18 +73,27 @@
 func (h *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	connection, isOurs := request.Context().Value(connKey{}).(*conn)
 	if !isOurs {
+		announceClose(writer, h.isClosing())
 		h.next.ServeHTTP(writer, request)
 		return
 	}
-	exchange := connection.begin(h, request)
+	exchange, isLast := connection.begin(h, request)
+	announceClose(writer, isLast)
 	if exchange == nil {
 		h.next.ServeHTTP(writer, request)
 		return
 	}
-	h.onTurn(writer.Header())
 	exchange.finish(writer)
 }
 
+// announceClose tells the caller that the connection closes after this response if it is
+// the last one.
+func announceClose(writer http.ResponseWriter, isLast bool) {
+	if isLast {
+		writer.Header().Set("Connection", "close")
+	}
+}
+
 // start starts a request by its head. It returns nil if that is not allowed.
 func (h *Handler) start(connection *conn, head []byte) *exchange {
 	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
@@ -72,6 +104,7 @@
 		return nil
 	}
 	h.started.Add(1)
+	h.waiting.Add(1)
 	request.RemoteAddr = connection.RemoteAddr().String()
 	started := newExchange(h.next, request.WithContext(connection.ctx), h.limit)
 	go started.run()
@@ -80,8 +113,9 @@
 
 // begin records that a request is handled now, and returns its exchange if it was
 // started early. It starts the following ones: net/http began to watch the connection
-// before.
-func (c *conn) begin(handler *Handler, request *http.Request) *exchange {
+// before. It returns true if the connection closes after this request: it does so only
+// behind the last request that was started.
+func (c *conn) begin(handler *Handler, request *http.Request) (*exchange, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handler = handler
@@ -89,7 +123,7 @@
 	if c.framing.isAtHead() {
 		c.startPending()
 	}
-	return current
+	return current, handler.isClosing() && len(c.started) == 0
 }
 
 // takeStarted removes the exchange of a request from those that were started. c.mu is
@@ -101,6 +135,7 @@
 	}
 	first := c.started[0]
 	c.started = c.started[1:]
+	c.handler.waiting.Add(-1)
 	if first.isFor(request) {
 		return first
 	}
--- a/early/listener.go
+++ b/early/listener.go
@@ -121,6 +121,7 @@
 func (c *conn) abandonStarted() {
 	for _, started := range c.started {
 		started.abandon()
+		c.handler.waiting.Add(-1)
 	}
 	c.started = nil
 }
@@ -221,7 +222,7 @@
 
 // startPending starts the pending requests that may be started early. c.mu is held.
 func (c *conn) startPending() {
-	for c.handler != nil && !c.isClosed && !c.isBlocked && len(c.started) < maxStarted {
+	for c.handler != nil && !c.handler.isClosing() && !c.isClosed && !c.isBlocked && len(c.started) < maxStarted {
 		head := c.pending[c.scanned:]
 		head = head[:headLength(head)]
 		if len(head) == 0 {
--- a/early/memory_test.go
+++ b/early/memory_test.go
@@ -30,7 +30,7 @@
 		}
 		_, _ = io.WriteString(writer, strings.Repeat(request.URL.Path[1:2], longBody))
 	})
-	server := httptest.NewUnstartedServer(NewHandler(next, func(*http.Request) bool { return true }, func(http.Header) {}, limit))
+	server := httptest.NewUnstartedServer(NewHandler(next, func(*http.Request) bool { return true }, func() bool { return false }, limit))
 	server.Listener = NewListener(server.Listener, limit)
 	server.Config.ConnContext = ConnContext
 	server.Start()
--- a/proxy/early_test.go
+++ b/proxy/early_test.go
@@ -63,6 +63,44 @@
 	assert.Equal(t, ts.server.StartedEarly(), uint64(1))
 }
 
+// Guards against a host that closes a connection, as it stops, behind the second of
+// several reads that it has sent to endpoints. The time to refuse new requests and to
+// close the listener has come before the first one is answered.
+func TestStoppingServerAnswersReadsThatStartedEarly(t *testing.T) {
+	ts := startTestServer(t, 2)
+	for _, endpoint := range ts.endpoints {
+		endpoint.SetLatency(300 * time.Millisecond)
+	}
+	attempts := []string{"1", "2", "3", "4"}
+	var requests strings.Builder
+	for _, attempt := range attempts {
+		fmt.Fprintf(&requests, "GET /read/%s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 5000\r\n\r\n", attempt, attempt)
+	}
+	conn := ts.dialRaw(requests.String())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, attempt := range attempts {
+			if ts.runs(attempt) == 0 {
+				return poll.Continue("read %s does not run yet", attempt)
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	ts.server.Leave(time.Now().Add(time.Minute))
+	ts.server.Refuse()
+	stopped := make(chan error, 1)
+	go func() { stopped <- ts.server.Stop(t.Context()) }()
+	reader := bufio.NewReader(conn)
+	for _, attempt := range attempts {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err, "response to read %s", attempt)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, response.Header.Get("Attempt-Id"), attempt)
+		assert.Equal(t, response.Close, attempt == "4")
+	}
+	assert.NilError(t, <-stopped)
+}
+
 // Guards against a submit that starts early because its path, once decoded, is that of a
 // read: it could run although its connection closes before its turn, and be sent again.
 func TestRouteOfEarlyRequestIsThatOfItsTarget(t *testing.T) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -81,7 +81,6 @@
 		header: platform.ParseRequestHeader(request.Header), arrivedAt: time.Now(), config: s.core.Config(), body: memory.NewBuffer(s.limit),
 	}
 	defer e.body.Release()
-	s.announceClose(writer.Header())
 	platform.EchoAttempt(writer.Header(), e.header)
 	if s.isRefusing.Load() {
 		e.refuse("the host is about to stop", unavailableRetryAfter)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -52,7 +52,7 @@
 // responses counts towards limit.
 func NewServer(log *slog.Logger, core *Core, metrics *Metrics, freshness Freshness, limit *memory.Limit) *Server {
 	server := &Server{log: log, core: core, pool: conns.NewPool(limit), limit: limit, metrics: metrics, freshness: freshness}
-	server.early = early.NewHandler(http.HandlerFunc(server.handleRequest), server.canStartEarly, server.announceClose, limit)
+	server.early = early.NewHandler(http.HandlerFunc(server.handleRequest), server.canStartEarly, server.isLeaving, limit)
 	server.http = &http.Server{
 		Handler: server.early, ConnContext: early.ConnContext, IdleTimeout: idleTimeout,
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -74,7 +74,7 @@
 // connection may close before its turn.
 func (s *Server) canStartEarly(request *http.Request) bool {
 	config := s.core.Config()
-	if config == nil || s.isLeaving() || s.isRefusing.Load() {
+	if config == nil || s.isRefusing.Load() {
 		return false
 	}
 	path, _, _ := strings.Cut(requestTarget(request), "?")
@@ -82,14 +82,6 @@
 	return exists && route.Class.Idempotent()
 }
 
-// announceClose tells the caller in a response that the connection closes if the host is
-// stopping.
-func (s *Server) announceClose(header http.Header) {
-	if s.isLeaving() {
-		header.Set("Connection", "close")
-	}
-}
-
 // StartedEarly returns the number of requests that were started before the earlier ones
 // of their connections were answered.
 func (s *Server) StartedEarly() uint64 { return s.early.Started() }
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -27,12 +28,15 @@
 // Refuse makes the server refuse new requests.
 func (s *Server) Refuse() { s.isRefusing.Store(true) }
 
-// Stop closes the listener and waits until the requests in flight or ctx end.
+// Stop waits until the requests in flight or ctx end, and closes the listener. Requests
+// that were started early come first: net/http does not know them, and closes their
+// connection behind the request before.
 func (s *Server) Stop(ctx context.Context) error {
+	waitErr := s.early.Wait(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
-		return fmt.Errorf("wait for requests in flight: %w", err)
+		return errors.Join(waitErr, fmt.Errorf("wait for requests in flight: %w", err))
 	}
-	return nil
+	return waitErr
 }
 
 // fitsIntoStop reports whether the request can end before the host stops. A request
