--- /dev/null
+++ b/conns/stream.go
@@ -0,0 +1,62 @@
+package conns
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// bodyWriter sends a streamed body while the response is read, because an
+// endpoint may respond before it has read the body.
+type bodyWriter struct {
+	conn    *connection
+	request Request
+}
+
+// run sends the body. After an error it closes the connection: the endpoint then
+// does not treat a part as the complete body, and the response reader gets an
+// error.
+func (b *bodyWriter) run() {
+	if err := b.copyBody(); err != nil {
+		_ = b.conn.Close()
+	}
+}
+
+func (b *bodyWriter) copyBody() error {
+	if b.request.Length >= 0 {
+		copied, err := io.Copy(b.conn, b.request.Stream)
+		if err == nil && copied < b.request.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return fmt.Errorf("send body: %w", err)
+		}
+		return nil
+	}
+	return b.copyChunks()
+}
+
+// copyChunks sends a body of unknown length in chunks.
+func (b *bodyWriter) copyChunks() error {
+	buffer := make([]byte, 16<<10)
+	for {
+		count, err := b.request.Stream.Read(buffer)
+		if count > 0 {
+			chunk := strconv.FormatInt(int64(count), 16) + "\r\n" + string(buffer[:count]) + "\r\n"
+			if _, writeErr := io.WriteString(b.conn, chunk); writeErr != nil {
+				return fmt.Errorf("send chunk: %w", writeErr)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return fmt.Errorf("read body: %w", err)
+		}
+	}
+	if _, err := io.WriteString(b.conn, "0\r\n\r\n"); err != nil {
+		return fmt.Errorf("send last chunk: %w", err)
+	}
+	return nil
+}
