Read a streamed body in one place only

Cause: net/http reads up to 256 KiB of an unread body itself and drops it before it writes a response, while the goroutine that streams the body reads it too.

Change: a streamed body is read in full duplex, in which net/http leaves it alone. It may then take the rest of a body that stalls for the next request, so a response that begins before the body has been read closes the connection, and reads end at the request's deadline. An endpoint that has responded early gets the rest of the body; a short response cut it before.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -80,11 +80,14 @@
 	WillClose bool
 	// kept holds Body.
 	kept *memory.Buffer
-	// conn is the connection of Rest, which is not used again. It is nil without Rest.
+	// conn is the connection of Rest or of bodyWriter, which is not used again. It is nil
+	// without both.
 	conn *connection
+	// bodyWriter sends the request's body. It is nil if the request had no Stream.
+	bodyWriter *bodyWriter
 }
 
-// CopyTo writes the body to a writer and closes the response.
+// CopyTo writes the body to a writer.
 func (r *Response) CopyTo(writer io.Writer) error {
 	_, err := writer.Write(r.Body)
 	// The rest may take long.
@@ -93,9 +96,19 @@
 		_, err = io.Copy(writer, r.Rest)
 	}
 	if err != nil {
-		err = fmt.Errorf("copy body: %w", err)
+		return fmt.Errorf("copy body: %w", err)
 	}
-	return errors.Join(err, r.Close())
+	return nil
+}
+
+// WaitForRequest waits until the request's body is sent: an endpoint may respond before
+// it has read all of it. The body ends by the request's deadline, if reading from its
+// Stream does.
+func (r *Response) WaitForRequest() error {
+	if r.bodyWriter == nil {
+		return nil
+	}
+	return r.bodyWriter.wait()
 }
 
 func (r *Response) releaseBody() {
@@ -103,7 +116,8 @@
 	r.Body = nil
 }
 
-// Close releases the memory of the body, and closes the connection if there is a Rest.
+// Close releases the memory of the body, and closes the connection if there is a Rest or
+// the request had a Stream. An endpoint that has not got the whole body notices it.
 // The receiver of a response must call it.
 func (r *Response) Close() error {
 	r.releaseBody()
@@ -163,13 +177,13 @@
 	request.Trace.start(conn, startedAt, time.Now())
 	response, err := exchangeOn(conn, request, memory.NewBuffer(p.limit))
 	request.Trace.end(conn, err)
-	if err != nil || response.Rest == nil {
+	if err != nil || response.conn == nil {
 		isOpen := stop()
 		if err != nil || !isOpen {
 			_ = conn.Close()
 		}
 		if err == nil && isOpen {
-			p.keepOrClose(conn, address, request, response)
+			p.keepOrClose(conn, address, response)
 		}
 	}
 	if err != nil && ctx.Err() != nil {
@@ -184,8 +198,8 @@
 
 // keepOrClose returns the connection to the pool or closes it after a complete
 // response.
-func (p *Pool) keepOrClose(conn *connection, address netip.AddrPort, request Request, response *Response) {
-	if response.WillClose || request.Stream != nil || conn.reader.Buffered() > 0 {
+func (p *Pool) keepOrClose(conn *connection, address netip.AddrPort, response *Response) {
+	if response.WillClose || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 		return
 	}
@@ -218,14 +232,19 @@
 		}
 		return nil, &IncompleteError{cause: fmt.Errorf("write request: %w", err), isReused: conn.isReused}
 	}
+	var bodyWriter *bodyWriter
 	if request.Stream != nil {
-		go (&bodyWriter{conn: conn, request: request}).run()
+		bodyWriter = newBodyWriter(conn, request)
+		go bodyWriter.run()
 	}
 	response, err := readResponse(conn, request, kept)
 	if err != nil {
 		kept.Release()
 		return nil, &IncompleteError{cause: err, isReused: conn.isReused, isTimeout: isTimeout(err)}
 	}
+	if bodyWriter != nil {
+		response.bodyWriter, response.conn = bodyWriter, conn
+	}
 	return response, nil
 }
 
--- a/conns/stream.go
+++ b/conns/stream.go
@@ -12,17 +12,32 @@
 type bodyWriter struct {
 	conn    *connection
 	request Request
+	// done is closed when the body is sent, or cannot be.
+	done chan struct{}
+	// err is set before done is closed.
+	err error
+}
+
+func newBodyWriter(conn *connection, request Request) *bodyWriter {
+	return &bodyWriter{conn: conn, request: request, done: make(chan struct{})}
 }
 
 // run sends the body. After an error it closes the connection: the endpoint then
 // does not treat a part as the complete body, and the response reader gets an
 // error.
 func (b *bodyWriter) run() {
-	if err := b.copyBody(); err != nil {
+	defer close(b.done)
+	if b.err = b.copyBody(); b.err != nil {
 		_ = b.conn.Close()
 	}
 }
 
+// wait waits until the body is sent, or cannot be.
+func (b *bodyWriter) wait() error {
+	<-b.done
+	return b.err
+}
+
 func (b *bodyWriter) copyBody() error {
 	if b.request.Length >= 0 {
 		copied, err := io.Copy(b.conn, b.request.Stream)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -53,7 +54,7 @@
 	body *memory.Buffer
 	// stream is the body if it is too long to be buffered, or the memory for bodies has
 	// no room for it.
-	stream io.Reader
+	stream *streamedBody
 	// tried holds the endpoints to which the request was sent, in order.
 	tried []model.EndpointName
 	// mayHaveRun is true once an endpoint may have run the request.
@@ -136,8 +137,7 @@
 		return false
 	}
 	if e.request.ContentLength > maxBufferedBody {
-		e.stream = e.request.Body
-		return true
+		return e.streamBody(e.request.Body)
 	}
 	isComplete, err := e.body.Fill(e.request.Body, maxBufferedBody, e.request.ContentLength)
 	if err != nil {
@@ -145,7 +145,7 @@
 		return false
 	}
 	if !isComplete {
-		e.stream = io.MultiReader(bytes.NewReader(e.body.Bytes()), e.request.Body)
+		return e.streamBody(io.MultiReader(bytes.NewReader(e.body.Bytes()), e.request.Body))
 	}
 	return true
 }
@@ -248,7 +248,7 @@
 	trace := new(conns.Trace)
 	response, err := e.server.pool.Exchange(ctx, decision.Endpoint.Address, conns.Request{
 		Method: e.request.Method, Target: e.requestTarget(), Domain: e.request.Host, Header: header,
-		Body: e.completeBody(), Stream: e.stream, Length: e.request.ContentLength,
+		Body: e.completeBody(), Stream: e.streamReader(), Length: e.request.ContentLength,
 		Deadline: e.deadline.Add(responseMargin), MaxIdle: e.maxIdle(), MatchesResponse: e.matchesResponse, Trace: trace,
 	})
 	var responseHeader platform.ResponseHeader
@@ -328,9 +328,14 @@
 	case hasRest && outcome.response.Length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(outcome.response.Length, 10))
 	}
+	e.closeBehindBody()
 	e.writer.WriteHeader(outcome.response.Status)
 	err := outcome.response.CopyTo(e.writer)
-	e.logAndCount(outcome.response.Status, "delivered", err)
+	var bodyErr error
+	if err == nil {
+		bodyErr = e.finishBody(outcome.response)
+	}
+	e.logAndCount(outcome.response.Status, "delivered", errors.Join(err, bodyErr, outcome.response.Close()))
 	if err != nil {
 		// The connection is aborted, so that the caller does not take the
 		// truncated response as complete.
@@ -346,6 +351,7 @@
 }
 
 func (e *exchange) fail(status int, reason string) {
+	e.closeBehindBody()
 	e.writer.Header().Set("Content-Type", "application/problem+json")
 	e.writer.WriteHeader(status)
 	// An error means that the caller has disconnected.
