Let links of the soak hold bytes and deliver them later

The fault proxy of the soak dropped the bytes of a cut for good and closed both sides as soon as one side closed. Networks and stopped processes hold bytes and deliver them later, also after the sender has closed its end, so the soak could not show a request that arrives after it was given up.

The proxy now has modes that hold requests, responses or both and deliver them in order when the mode ends, with the end of a direction behind its bytes; that deliver a drawn time later; that write one byte at a time; and that reset a connection after n bytes. Resets are real ones (linger 0). The new fault hold draws 50 ms to 60 s, at most half of the duration of a run.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -70,6 +71,9 @@
 		{"endpointLink", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			injectProxyFault(b.endpointProxies[targetIndex%len(b.endpointProxies)], random, duration)
 		}},
+		{"hold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			b.injectHold(b.endpointProxies[targetIndex%len(b.endpointProxies)], random)
+		}},
 		{"endpoint", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			endpoint := b.endpoints[targetIndex%len(b.endpoints)]
 			kinds := []fake.Behaviour{fake.Shed, fake.Reset, fake.Truncate, fake.WrongResponseFirst, fake.Unsigned, fake.Fail, fake.UnsignedEndless}
@@ -99,10 +103,43 @@
 // recoveryTimeout.
 const maxSpare = 3 * time.Second
 
+// minHold and maxHold bound the time for which a link holds data: some times are longer
+// than every window and deadline of the settings.
+const (
+	minHold = 50 * time.Millisecond
+	maxHold = 60 * time.Second
+)
+
 func injectProxyFault(proxy *faultProxy, random *rand.Rand, duration time.Duration) {
-	modes := []mode{slow, blackhole, dropResponses, reset, resetResponse}
+	modes := []mode{slow, blackhole, dropResponses, reset, resetResponse, byteByByte, late, resetAfter}
+	injectCondition(proxy, condition{
+		mode:  modes[random.IntN(len(modes))],
+		delay: randomBetween(random, minHold, duration+minHold),
+		bytes: 1 + random.IntN(maxBytesBeforeReset),
+	}, duration)
+}
+
+// maxBytesBeforeReset bounds the bytes that pass before a reset. It is longer than a
+// request of the callers.
+const maxBytesBeforeReset = 32 << 10
+
+// injectHold holds the data of one direction or both.
+func (b *testbed) injectHold(proxy *faultProxy, random *rand.Rand) {
+	modes := []mode{holdRequests, holdResponses, holdAll}
+	next := condition{mode: modes[random.IntN(len(modes))]}
+	injectCondition(proxy, next, randomHold(random, b.options.Duration/2))
+}
+
+// randomHold draws a time so that all orders of magnitude are equally frequent. It is at
+// most a limit.
+func randomHold(random *rand.Rand, limit time.Duration) time.Duration {
+	longest := max(minHold, min(maxHold, limit))
+	return time.Duration(float64(minHold) * math.Pow(float64(longest)/float64(minHold), random.Float64()))
+}
+
+func injectCondition(proxy *faultProxy, next condition, duration time.Duration) {
 	startedAt := time.Now()
-	proxy.setMode(modes[random.IntN(len(modes))])
+	proxy.setCondition(next)
 	time.Sleep(duration)
 	proxy.setMode(pass)
 	proxy.recordFault(startedAt)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -2,43 +2,85 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // mode determines how a proxy forwards data.
-type mode int32
+type mode int
 
 const (
 	pass mode = iota
-	// slow delays the data of each read.
+	// slow delays each chunk of data by readDelay after the one before it.
 	slow
 	// blackhole drops all data and keeps connections open. The dropped data
 	// stays missing when the mode changes.
 	blackhole
 	// dropResponses drops only the data of responses.
 	dropResponses
-	// reset closes a connection at the next read.
+	// reset resets a connection at the next data.
 	reset
-	// resetResponse closes a connection at the next read of a response, after
+	// resetResponse resets a connection at the next data of a response, after
 	// the request has run.
 	resetResponse
+	// holdRequests holds the data of requests, and the end of a connection
+	// behind it, until the mode changes. Then they are delivered in order.
+	holdRequests
+	// holdResponses holds the data of responses likewise.
+	holdResponses
+	// holdAll holds the data of both directions likewise.
+	holdAll
+	// late delivers data a time after it arrived, in order.
+	late
+	// byteByByte writes each byte by itself.
+	byteByByte
+	// resetAfter resets a connection when a number of bytes has passed in one
+	// direction.
+	resetAfter
 )
 
-// readDelay is the delay of a slow proxy for each read.
+// readDelay is the delay of a slow proxy for each chunk of data.
 const readDelay = 40 * time.Millisecond
 
-// faultProxy is a loopback TCP proxy that injects connection faults.
+// condition is a mode with its parameters.
+type condition struct {
+	mode mode
+	// delay applies to late.
+	delay time.Duration
+	// bytes applies to resetAfter.
+	bytes int
+}
+
+// holds reports whether data of a direction is held.
+func (c condition) holds(isResponse bool) bool {
+	return c.mode == holdAll || isResponse && c.mode == holdResponses || !isResponse && c.mode == holdRequests
+}
+
+// drops reports whether data of a direction is dropped.
+func (c condition) drops(isResponse bool) bool {
+	return c.mode == blackhole || isResponse && c.mode == dropResponses
+}
+
+// resets reports whether data of a direction resets the connection.
+func (c condition) resets(isResponse bool) bool {
+	return c.mode == reset || isResponse && c.mode == resetResponse
+}
+
+// faultProxy is a loopback TCP proxy that injects connection faults. The end of one
+// direction of a connection is passed on behind its data. A reset by either side resets
+// the other one and drops the data that is held.
 type faultProxy struct {
 	listener net.Listener
 	target   string
-	// mode holds the current mode.
-	mode atomic.Int32
-	mu   sync.Mutex
+	mu       sync.Mutex
+	// condition applies to the data of all connections.
+	condition condition
+	// changed is closed when the condition changes.
+	changed chan struct{}
+	// links holds the open connections.
+	links map[*link]bool
 	// faults holds the times of the faults that have ended.
 	faults []faultTime
 }
@@ -53,12 +95,27 @@
 	if err != nil {
 		return nil, fmt.Errorf("start proxy: %w", err)
 	}
-	return &faultProxy{listener: listener, target: target}, nil
+	return &faultProxy{listener: listener, target: target, changed: make(chan struct{}), links: make(map[*link]bool)}, nil
 }
 
 func (p *faultProxy) address() string { return p.listener.Addr().String() }
 
-func (p *faultProxy) setMode(next mode) { p.mode.Store(int32(next)) }
+func (p *faultProxy) setMode(next mode) { p.setCondition(condition{mode: next}) }
+
+func (p *faultProxy) setCondition(next condition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.condition = next
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// current returns the condition and a channel that is closed when it changes.
+func (p *faultProxy) current() (condition, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.condition, p.changed
+}
 
 // recordFault records a fault that ends now.
 func (p *faultProxy) recordFault(from time.Time) {
@@ -80,50 +137,38 @@
 		if err != nil {
 			return
 		}
-		go p.forward(conn)
+		go p.forward(conn.(*net.TCPConn))
 	}
 }
 
-func (p *faultProxy) forward(client net.Conn) {
-	defer func() { _ = client.Close() }()
+// close closes the listener and resets all connections.
+func (p *faultProxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for open := range p.links {
+		open.abort()
+	}
+}
+
+func (p *faultProxy) forward(client *net.TCPConn) {
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
+		resetConn(client)
 		return
 	}
-	defer func() { _ = server.Close() }()
-	done := make(chan struct{}, 2)
-	go func() { p.copy(server, client, false); done <- struct{}{} }()
-	go func() { p.copy(client, server, true); done <- struct{}{} }()
-	<-done
+	opened := newLink(client, server.(*net.TCPConn))
+	p.setOpen(opened, true)
+	defer p.setOpen(opened, false)
+	opened.run(p)
 }
 
-// copy copies data until a side closes the connection or a reset mode applies.
-func (p *faultProxy) copy(target io.Writer, source io.Reader, isResponse bool) {
-	buffer := make([]byte, 32<<10)
-	for {
-		count, err := source.Read(buffer)
-		if err != nil {
-			return
-		}
-		switch mode(p.mode.Load()) {
-		case slow:
-			time.Sleep(readDelay)
-		case blackhole:
-			continue
-		case dropResponses:
-			if isResponse {
-				continue
-			}
-		case reset:
-			return
-		case resetResponse:
-			if isResponse {
-				return
-			}
-		case pass:
-		}
-		if _, err := target.Write(buffer[:count]); err != nil {
-			return
-		}
+func (p *faultProxy) setOpen(opened *link, isOpen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if isOpen {
+		p.links[opened] = true
+	} else {
+		delete(p.links, opened)
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -192,10 +192,11 @@
 		}
 	}
 	for i, endpoint := range b.endpoints {
-		_, _ = endpoint.Close(), b.endpointProxies[i].listener.Close()
+		_ = endpoint.Close()
+		b.endpointProxies[i].close()
 	}
 	if b.storeProxy != nil {
-		_ = b.storeProxy.listener.Close()
+		b.storeProxy.close()
 	}
 	if b.subnet != nil {
 		_ = b.subnet.Release()
