Send requests of the soak's callers to one socket once

The callers of the soak used the transport of net/http. It sends a request again by itself if a kept connection breaks, with the same attempt id, so that the soak could not tell a repeat of its own library from one of the hosts: a submit that ran twice, or one that was refused after it had run, could be the library's doing, and was missed or found wrongly.

Each caller now writes an attempt to one socket, over a connection that it keeps open for each host, and reads the response with http.ReadResponse. Submits have bodies of 4 to 24 KB, with a length or in chunks; 2 in 100 requests are left by their callers within 200 ms. Bytes beyond a response are a violation.

408, 421 and 429 now count as refusals like 503, and executions are judged when all faults have ended, all hosts have stopped and 2 s have passed, so that a request that runs later is seen.

TestSoakJudgesExecutions and TestCallersWriteRequestsOnce check this.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
-
-	"filberthold/platform/fake"
 )
 
 const (
@@ -21,43 +19,18 @@
 	// maxLateness is how much later than its timeout a caller may get the
 	// response of a host without a fault.
 	maxLateness = 2 * time.Second
+	// maxPatience is how long a caller waits for a response.
+	maxPatience = callerTimeout + 2*maxLateness
+	// minBodyBytes and maxBodyBytes bound the bodies of submits.
+	minBodyBytes, maxBodyBytes = 4 << 10, 24 << 10
+	// leavingRatio is the share of requests whose callers leave early, within maxStay.
+	leavingRatio = 0.02
+	maxStay      = 200 * time.Millisecond
+	// lateRunTime is how long after the end of all hosts a request may still run that was
+	// on its way to an endpoint.
+	lateRunTime = 2 * time.Second
 )
 
-// callResult is the response to a request or the error instead of one.
-type callResult struct {
-	status        int
-	body          string
-	attempt       string
-	hasRetryAfter bool
-	elapsed       time.Duration
-	err           error
-}
-
-// send sends a request over the shared connection pool and reads its response.
-// The attempt is the ID that the caller gives the request. send waits for at
-// most callerTimeout and twice maxLateness.
-func send(ctx context.Context, host *hostProcess, method, path, attempt string) callResult {
-	ctx, cancel := context.WithTimeout(ctx, callerTimeout+2*maxLateness)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+host.settings.CallerAddress()+path, http.NoBody)
-	if err != nil {
-		return callResult{err: fmt.Errorf("make request: %w", err)}
-	}
-	request.Host = fake.Domain
-	fake.SetRequestHeader(request.Header, attempt, path, callerTimeout)
-	startedAt := time.Now()
-	response, err := http.DefaultTransport.RoundTrip(request)
-	if err != nil {
-		return callResult{err: fmt.Errorf("send request: %w", err), elapsed: time.Since(startedAt)}
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return callResult{
-		status: response.StatusCode, body: string(body), attempt: fake.AttemptOf(response),
-		hasRetryAfter: response.Header.Get("Retry-After") != "", elapsed: time.Since(startedAt), err: err,
-	}
-}
-
 // endedRequest is a request that has ended.
 type endedRequest struct {
 	attempt  string
@@ -89,21 +62,44 @@
 }
 
 func (c *callers) sendLoop(ctx context.Context, random *rand.Rand, number int) {
+	clients := make([]*client, len(c.testbed.hosts))
+	for i, host := range c.testbed.hosts {
+		clients[i] = &client{host: host}
+		defer clients[i].close()
+	}
 	for count := 0; ctx.Err() == nil; count++ {
-		host := c.testbed.hosts[random.IntN(len(c.testbed.hosts))]
+		to := clients[random.IntN(len(clients))]
 		class := []string{"read", "submit", "export"}[random.IntN(3)]
-		method := http.MethodGet
-		if class == "submit" {
-			method = http.MethodPost
-		}
-		attempt := fmt.Sprintf("a-%d-%d", number, count)
+		request := drawCall(random, class, fmt.Sprintf("a-%d-%d", number, count))
 		startedAt := time.Now()
-		result := send(context.WithoutCancel(ctx), host, method, fmt.Sprintf("/%s/%d", class, random.IntN(20)), attempt)
-		c.check(host, attempt, class, startedAt, result)
+		result := to.send(request)
+		c.check(to.host, request.attempt, class, startedAt, result)
 		time.Sleep(randomBetween(random, time.Millisecond, 40*time.Millisecond))
 	}
 }
 
+// drawCall draws a request of a class: submits have a body, sent with a length or in chunks.
+func drawCall(random *rand.Rand, class, attempt string) call {
+	request := call{method: http.MethodGet, path: fmt.Sprintf("/%s/%d", class, random.IntN(20)), attempt: attempt, patience: maxPatience}
+	if class == "submit" {
+		request.method, request.isChunked = http.MethodPost, random.IntN(2) == 0
+		request.body = bodyOf(attempt, minBodyBytes+random.IntN(maxBodyBytes-minBodyBytes+1))
+	}
+	if random.Float64() < leavingRatio {
+		request.isLeaving, request.patience = true, randomBetween(random, time.Millisecond, maxStay)
+	}
+	return request
+}
+
+// bodyOf returns the body of a request, in which each line names the attempt and its place.
+func bodyOf(attempt string, size int) string {
+	var body strings.Builder
+	for body.Len() < size {
+		fmt.Fprintf(&body, "%s %d\n", attempt, body.Len())
+	}
+	return body.String()[:size]
+}
+
 // check records a violation if a response violates a guarantee.
 func (c *callers) check(host *hostProcess, attempt, class string, startedAt time.Time, result callResult) {
 	b := c.testbed
@@ -111,6 +107,9 @@
 	if result.err != nil {
 		outcome = class + " no whole answer"
 	}
+	if errors.Is(result.err, errLeft) {
+		outcome = class + " left"
+	}
 	b.count(b.report.Outcomes, outcome)
 	c.mu.Lock()
 	c.ended = append(c.ended, endedRequest{attempt: attempt, isSubmit: class == "submit", status: result.status, body: result.body, host: host, sentAt: startedAt, endedAt: startedAt.Add(result.elapsed)})
@@ -118,6 +117,9 @@
 	if result.elapsed > callerTimeout+maxLateness && !host.wasDisturbed(startedAt.Add(-maxLateness)) {
 		b.recordViolation("%s: %s after %s from %s, which was not disturbed", attempt, outcome, result.elapsed, host.settings.Name)
 	}
+	if errors.Is(result.err, errLeft) {
+		return
+	}
 	if result.err != nil {
 		if b.runs(attempt) > 0 && !host.wasDisturbed(startedAt.Add(-maxLateness)) {
 			b.recordViolation("%s: the answer was lost by %s, which was not disturbed: %v", attempt, host.settings.Name, result.err)
@@ -131,22 +133,42 @@
 		b.recordViolation("%s: success with the body %.20q", attempt, result.body)
 	case result.status == http.StatusOK && b.runs(attempt) == 0:
 		b.recordViolation("%s: success, but no endpoint ran it", attempt)
+	case result.hasExtraBytes:
+		b.recordViolation("%s: more bytes than the answer (%d)", attempt, result.status)
 	case result.status == http.StatusServiceUnavailable && !result.hasRetryAfter:
 		b.recordViolation("%s: refused without Retry-After", attempt)
 	}
 }
 
+// isRefusal reports whether a status promises that the request did not run and never will.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // checkExecutions checks the guarantees that can be checked only when no request
-// is in flight: a submit runs at most once, and a refused request never runs.
+// is on its way: a submit runs at most once, and a refused request never runs. Faults have
+// ended and hosts have stopped before, so that nothing is held any more.
 func (c *callers) checkExecutions() {
-	time.Sleep(callerTimeout)
+	time.Sleep(lateRunTime)
 	for _, request := range c.ended {
-		runs := c.testbed.runs(request.attempt)
-		switch {
-		case request.isSubmit && runs > 1:
-			c.testbed.recordViolation("%s: a submit ran %d times", request.attempt, runs)
-		case request.status == http.StatusServiceUnavailable && runs > 0:
-			c.testbed.recordViolation("%s: refused as not run, but ran", request.attempt)
+		if violation := request.executionViolation(c.testbed.runs(request.attempt)); violation != "" {
+			c.testbed.recordViolation("%s: %s", request.attempt, violation)
 		}
 	}
 }
+
+// executionViolation returns what is wrong with the number of times that a request ran, or
+// nothing.
+func (r endedRequest) executionViolation(runs int) string {
+	switch {
+	case r.isSubmit && runs > 1:
+		return fmt.Sprintf("a submit ran %d times", runs)
+	case isRefusal(r.status) && runs > 0:
+		return fmt.Sprintf("refused as not run (%d), but ran", r.status)
+	}
+	return ""
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -109,14 +109,14 @@
 	}
 	stopCallers()
 	callerGroup.Wait()
-	callers.checkExecutions()
-	callers.checkNotices()
-	callers.checkRetries()
 	for _, host := range b.hosts {
 		if err := host.stop(); err != nil {
 			b.recordViolation("%v", err)
 		}
 	}
+	callers.checkExecutions()
+	callers.checkNotices()
+	callers.checkRetries()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.report, nil
