Run the endpoints of the soak as processes that can be paused and killed

The endpoints of the soak lived in its own process. They could not be stopped or killed, so that the soak could not show what callers get when the system holds connections and requests for an endpoint and delivers them later, or when an endpoint starts again at its address.

The hidden command soak-endpoint runs one endpoint. It reads its plan (id, incarnation, behaviour) from its input, writes a line for each request before the request has an effect and another one when it is answered, and ends with its input. The record stays with the soak. The faults endpointPause (SIGSTOP, 50 ms to 60 s, at most half of the run) and endpointKill (SIGKILL; back at the same address under a new id, or the same id with a new start) use it. Locks leave at most one link disturbed and one held, and one endpoint paused and one killed, at a time. Endpoints in the process of a test stay as they are.

A success that nothing ran and a lost answer are judged at the end, when all events have arrived.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -75,7 +75,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newServeCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand(), newSoakCommand(),
+	root.AddCommand(newEntryCommand(), newServeCommand(), newFakePlatformCommand(), newFakeUpstreamsCommand(), newDemoCommand(), newBenchCommand(), newSoakCommand(), newSoakEndpointCommand(),
 		newExplainCommand(), newVerifyCommand(), newReplayCommand(), newCheckCommand(),
 		newGenerateCommand(), newPlanCommand(), newLookupCommand(), newStatusCommand(),
 		newPublishCommand(), newRevisionCommand(), newVersionCommand())
--- a/cmds/soak.go
+++ b/cmds/soak.go
@@ -29,10 +29,11 @@
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			var err error
+			if options.EndpointProgram, err = os.Executable(); err != nil {
+				return fmt.Errorf("find own program: %w", err)
+			}
 			if options.Program == "" {
-				if options.Program, err = os.Executable(); err != nil {
-					return fmt.Errorf("find own program: %w", err)
-				}
+				options.Program = options.EndpointProgram
 			}
 			if options.Directory, err = os.MkdirTemp("", "soak"); err != nil {
 				return fmt.Errorf("make directory for settings: %w", err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -40,6 +40,10 @@
 	// request.
 	body string
 	host *hostProcess
+	// digest is the digest of the request.
+	digest string
+	// isLost is true if a host that was not disturbed gave no whole response.
+	isLost bool
 	// sentAt and endedAt are the times of the request and of its response.
 	sentAt, endedAt time.Time
 }
@@ -64,16 +68,16 @@
 func (c *callers) sendLoop(ctx context.Context, random *rand.Rand, number int) {
 	clients := make([]*client, len(c.testbed.hosts))
 	for i, host := range c.testbed.hosts {
-		clients[i] = &client{host: host}
+		clients[i] = &client{address: host.settings.CallerAddress()}
 		defer clients[i].close()
 	}
 	for count := 0; ctx.Err() == nil; count++ {
-		to := clients[random.IntN(len(clients))]
+		to := random.IntN(len(clients))
 		class := []string{"read", "submit", "export"}[random.IntN(3)]
 		request := drawCall(random, class, fmt.Sprintf("a-%d-%d", number, count))
 		startedAt := time.Now()
-		result := to.send(request)
-		c.check(to.host, request.attempt, class, startedAt, result)
+		result := clients[to].send(request)
+		c.check(c.testbed.hosts[to], request, class, startedAt, result)
 		time.Sleep(randomBetween(random, time.Millisecond, 40*time.Millisecond))
 	}
 }
@@ -101,42 +105,39 @@
 }
 
 // check records a violation if a response violates a guarantee.
-func (c *callers) check(host *hostProcess, attempt, class string, startedAt time.Time, result callResult) {
+func (c *callers) check(host *hostProcess, request call, class string, startedAt time.Time, result callResult) {
 	b := c.testbed
+	isUndisturbed := !host.wasDisturbed(startedAt.Add(-maxLateness))
+	hasLeft := errors.Is(result.err, errLeft)
 	outcome := fmt.Sprintf("%s %d", class, result.status)
-	if result.err != nil {
-		outcome = class + " no whole answer"
-	}
-	if errors.Is(result.err, errLeft) {
+	switch {
+	case hasLeft:
 		outcome = class + " left"
+	case result.err != nil:
+		outcome = class + " no whole answer"
 	}
 	b.count(b.report.Outcomes, outcome)
 	c.mu.Lock()
-	c.ended = append(c.ended, endedRequest{attempt: attempt, isSubmit: class == "submit", status: result.status, body: result.body, host: host, sentAt: startedAt, endedAt: startedAt.Add(result.elapsed)})
+	c.ended = append(c.ended, endedRequest{
+		attempt: request.attempt, isSubmit: class == "submit", status: result.status, body: result.body, host: host, digest: request.digest(),
+		isLost: result.err != nil && !hasLeft && isUndisturbed, sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
+	})
 	c.mu.Unlock()
-	if result.elapsed > callerTimeout+maxLateness && !host.wasDisturbed(startedAt.Add(-maxLateness)) {
-		b.recordViolation("%s: %s after %s from %s, which was not disturbed", attempt, outcome, result.elapsed, host.settings.Name)
-	}
-	if errors.Is(result.err, errLeft) {
-		return
+	if result.elapsed > callerTimeout+maxLateness && isUndisturbed {
+		b.recordViolation("%s: %s after %s from %s, which was not disturbed", request.attempt, outcome, result.elapsed, host.settings.Name)
 	}
 	if result.err != nil {
-		if b.runs(attempt) > 0 && !host.wasDisturbed(startedAt.Add(-maxLateness)) {
-			b.recordViolation("%s: the answer was lost by %s, which was not disturbed: %v", attempt, host.settings.Name, result.err)
-		}
 		return
 	}
 	switch {
-	case result.attempt != attempt:
-		b.recordViolation("%s: got the answer to %q (%d)", attempt, result.attempt, result.status)
+	case result.attempt != request.attempt:
+		b.recordViolation("%s: got the answer to %q (%d)", request.attempt, result.attempt, result.status)
 	case result.status == http.StatusOK && !strings.HasPrefix(result.body, "i-"):
-		b.recordViolation("%s: success with the body %.20q", attempt, result.body)
-	case result.status == http.StatusOK && b.runs(attempt) == 0:
-		b.recordViolation("%s: success, but no endpoint ran it", attempt)
+		b.recordViolation("%s: success with the body %.20q", request.attempt, result.body)
 	case result.hasExtraBytes:
-		b.recordViolation("%s: more bytes than the answer (%d)", attempt, result.status)
+		b.recordViolation("%s: more bytes than the answer (%d)", request.attempt, result.status)
 	case result.status == http.StatusServiceUnavailable && !result.hasRetryAfter:
-		b.recordViolation("%s: refused without Retry-After", attempt)
+		b.recordViolation("%s: refused without Retry-After", request.attempt)
 	}
 }
 
@@ -150,17 +151,31 @@
 }
 
 // checkExecutions checks the guarantees that can be checked only when no request
-// is on its way: a submit runs at most once, and a refused request never runs. Faults have
-// ended and hosts have stopped before, so that nothing is held any more.
+// is on its way: a submit runs at most once, a refused request never runs, a success has
+// run, and an endpoint gets what its caller sent. Faults have ended and hosts have stopped
+// before, so that nothing is held any more.
 func (c *callers) checkExecutions() {
 	time.Sleep(lateRunTime)
+	digests := make(map[string]string, len(c.ended))
 	for _, request := range c.ended {
+		digests[request.attempt] = request.digest
 		if violation := request.executionViolation(c.testbed.runs(request.attempt)); violation != "" {
-			c.testbed.recordViolation("%s: %s", request.attempt, violation)
+			c.testbed.recordViolation("%s: %s, host %s, sent %s, ended %s", request.attempt, violation,
+				request.host.settings.Name, request.sentAt.Format(logTime), request.endedAt.Format(logTime))
+		}
+	}
+	for _, endpoint := range c.testbed.endpoints {
+		for _, exchange := range endpoint.Exchanges() {
+			if digest, isSent := digests[exchange.Attempt]; isSent && digest != exchange.Digest {
+				c.testbed.recordViolation("%s: arrived at %s with another method, target or body", exchange.Attempt, exchange.ID)
+			}
 		}
 	}
 }
 
+// logTime is the format of times in violations. It is that of the hosts' logs.
+const logTime = time.RFC3339Nano
+
 // executionViolation returns what is wrong with the number of times that a request ran, or
 // nothing.
 func (r endedRequest) executionViolation(runs int) string {
@@ -169,6 +184,10 @@
 		return fmt.Sprintf("a submit ran %d times", runs)
 	case isRefusal(r.status) && runs > 0:
 		return fmt.Sprintf("refused as not run (%d), but ran", r.status)
+	case r.status == http.StatusOK && runs == 0:
+		return "success, but no endpoint ran it"
+	case r.isLost && runs > 0:
+		return "the answer was lost, though the host was not disturbed"
 	}
 	return ""
 }
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -16,24 +16,27 @@
 // Guards against a soak that takes a broken promise for a kept one, or the reverse.
 func TestSoakJudgesExecutions(t *testing.T) {
 	for _, test := range []struct {
-		status, runs int
-		isSubmit     bool
-		violation    string
+		status, runs     int
+		isSubmit, isLost bool
+		violation        string
 	}{
-		{200, 1, true, ""},
-		{200, 2, true, "a submit ran 2 times"},
-		{200, 2, false, ""},
-		{502, 1, true, ""},
-		{504, 1, true, ""},
-		{0, 1, true, ""},
-		{503, 0, true, ""},
-		{503, 1, true, "refused as not run (503), but ran"},
-		{408, 1, true, "refused as not run (408), but ran"},
-		{421, 1, true, "refused as not run (421), but ran"},
-		{429, 1, true, "refused as not run (429), but ran"},
+		{200, 1, true, false, ""},
+		{200, 2, true, false, "a submit ran 2 times"},
+		{200, 2, false, false, ""},
+		{502, 1, true, false, ""},
+		{504, 1, true, false, ""},
+		{0, 1, true, false, ""},
+		{0, 1, true, true, "the answer was lost, though the host was not disturbed"},
+		{0, 0, true, true, ""},
+		{200, 0, true, false, "success, but no endpoint ran it"},
+		{503, 0, true, false, ""},
+		{503, 1, true, false, "refused as not run (503), but ran"},
+		{408, 1, true, false, "refused as not run (408), but ran"},
+		{421, 1, true, false, "refused as not run (421), but ran"},
+		{429, 1, true, false, "refused as not run (429), but ran"},
 	} {
 		t.Run(fmt.Sprint(test), func(t *testing.T) {
-			request := endedRequest{isSubmit: test.isSubmit, status: test.status}
+			request := endedRequest{isSubmit: test.isSubmit, status: test.status, isLost: test.isLost}
 			assert.Equal(t, request.executionViolation(test.runs), test.violation)
 		})
 	}
--- a/soak/client.go
+++ b/soak/client.go
@@ -35,6 +35,13 @@
 	isLeaving bool
 }
 
+// digest returns the digest that an endpoint finds if it gets the request unchanged.
+func (c call) digest() string {
+	// Reading the body of a string does not fail.
+	digest, _ := fake.Digest(c.method, c.path, strings.NewReader(c.body))
+	return digest
+}
+
 // callResult is the response to a request or the error instead of one.
 type callResult struct {
 	status        int
@@ -47,12 +54,12 @@
 	err           error
 }
 
-// client sends requests to a host over a connection that it keeps open. It writes each
+// client sends requests to an address over a connection that it keeps open. It writes each
 // request to one socket at most: the transport of net/http would send some again by itself.
 type client struct {
-	host   *hostProcess
-	conn   net.Conn
-	reader *bufio.Reader
+	address string
+	conn    net.Conn
+	reader  *bufio.Reader
 }
 
 // send sends a request without a body over a new connection and reads its response. The
@@ -62,7 +69,7 @@
 	if ctx.Err() != nil {
 		return callResult{err: ctx.Err()}
 	}
-	c := &client{host: host}
+	c := &client{address: host.settings.CallerAddress()}
 	defer c.close()
 	return c.send(call{method: method, path: path, attempt: attempt, patience: maxPatience})
 }
@@ -83,7 +90,7 @@
 
 func (c *client) exchange(request call) (callResult, error) {
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.host.settings.CallerAddress(), connectTimeout)
+		conn, err := net.DialTimeout("tcp", c.address, connectTimeout)
 		if err != nil {
 			return callResult{}, fmt.Errorf("connect: %w", err)
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -20,7 +22,7 @@
 }
 
 // faults returns all kinds of faults. Several are active at once, but at most
-// one for each name that lockName returns.
+// one for each name that lockNames returns.
 func faults() []fault {
 	onHost := func(inject func(b *testbed, host *hostProcess, duration time.Duration) error) func(*testbed, *rand.Rand, int, time.Duration) {
 		return func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
@@ -74,27 +76,42 @@
 		{"hold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.injectHold(b.endpointProxies[targetIndex%len(b.endpointProxies)], random)
 		}},
+		{"endpointPause", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			if err := b.pauseEndpoint(targetIndex%len(b.endpoints), randomHold(random, b.options.Duration/2)); err != nil {
+				b.recordViolation("%v", err)
+			}
+		}},
+		{"endpointKill", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			if err := b.killEndpoint(targetIndex%len(b.endpoints), random, duration); err != nil {
+				b.recordViolation("%v", err)
+			}
+		}},
 		{"endpoint", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
-			endpoint := b.endpoints[targetIndex%len(b.endpoints)]
+			index := targetIndex % len(b.endpoints)
 			kinds := []fake.Behaviour{fake.Shed, fake.Reset, fake.Truncate, fake.WrongResponseFirst, fake.Unsigned, fake.Fail, fake.UnsignedEndless}
-			endpoint.SetBehaviour(kinds[random.IntN(len(kinds))])
+			kind := kinds[random.IntN(len(kinds))]
+			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetBehaviour(kind) })
 			time.Sleep(duration)
-			endpoint.SetBehaviour(fake.Serve)
+			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetBehaviour(fake.Serve) })
 		}},
 		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
-			b.endpoints[index].SetLeaving(true)
+			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
 			time.Sleep(duration)
-			b.endpoints[index].Restart()
+			b.setEndpoint(index, (*fake.Endpoint).Restart)
 			b.writeEntry(index, 1)
 		}},
 		{"spared", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
-			endpoint := b.endpoints[targetIndex%len(b.endpoints)]
-			endpoint.SetRetryAfter(fmt.Sprintf("%.2f", randomBetween(random, 0, maxSpare).Seconds()))
-			endpoint.SetBehaviour(fake.Shed)
+			index := targetIndex % len(b.endpoints)
+			b.setEndpoint(index, func(endpoint *fake.Endpoint) {
+				endpoint.SetRetryAfter(fmt.Sprintf("%.2f", randomBetween(random, 0, maxSpare).Seconds()))
+				endpoint.SetBehaviour(fake.Shed)
+			})
 			time.Sleep(duration)
-			endpoint.SetBehaviour(fake.Serve)
-			endpoint.SetRetryAfter("")
+			b.setEndpoint(index, func(endpoint *fake.Endpoint) {
+				endpoint.SetBehaviour(fake.Serve)
+				endpoint.SetRetryAfter("")
+			})
 		}},
 	}
 }
@@ -145,48 +162,115 @@
 	proxy.recordFault(startedAt)
 }
 
+// pauseEndpoint stops the process of an endpoint for a time. The system accepts connections
+// and data for it meanwhile.
+func (b *testbed) pauseEndpoint(index int, duration time.Duration) error {
+	defer b.endpointProxies[index].recordFault(time.Now())
+	if err := b.processes[index].signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(duration)
+	return b.processes[index].signal(syscall.SIGCONT)
+}
+
+// killEndpoint kills the process of an endpoint and starts it again after a time at the same
+// address: under the same id, or under a new one, while the entry of the old one is removed
+// before or after.
+func (b *testbed) killEndpoint(index int, random *rand.Rand, duration time.Duration) error {
+	defer b.endpointProxies[index].recordFault(time.Now())
+	if err := b.processes[index].kill(); err != nil {
+		return err
+	}
+	oldID := b.endpoints[index].ID()
+	newID := oldID
+	if random.IntN(2) == 0 {
+		newID = fmt.Sprintf("i-%d-%d", index, random.IntN(1_000_000))
+	}
+	isRemovedFirst := random.IntN(2) == 0
+	if newID != oldID && isRemovedFirst {
+		b.store.Remove(platform.EndpointTable, oldID)
+	}
+	time.Sleep(duration)
+	b.endpoints[index].Rename(newID)
+	if err := b.processes[index].start(); err != nil {
+		return err
+	}
+	b.writeEntry(index, 1)
+	if newID != oldID && !isRemovedFirst {
+		b.store.Remove(platform.EndpointTable, oldID)
+	}
+	return nil
+}
+
 // injectFaults starts random faults at random times until the duration of the
 // soak has passed.
 func (b *testbed) injectFaults(ctx context.Context) {
 	random := rand.New(rand.NewPCG(b.options.Seed, 0))
 	end := time.Now().Add(b.options.Duration)
 	kinds := faults()
-	// locks holds a lock for each name that lockName returns. It is full while
-	// a fault with that name is active.
-	locks := make(map[string]chan struct{})
+	var locks lockSet
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(randomBetween(random, 50*time.Millisecond, 600*time.Millisecond))
 		kindIndex := random.IntN(len(kinds))
 		targetIndex, duration := random.IntN(1000), randomBetween(random, 100*time.Millisecond, 2500*time.Millisecond)
 		seed := random.Uint64()
-		name := b.lockName(kinds[kindIndex].name, targetIndex)
-		if locks[name] == nil {
-			locks[name] = make(chan struct{}, 1)
-		}
-		lock := locks[name]
-		select {
-		case lock <- struct{}{}:
-		default:
+		names := b.lockNames(kinds[kindIndex].name, targetIndex)
+		if !locks.tryLock(names) {
 			continue
 		}
 		b.activeFaults.Go(func() {
 			kinds[kindIndex].run(b, rand.New(rand.NewPCG(seed, 1)), targetIndex, duration)
 			b.count(b.report.Faults, kinds[kindIndex].name)
-			<-lock
+			locks.unlock(names)
 		})
 	}
 }
 
-// lockName returns the name of the target on which only one fault may be
-// active: a host, an endpoint or, for other faults, the kind of fault. Thus
-// only one refusedByStore and one endpointLink are active, whatever their
-// targets.
-func (b *testbed) lockName(faultName string, targetIndex int) string {
+// lockNames returns the names of what only one fault may use at a time: a host, an endpoint,
+// its link or, for the faults that take an endpoint from the hosts, the kind of fault, so
+// that enough endpoints are left. Thus at most one link of all endpoints is disturbed and
+// one is held, and one endpoint is paused and one is killed.
+func (b *testbed) lockNames(faultName string, targetIndex int) []string {
+	endpoint := targetIndex % len(b.endpoints)
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
-		return b.hosts[targetIndex%len(b.hosts)].settings.Name
+		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
 	case "endpoint", "leaving", "spared":
-		return b.endpointProxies[targetIndex%len(b.endpointProxies)].address()
+		return []string{fmt.Sprint("endpoint ", endpoint)}
+	case "endpointPause", "endpointKill":
+		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
+	case "endpointLink", "hold":
+		return []string{faultName, fmt.Sprint("link ", endpoint)}
+	}
+	return []string{faultName}
+}
+
+// lockSet holds the names that are in use.
+type lockSet struct {
+	mu   sync.Mutex
+	used map[string]bool
+}
+
+// tryLock takes all names, or none if one is in use.
+func (l *lockSet) tryLock(names []string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.ContainsFunc(names, func(name string) bool { return l.used[name] }) {
+		return false
+	}
+	if l.used == nil {
+		l.used = make(map[string]bool)
+	}
+	for _, name := range names {
+		l.used[name] = true
+	}
+	return true
+}
+
+func (l *lockSet) unlock(names []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, name := range names {
+		delete(l.used, name)
 	}
-	return faultName
 }
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -16,8 +15,6 @@
 type sentRequest struct {
 	endedRequest
 	exchange fake.Exchange
-	// endpoint is the name of the endpoint.
-	endpoint string
 }
 
 // checkNotices checks that no endpoint got a request from a host that it had told that
@@ -28,11 +25,10 @@
 		requests[request.attempt] = request
 	}
 	for i, endpoint := range c.testbed.endpoints {
-		name := fmt.Sprint("i-", i)
 		byHost := make(map[*hostProcess][]sentRequest)
 		for _, exchange := range endpoint.Exchanges() {
 			if request, exists := requests[exchange.Attempt]; exists {
-				byHost[request.host] = append(byHost[request.host], sentRequest{request, exchange, name})
+				byHost[request.host] = append(byHost[request.host], sentRequest{request, exchange})
 			}
 		}
 		for host, sent := range byHost {
@@ -54,10 +50,10 @@
 			switch {
 			case told.isLeavingPassedOn() && other.sentAt.After(told.endedAt):
 				c.testbed.recordViolation("%s: sent by %s to %s, which is leaving by the response to %s, passed on %s before",
-					other.attempt, host.settings.Name, told.endpoint, told.attempt, other.sentAt.Sub(told.endedAt))
+					other.attempt, host.settings.Name, told.exchange.ID, told.attempt, other.sentAt.Sub(told.endedAt))
 			case told.isSpareTime(other.exchange.ArrivedAt) && !proxy.hadFault(told.exchange.ArrivedAt, told.exchange.AnsweredAt.Add(noticeTime)):
 				c.testbed.recordViolation("%s: sent by %s to %s, which asked in the response to %s to be spared for %s s, %s before",
-					other.attempt, host.settings.Name, told.endpoint, told.attempt, told.exchange.RetryAfter, other.exchange.ArrivedAt.Sub(told.exchange.AnsweredAt))
+					other.attempt, host.settings.Name, told.exchange.ID, told.attempt, told.exchange.RetryAfter, other.exchange.ArrivedAt.Sub(told.exchange.AnsweredAt))
 			}
 		}
 	}
@@ -66,7 +62,7 @@
 // isLeavingPassedOn reports whether the caller got a response of the endpoint which
 // says that it is leaving.
 func (r sentRequest) isLeavingPassedOn() bool {
-	return r.exchange.IsLeaving && r.status == http.StatusOK && r.body == r.endpoint
+	return r.exchange.IsLeaving && r.status == http.StatusOK && r.body == r.exchange.ID
 }
 
 // isSpareTime reports whether a time is one at which the host must have spared the
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -24,6 +24,8 @@
 const (
 	// endpointCount is the number of endpoints of the only service.
 	endpointCount = 6
+	// endpointLatency is how long an endpoint takes for a request.
+	endpointLatency = 20 * time.Millisecond
 	// recoveryTimeout is the time after the start, and after the last fault,
 	// within which every host must serve requests.
 	recoveryTimeout = 8 * time.Second
@@ -41,6 +43,9 @@
 type Options struct {
 	// Program is the path of the executable under test.
 	Program string
+	// EndpointProgram is the path of the executable that runs the endpoints as processes of
+	// their own. If it is empty, Run uses Program.
+	EndpointProgram string
 	// Directory is where the settings files are written.
 	Directory string
 	Seed      uint64
@@ -75,8 +80,11 @@
 	// endpoints.
 	storeProxy      *faultProxy
 	endpointProxies []*faultProxy
-	endpoints       []*fake.Endpoint
-	hosts           []*hostProcess
+	// endpoints hold the plans and the records of the endpoints.
+	endpoints []*fake.Endpoint
+	// processes run the endpoints. It is empty if they run in this process.
+	processes []*endpointProcess
+	hosts     []*hostProcess
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
@@ -86,6 +94,9 @@
 // Run runs a soak until its duration has passed. The report lists violated
 // guarantees. An error means that the soak could not be run.
 func Run(ctx context.Context, options Options) (Report, error) {
+	if options.EndpointProgram == "" {
+		options.EndpointProgram = options.Program
+	}
 	b := &testbed{options: options, store: fake.NewStore(), report: Report{
 		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int),
 	}}
@@ -158,27 +169,50 @@
 }
 
 func (b *testbed) addEndpoint(name string) error {
-	endpoint, err := fake.StartEndpoint(name, b.subnet.Address(endpointNumber)+":0")
+	endpoint, err := b.startEndpoint(name, b.subnet.Address(endpointNumber)+":0")
 	if err != nil {
 		return fmt.Errorf("add endpoint: %w", err)
 	}
-	go endpoint.Run()
-	endpoint.SetLatency(20 * time.Millisecond)
 	proxy, err := startProxy(b.subnet.Address(proxyNumber), endpoint.Address())
 	if err != nil {
 		return err
 	}
 	go proxy.run()
 	b.endpoints, b.endpointProxies = append(b.endpoints, endpoint), append(b.endpointProxies, proxy)
-	b.writeEntry(len(b.endpoints)-1, 1)
+	index := len(b.endpoints) - 1
+	b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLatency(endpointLatency) })
+	b.writeEntry(index, 1)
 	return nil
 }
 
+// startEndpoint starts an endpoint in a process of its own or, without a program for it, in
+// this one, where it cannot be paused or killed.
+func (b *testbed) startEndpoint(name, address string) (*fake.Endpoint, error) {
+	if b.options.EndpointProgram == "" {
+		endpoint, err := fake.StartEndpoint(name, address)
+		if err == nil {
+			go endpoint.Run()
+		}
+		return endpoint, err
+	}
+	process := newEndpointProcess(b.options, fake.NewRecord(name), address)
+	b.processes = append(b.processes, process)
+	return process.record, process.start()
+}
+
+// setEndpoint changes the plan of an endpoint, in its process too.
+func (b *testbed) setEndpoint(index int, change func(*fake.Endpoint)) {
+	change(b.endpoints[index])
+	if len(b.processes) > 0 {
+		b.processes[index].sendPlan()
+	}
+}
+
 // writeEntry writes the entry of an endpoint with the address of its proxy.
 func (b *testbed) writeEntry(index, sequence int) {
 	endpoint := b.endpoints[index]
 	entry := strings.Replace(endpoint.Entry("s", "za", "ready", sequence), endpoint.Address(), b.endpointProxies[index].address(), 1)
-	b.store.Put(platform.EndpointTable, fmt.Sprint("i-", index), entry)
+	b.store.Put(platform.EndpointTable, endpoint.ID(), entry)
 }
 
 // close stops all processes, endpoints and proxies that are still running.
@@ -191,6 +225,9 @@
 			_ = host.kill()
 		}
 	}
+	for _, process := range b.processes {
+		process.close()
+	}
 	for i, endpoint := range b.endpoints {
 		_ = endpoint.Close()
 		b.endpointProxies[i].close()
