Let endpoints of the soak repeat, withhold and misstate refusals

Endpoints now refuse with 408, 421, 429 or 503, once or with a copy at once or where the next response is due, with or without the id; run a request and respond with such a status; lose an answer while the connection stays open; and may respond before they read the body. The fault endpoint draws one of these for all requests or for each second one. It, hold and endpointPause are drawn more often than the other faults, because they have more variants.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -166,7 +166,7 @@
 	}
 	for _, endpoint := range c.testbed.endpoints {
 		for _, exchange := range endpoint.Exchanges() {
-			if digest, isSent := digests[exchange.Attempt]; isSent && digest != exchange.Digest {
+			if digest, isSent := digests[exchange.Attempt]; isSent && exchange.Digest != "" && digest != exchange.Digest {
 				c.testbed.recordViolation("%s: arrived at %s with another method, target or body", exchange.Attempt, exchange.ID)
 			}
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -88,11 +88,10 @@
 		}},
 		{"endpoint", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
-			kinds := []fake.Behaviour{fake.Shed, fake.Reset, fake.Truncate, fake.WrongResponseFirst, fake.Unsigned, fake.Fail, fake.UnsignedEndless}
-			kind := kinds[random.IntN(len(kinds))]
-			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetBehaviour(kind) })
+			next := drawMisbehaviour(random)
+			b.setEndpoint(index, next.apply)
 			time.Sleep(duration)
-			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetBehaviour(fake.Serve) })
+			b.setEndpoint(index, misbehaviour{behaviours: []fake.Behaviour{fake.Serve}}.apply)
 		}},
 		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
@@ -207,7 +206,7 @@
 func (b *testbed) injectFaults(ctx context.Context) {
 	random := rand.New(rand.NewPCG(b.options.Seed, 0))
 	end := time.Now().Add(b.options.Duration)
-	kinds := faults()
+	kinds := weighted(faults())
 	var locks lockSet
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(randomBetween(random, 50*time.Millisecond, 600*time.Millisecond))
@@ -226,6 +225,21 @@
 	}
 }
 
+// weighted returns faults with some of them repeated, which are drawn more often: those that
+// have many variants.
+func weighted(kinds []fault) []fault {
+	repeated := slices.Clone(kinds)
+	for _, kind := range kinds {
+		switch kind.name {
+		case "endpoint":
+			repeated = append(repeated, kind, kind, kind)
+		case "hold", "endpointPause":
+			repeated = append(repeated, kind)
+		}
+	}
+	return repeated
+}
+
 // lockNames returns the names of what only one fault may use at a time: a host, an endpoint,
 // its link or, for the faults that take an endpoint from the hosts, the kind of fault, so
 // that enough endpoints are left. Thus at most one link of all endpoints is disturbed and
