--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -17,12 +18,26 @@
 	"gotest.tools/v3/assert"
 )
 
-// startTestbed starts hosts as processes, with endpoints for a number of requests at once.
-func startTestbed(t *testing.T, hosts, endpoints int) *testbed {
+// programVariable names an executable that the tests play instead of the tree's own, to
+// find the commit that began or ended a fault.
+const programVariable = "FILBERTHOLD_SOAK_PROGRAM"
+
+// buildProgram returns the path of the executable under test.
+func buildProgram(t *testing.T) string {
 	t.Helper()
+	if program := os.Getenv(programVariable); program != "" {
+		return program
+	}
 	program := filepath.Join(t.TempDir(), "filberthold")
 	output, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
+	return program
+}
+
+// startTestbed starts hosts as processes, with endpoints for a number of requests at once.
+func startTestbed(t *testing.T, hosts, endpoints int) *testbed {
+	t.Helper()
+	program := buildProgram(t)
 	b := &testbed{
 		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Log: io.Discard},
 		store:   fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
