Send no attempt over a connection that carried an earlier one of its request

Cause: a response is accepted if it repeats the attempt id, which is the same in all attempts of a request. An endpoint that started again under another name at its address refuses a request for the earlier name, and the host sends the next attempt to the new name at the same address, over the same kept connection. A late copy of the refusal was read there as the response to the next attempt, which the endpoint ran. The class of fault is that of: a response that does not identify the attempt is taken as the proof for it.

Evidence: TestCopyOfRefusalIsNoAnswerToNextAttempt failed in its four cases (421, 503, 429, 400) with "1 (int) != 0 (int): refused and run".

An attempt at an address that an earlier attempt of the request used now gets a new connection, on which nothing was sent before. Such attempts are rare: an endpoint is tried once by its name. Two requests that a caller's library sends with the same id are not covered: each of them is a request of its own to the host.

All cases of the test pass.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -56,6 +57,8 @@
 	stream io.Reader
 	// tried holds the endpoints to which the request was sent, in order.
 	tried []model.EndpointName
+	// triedAddresses holds the addresses of these endpoints.
+	triedAddresses []netip.AddrPort
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastSend is the selection of the latest attempt, for the log.
@@ -250,8 +253,9 @@
 	response, err := e.server.pool.Exchange(ctx, decision.Endpoint.Address, conns.Request{
 		Method: e.request.Method, Target: e.requestTarget(), Domain: e.request.Host, Header: header,
 		Body: e.completeBody(), Stream: e.stream, Length: e.request.ContentLength,
-		Deadline: e.deadline.Add(responseMargin), MaxIdle: e.maxIdle(), MatchesResponse: e.matchesResponse, Trace: trace,
+		Deadline: e.deadline.Add(responseMargin), MaxIdle: e.maxIdle(decision.Endpoint.Address), MatchesResponse: e.matchesResponse, Trace: trace,
 	})
+	e.triedAddresses = append(e.triedAddresses, decision.Endpoint.Address)
 	var responseHeader platform.ResponseHeader
 	if response != nil {
 		responseHeader = platform.ParseResponseHeader(response.Status, response.Header)
--- a/proxy/match.go
+++ b/proxy/match.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"slices"
 	"time"
 
 	"filberthold/conns"
@@ -17,9 +19,13 @@
 	noIdleLimit = time.Hour
 )
 
-// maxIdle returns how long the connection of the request may have been idle.
-func (e *exchange) maxIdle() time.Duration {
+// maxIdle returns how long the connection of the request to an address may have been idle.
+func (e *exchange) maxIdle(address netip.AddrPort) time.Duration {
 	switch {
+	case slices.Contains(e.triedAddresses, address):
+		// All attempts of the request have the same ID. On a connection that carried an
+		// earlier one, a copy of its response could not be told apart.
+		return conns.NoReuse
 	case e.header.AttemptID == "":
 		// On a used connection, a response without an ID may belong to an earlier
 		// request.
