Reset connections of requests that have no complete response

Cause: an attempt without a response ended with an orderly close, and so did all attempts of a killed process. The kernel then still delivers the bytes that it holds, however late.

Linger 0 is now set when a connection is opened, so that any end of it resets it and drops what was not sent. It is lifted only before the close of a connection whose requests have complete responses: an endpoint may respond before it has read a body.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -93,9 +93,12 @@
 		_, err = io.Copy(writer, r.Rest)
 	}
 	if err != nil {
-		err = fmt.Errorf("copy body: %w", err)
+		return errors.Join(fmt.Errorf("copy body: %w", err), r.Close())
 	}
-	return errors.Join(err, r.Close())
+	if r.conn != nil {
+		setLinger(r.conn.Conn, lingerDeliver)
+	}
+	return r.Close()
 }
 
 func (r *Response) releaseBody() {
@@ -149,7 +152,8 @@
 
 // Exchange sends a request and reads its response. A NotSentError proves that
 // nothing was sent. After an IncompleteError the request may have run. The
-// connection is closed if ctx ends. The response must be closed.
+// connection is closed if ctx ends. The connection of a request without a complete response
+// is reset, which drops the bytes that have not left this host. The response must be closed.
 func (p *Pool) Exchange(ctx context.Context, address netip.AddrPort, request Request) (*Response, error) {
 	startedAt := time.Now()
 	if !startedAt.Before(request.Deadline) {
@@ -186,12 +190,12 @@
 // response.
 func (p *Pool) keepOrClose(conn *connection, address netip.AddrPort, request Request, response *Response) {
 	if response.WillClose || request.Stream != nil || conn.reader.Buffered() > 0 {
-		_ = conn.Close()
+		_ = conn.closeDelivered()
 		return
 	}
 	// The check for unread bytes before the next use fails after the deadline.
 	if err := conn.SetDeadline(time.Time{}); err != nil {
-		_ = conn.Close()
+		_ = conn.closeDelivered()
 		return
 	}
 	p.put(address, conn, idleLifetime(response.Header))
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -44,7 +44,8 @@
 }
 
 // connection is a connection to an endpoint. At most one request uses it at a
-// time.
+// time. Close, or the end of the process, resets it: the kernel would deliver bytes of a
+// request that was given up whenever the endpoint, or the link to it, goes on.
 type connection struct {
 	net.Conn
 	// limit reads from Conn, and reader from limit.
@@ -90,7 +91,7 @@
 		if now.Sub(idle.idleSince) <= min(maxIdleTime, maxIdle) && now.Before(idle.usableUntil) && idle.isUsable() {
 			return idle, nil
 		}
-		_ = idle.Close()
+		_ = idle.closeDelivered()
 	}
 	opened, err := p.dial(ctx, "tcp", address.String())
 	if err != nil {
@@ -103,10 +104,33 @@
 }
 
 func newConnection(conn net.Conn) *connection {
+	setLinger(conn, lingerReset)
 	limit := &limitedReader{source: conn}
 	return &connection{Conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, readerBytes)}
 }
 
+const (
+	// lingerReset drops unsent bytes when a connection is closed, and resets it.
+	lingerReset = 0
+	// lingerDeliver lets the kernel deliver unsent bytes before the end of a connection.
+	lingerDeliver = -1
+)
+
+// setLinger sets what happens to the unsent bytes of a connection when it is closed.
+func setLinger(conn net.Conn, seconds int) {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		// An error means that the connection is closed or broken.
+		_ = tcp.SetLinger(seconds)
+	}
+}
+
+// closeDelivered closes a connection whose requests have complete responses. What is left
+// of their bodies is delivered: an endpoint may respond before it has read a body.
+func (c *connection) closeDelivered() error {
+	setLinger(c.Conn, lingerDeliver)
+	return c.Close()
+}
+
 func (p *Pool) popIdle(address netip.AddrPort) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,7 +153,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[address]) >= maxIdlePerAddress {
-		_ = conn.Close()
+		_ = conn.closeDelivered()
 		return
 	}
 	p.idle[address] = append(p.idle[address], conn)
@@ -140,7 +164,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, idle := range p.idle[address] {
-		_ = idle.Close()
+		_ = idle.closeDelivered()
 	}
 	delete(p.idle, address)
 }
@@ -153,7 +177,7 @@
 		kept := idle[:0]
 		for _, conn := range idle {
 			if now.Sub(conn.idleSince) > maxIdle || !now.Before(conn.usableUntil) {
-				_ = conn.Close()
+				_ = conn.closeDelivered()
 				continue
 			}
 			kept = append(kept, conn)
