--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -98,6 +98,9 @@
 	if err != nil {
 		return fmt.Errorf("copy body: %w", err)
 	}
+	if r.conn != nil && r.bodyWriter == nil {
+		setLinger(r.conn.Conn, lingerDeliver)
+	}
 	return nil
 }
 
@@ -108,7 +111,11 @@
 	if r.bodyWriter == nil {
 		return nil
 	}
-	return r.bodyWriter.wait()
+	if err := r.bodyWriter.wait(); err != nil {
+		return err
+	}
+	setLinger(r.conn.Conn, lingerDeliver)
+	return nil
 }
 
 func (r *Response) releaseBody() {
@@ -163,7 +170,8 @@
 
 // Exchange sends a request and reads its response. A NotSentError proves that
 // nothing was sent. After an IncompleteError the request may have run. The
-// connection is closed if ctx ends. The response must be closed.
+// connection is closed if ctx ends. The connection of a request without a complete response
+// is reset, which drops the bytes that have not left this host. The response must be closed.
 func (p *Pool) Exchange(ctx context.Context, address netip.AddrPort, request Request) (*Response, error) {
 	startedAt := time.Now()
 	if !startedAt.Before(request.Deadline) {
@@ -200,12 +208,12 @@
 // response.
 func (p *Pool) keepOrClose(conn *connection, address netip.AddrPort, response *Response) {
 	if response.WillClose || conn.reader.Buffered() > 0 {
-		_ = conn.Close()
+		_ = conn.closeDelivered()
 		return
 	}
 	// The check for unread bytes before the next use fails after the deadline.
 	if err := conn.SetDeadline(time.Time{}); err != nil {
-		_ = conn.Close()
+		_ = conn.closeDelivered()
 		return
 	}
 	p.put(address, conn, idleLifetime(response.Header))
