Give no host a retry before it has earned one

Suspected for hosts that are restarted in series with the settings file of their first start.

Cause: a host whose settings say that the whole system starts for the first time had one retry for each service before it had earned any. Whoever starts the processes on machines of their own may keep the file, and then each start brought one.

Change: no reserve at any start. RetryLimit.Reserve is gone, and with it the field retryReserve of the line "host starts". The first ten requests to a service at a host cannot be retried, also at the first start of a system.

TestRetryLimitHoldsWhileHostsRestartInSeries keeps the settings of the first start from now on, which is harder for the hosts. TestRetryLimitFollowsSettings began with the reserve; it now earns its first retry.

--- a/node/node.go
+++ b/node/node.go
@@ -100,11 +100,7 @@
 
 // retryLimit returns the retry limit of the settings.
 func retryLimit(settings platform.Settings) proxy.RetryLimit {
-	limit := proxy.RetryLimit{Ratio: settings.RetryRatio, Slack: settings.RetrySlack}
-	if settings.IsFirstStart {
-		limit.Reserve = 1
-	}
-	return limit
+	return proxy.RetryLimit{Ratio: settings.RetryRatio, Slack: settings.RetrySlack}
 }
 
 // Run serves until ctx ends, and then until the requests in flight have ended, but
@@ -127,7 +123,7 @@
 	limit := n.core.RetryLimit()
 	n.log.Info("host starts", "zone", n.settings.Zone, "region", n.settings.Region, "incarnation", n.incarnation,
 		"callers", n.settings.CallerAddress, "store", n.settings.StoreAddress,
-		"retryRatio", limit.Ratio, "retrySlack", limit.Slack, "retryReserve", limit.Reserve)
+		"retryRatio", limit.Ratio, "retrySlack", limit.Slack)
 	table := member.NewTable(n.settings.Host)
 	table.AddAddresses(n.settings.Seeds, time.Now())
 	transport, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, gossip.Callbacks{
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -45,6 +45,8 @@
 	storeAddress string
 	endpoint     *fake.Endpoint
 	stopGrace    time.Duration
+	// isFirstStart is what the settings of the hosts say.
+	isFirstStart bool
 	hosts        []*runningHost
 	// output receives the logs of the hosts.
 	output io.Writer
@@ -94,7 +96,7 @@
 		Host: model.HostName(fmt.Sprintf("h%d", number)), Zone: "za", Region: "north", IP: netip.MustParseAddr(ip), PeerPort: 17541,
 		Regions:       map[model.ZoneName]model.RegionName{"za": "north"},
 		CallerAddress: ip + ":18548", ReadyAddress: ip + ":18542", ControlAddress: ip + ":18544", DirectoryAddress: ip + ":18546",
-		StoreAddress: c.storeAddress, MemoryBytes: 1 << 28, HeartbeatInterval: time.Second, StopGrace: c.stopGrace,
+		StoreAddress: c.storeAddress, MemoryBytes: 1 << 28, HeartbeatInterval: time.Second, StopGrace: c.stopGrace, IsFirstStart: c.isFirstStart,
 		Seeds: []netip.Addr{netip.MustParseAddr(hostIP(c.t, number-1))},
 	}
 	host := &runningHost{node: New(settings, c.output, nil), done: make(chan error, 1)}
--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -127,7 +127,7 @@
 func TestMoreHostsThanSlackShareTheRetryLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const hosts, busyRequests = 680, 1
-		limit := RetryLimit{Ratio: 0.2, Slack: 60, Reserve: 1}
+		limit := RetryLimit{Ratio: 0.2, Slack: 60}
 		cores := newRetryCores(hosts, limit)
 		setAlive(cores, hosts, time.Second)
 		count := retries(cores, busyRequests)
@@ -142,11 +142,14 @@
 
 // Guards against a retry limit in the settings that is read but not applied.
 func TestRetryLimitFollowsSettings(t *testing.T) {
-	core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, RetryLimit{Ratio: 0.02, Slack: 2, Reserve: 1})
+	core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, RetryLimit{Ratio: 0.02, Slack: 2})
 	core.SetConfig(route.NewConfig(1, []route.Route{{Name: "r", Shares: []route.Share{{Service: "s", Weight: 1}}}},
 		[]route.Service{{Name: "s"}}, route.Limits{}))
 	core.SetHosts(map[model.RegionName][]model.HostName{"north": {"h", "i"}})
 	budget := core.budgets["s"]
+	for range 200 {
+		budget.Earn()
+	}
 	assert.Assert(t, budget.Spend())
 	for range 99 {
 		budget.Earn()
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -46,13 +46,10 @@
 }
 
 // NewCore returns the core of a host without configuration and endpoints. A
-// retry limit without a positive ratio is replaced by DefaultRetryLimit, but for its
-// reserve.
+// retry limit without a positive ratio is replaced by DefaultRetryLimit.
 func NewCore(host model.HostName, zone model.ZoneName, regions map[model.ZoneName]model.RegionName, retryLimit RetryLimit) *Core {
 	if retryLimit.Ratio <= 0 {
-		reserve := retryLimit.Reserve
 		retryLimit = DefaultRetryLimit()
-		retryLimit.Reserve = reserve
 	}
 	selector := steer.New(host, zone, regions)
 	return &Core{
@@ -76,7 +73,8 @@
 	c.services = config.Services()
 	for _, name := range c.services {
 		if c.budgets[name] == nil {
-			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), c.retryLimit.Reserve)
+			// Hosts that are started again and again would have a reserve each time.
+			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), 0)
 			c.budgets[name].LimitBurst(c.retryLimit.burst(c.retryHosts.count))
 		}
 	}
--- a/proxy/retry_limit.go
+++ b/proxy/retry_limit.go
@@ -9,14 +9,10 @@
 	Ratio float64
 	// Slack is the number of retries that are allowed in addition to Ratio.
 	Slack float64
-	// Reserve is the number of retries to a service that this host may send before it
-	// has earned any. It is 0 at a host that starts again: hosts that are restarted in
-	// series would have it each time.
-	Reserve int
 }
 
 // DefaultRetryLimit returns the limit that applies if the settings contain none.
-func DefaultRetryLimit() RetryLimit { return RetryLimit{Ratio: 0.2, Slack: 60, Reserve: 1} }
+func DefaultRetryLimit() RetryLimit { return RetryLimit{Ratio: 0.2, Slack: 60} }
 
 // ownFraction is the fraction of the ratio that a host applies to the requests
 // that it received itself. The rest leaves room for requests that move between
--- a/proxy/retry_report_test.go
+++ b/proxy/retry_report_test.go
@@ -78,7 +78,7 @@
 // with a line each time that the hosts are counted.
 func TestRetryLimitChangeIsReportedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		core := newRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60, Reserve: 1})[0]
+		core := newRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60})[0]
 		setHosts := func(hosts int) RetryLimitChange {
 			return core.SetHosts(map[model.RegionName][]model.HostName{"north": make([]model.HostName, hosts)})
 		}
@@ -88,7 +88,7 @@
 			assert.DeepEqual(t, change.LogFields(), fields)
 		}
 		assertChange(setHosts(1), "reason", "first count of the hosts", "hosts", 1, "hostsBefore", 0,
-			"burst", 60, "burstBefore", 60, "credit", 1.0, "creditBefore", 1.0)
+			"burst", 60, "burstBefore", 60, "credit", 0.0, "creditBefore", 0.0)
 		fillBudgets([]*Core{core})
 		assertChange(setHosts(10), "reason", "more hosts are alive", "hosts", 10, "hostsBefore", 1,
 			"burst", 6, "burstBefore", 60, "credit", 6.0, "creditBefore", 10.0)
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -52,11 +53,22 @@
 	}
 }
 
+// keepFirstSettings makes the settings of all hosts say at each later start that it is the
+// first one.
+func (b *testbed) keepFirstSettings(t *testing.T) {
+	t.Helper()
+	for _, host := range b.hosts {
+		host.settings.IsFirstStart = true
+		assert.NilError(t, os.WriteFile(host.path, []byte(host.settings.Text()), 0o600))
+	}
+}
+
 // Guards against hosts that together exceed the retry limit because each of them may retry
 // again, before it has earned that, whenever it is started.
 func TestRetryLimitHoldsWhileHostsRestartInSeries(t *testing.T) {
 	const slowRate = 12
 	b := startTestbed(t, 10, 16)
+	b.keepFirstSettings(t)
 	c := newCallers(b)
 	var group sync.WaitGroup
 	// The hosts accumulate credit. The requests for it are no longer in the window when the
