Count the hosts that the store names to share the retry limit

Suspected for hosts that start behind a cut, or that do not hear of each other while the store is away.

Cause: a host divides the slack of the retry limit by the hosts that it has heard. One that starts alone has heard none, takes the whole slack for its own and accumulates up to ten retries for each service. On ten hosts that do so, 100 retries may follow where 60 and 0.2 x the requests are allowed. It takes a start and about a minute without hearing the others, at the rates of the deployments.

Not seen in real processes.

Change: for ten minutes after its start, a host also counts the hosts that the rows of the store name, which it reads anyway. Until it has read them, it accumulates no more than the credit of one retry, which expires after ten seconds, as where hosts outnumber the slack. After ten minutes the hosts that it has heard count alone: the store also names those that are gone for good. No message and no call to the store is added.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -10,6 +10,7 @@
 	"filberthold/member"
 	"filberthold/model"
 	"filberthold/platform"
+	"filberthold/proxy"
 )
 
 const (
@@ -83,7 +84,11 @@
 	for _, alive := range n.transport.Alive() {
 		hosts[alive.Region] = append(hosts[alive.Region], alive.Host)
 	}
-	if change := n.core.SetHosts(hosts); change.IsChange() {
+	n.logLimitChange(n.core.SetHosts(hosts))
+}
+
+func (n *Node) logLimitChange(change proxy.RetryLimitChange) {
+	if change.IsChange() {
 		n.log.Info("retry limit changed", change.LogFields()...)
 	}
 }
@@ -176,5 +181,6 @@
 		}
 	}
 	n.transport.AddAddresses(addresses)
+	n.logLimitChange(n.core.SetNamedHosts(len(addresses) + 1))
 	return true
 }
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -56,8 +56,8 @@
 		roster: roster.New(regions), selector: selector,
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
-		retryLimit: retryLimit,
-		retryUses:  make(map[model.ServiceName]*retryUse),
+		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
+		retryUses: make(map[model.ServiceName]*retryUse),
 	}
 }
 
@@ -75,7 +75,7 @@
 		if c.budgets[name] == nil {
 			// Hosts that are started again and again would have a reserve each time.
 			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), 0)
-			c.budgets[name].LimitBurst(c.retryLimit.burst(c.retryHosts.count))
+			c.budgets[name].LimitBurst(c.retryBurst(time.Now()))
 		}
 	}
 	c.isSelectorOutdated = true
@@ -145,13 +145,39 @@
 	for _, names := range hosts {
 		count += len(names)
 	}
-	before := c.retryState()
-	if c.retryHosts.observe(count, time.Now()) {
-		for _, budget := range c.budgets {
-			budget.LimitBurst(c.retryLimit.burst(c.retryHosts.count))
-		}
+	now := time.Now()
+	before := c.retryState(now)
+	if c.retryHosts.observe(count, now) {
+		c.limitBursts(now)
+	}
+	return RetryLimitChange{before: before, after: c.retryState(now)}
+}
+
+// SetNamedHosts sets the number of hosts that the store names, including this one, and
+// returns what this changes in the retry limit. They share it, also those that this host
+// does not hear.
+func (c *Core) SetNamedHosts(count int) RetryLimitChange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	before := c.retryState(now)
+	if c.retryHosts.observeNamed(count, now) {
+		c.limitBursts(now)
+	}
+	return RetryLimitChange{before: before, after: c.retryState(now), isNamed: true}
+}
+
+// retryBurst returns the number of retries to a service that this host may accumulate.
+func (c *Core) retryBurst(now time.Time) int {
+	return c.retryLimit.burst(c.retryHosts.number(now))
+}
+
+// limitBursts applies a change of the hosts that share the retry limit.
+func (c *Core) limitBursts(now time.Time) {
+	burst := c.retryBurst(now)
+	for _, budget := range c.budgets {
+		budget.LimitBurst(burst)
 	}
-	return RetryLimitChange{before: before, after: c.retryState()}
 }
 
 // Loads returns this host's load report for other hosts: the counts that
--- a/proxy/retry_limit.go
+++ b/proxy/retry_limit.go
@@ -23,8 +23,14 @@
 func (l RetryLimit) percent() int { return max(1, int(l.Ratio*ownFraction*100)) }
 
 // burst returns the number of retries that each of a number of hosts may
-// accumulate. It is 0 if there are more hosts than the slack allows retries.
-func (l RetryLimit) burst(hosts int) int { return int(l.Slack) / max(1, hosts) }
+// accumulate. It is 0 if there are more hosts than the slack allows retries, or if their
+// number is not known.
+func (l RetryLimit) burst(hosts int) int {
+	if hosts == 0 {
+		return 0
+	}
+	return int(l.Slack) / hosts
+}
 
 const (
 	// hostPeakTime is how long a host counts the others that it no longer hears. They may
@@ -38,14 +44,47 @@
 
 // sharingHosts are the hosts that share the retry limit.
 type sharingHosts struct {
-	// count is the largest number of hosts that were alive within hostPeakTime.
+	// count is the largest number of hosts that were alive within hostPeakTime, or that
+	// the store named before namedUntil.
 	count int
+	// knownAt is the time from which count is taken to be complete. A host that starts
+	// may not hear all others, which are cut off from it or have not heard of it.
+	knownAt time.Time
+	// namedUntil is the time until which the hosts that the store names are counted. The
+	// store also names those that are gone for good.
+	namedUntil time.Time
 	// until is when a smaller number counts.
 	until time.Time
 	// expiresAt is when the credit that was accumulated without a burst is lost.
 	expiresAt time.Time
 }
 
+// newSharingHosts returns the hosts of a host that starts now and knows no other.
+func newSharingHosts(now time.Time) sharingHosts {
+	return sharingHosts{knownAt: now.Add(hostPeakTime), namedUntil: now.Add(hostPeakTime)}
+}
+
+// number returns the number of hosts, or 0 while it is not known.
+func (s *sharingHosts) number(now time.Time) int {
+	if now.Before(s.knownAt) {
+		return 0
+	}
+	return s.count
+}
+
+// observeNamed records the number of hosts that the store names, including this one. It
+// reports whether the bursts must be limited anew.
+func (s *sharingHosts) observeNamed(count int, now time.Time) bool {
+	if !now.Before(s.namedUntil) {
+		return false
+	}
+	wasKnown := !now.Before(s.knownAt)
+	if !wasKnown {
+		s.knownAt = now
+	}
+	return s.observe(max(count, s.count), now) || !wasKnown
+}
+
 // observe records the number of hosts that are alive, including this one. It reports
 // whether the bursts must be limited anew: the count has changed, or credit expires.
 func (s *sharingHosts) observe(count int, now time.Time) bool {
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"filberthold/model"
 
@@ -53,16 +54,21 @@
 }
 
 // retryState returns this host's part of the retry limit.
-func (c *Core) retryState() retryState {
-	state := retryState{hosts: c.retryHosts.count, burst: c.retryLimit.burst(c.retryHosts.count)}
+func (c *Core) retryState(now time.Time) retryState {
+	state := retryState{hosts: c.retryHosts.count, burst: c.retryBurst(now)}
 	for _, budget := range c.budgets {
 		state.credit += budget.Credit()
 	}
 	return state
 }
 
-// RetryLimitChange is what a change of the hosts that are alive does to the retry limit.
-type RetryLimitChange struct{ before, after retryState }
+// RetryLimitChange is what a change of the hosts that are alive, or that the store names,
+// does to the retry limit.
+type RetryLimitChange struct {
+	before, after retryState
+	// isNamed is true if the store named the hosts.
+	isNamed bool
+}
 
 // IsChange reports whether the number of hosts that share the limit changed, or the
 // burst. Credit that only expires is no change.
@@ -75,8 +81,12 @@
 	switch {
 	case c.before.hosts == 0:
 		return "first count of the hosts"
+	case c.after.hosts > c.before.hosts && c.isNamed:
+		return "the store names more hosts than are alive"
 	case c.after.hosts > c.before.hosts:
 		return "more hosts are alive"
+	case c.after.hosts == c.before.hosts:
+		return "all hosts are known"
 	}
 	return "fewer hosts were alive for " + hostPeakTime.String()
 }
@@ -134,7 +144,7 @@
 	counter := func(description *prometheus.Desc, value uint64, labels ...string) {
 		metrics = append(metrics, prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...))
 	}
-	state := r.core.retryState()
+	state := r.core.retryState(time.Now())
 	gauge(r.hosts, float64(state.hosts))
 	gauge(r.burst, float64(state.burst))
 	for _, service := range slices.Sorted(maps.Keys(r.core.budgets)) {
