Send no retries to endpoints that have gone silent

Cause: a retry is charged when it is sent and counts when it arrives. An endpoint that is stopped, or behind a link that holds bytes, still takes connections and requests; they end at their deadlines and lie in its buffers, whether the host closes or resets the connection. Hosts went on to send retries there. Those of a whole minute then arrived within a second, although the limit had allowed them over that minute.

Evidence: ten hosts as processes, three services with 24 endpoints each, of which 8 answer 500 and 16 do not read for 60 s; repeats in the worst 10 s, on the unchanged code: 254 at 73.5 requests a second (207.0 allowed), 201 at 34.3 (128.6 allowed), 58 at 11.6 (83.2 allowed).

Change: an endpoint is silent from the end of a request that got no answer until it answers one. Retries pass it over and use the next endpoint in the ranking. First attempts do not: one that arrives late is no repeat, and its answer shows that the endpoint is back. A host then has at most those retries held that it sent before the first deadline.

--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -70,6 +70,11 @@
 	// response.
 	unreachableCount int
 	suspectUntil     time.Time
+	// answeredAt is when the endpoint last answered a request of this host.
+	answeredAt time.Time
+	// isSilent is true if a request has ended without an answer, and the endpoint has
+	// answered none since that one was sent.
+	isSilent bool
 }
 
 func newEndpoint(registered roster.Endpoint) *endpoint {
@@ -145,6 +150,19 @@
 	e.suspectUntil = now.Add(min(suspectTime*time.Duration(e.unreachableCount), maxSuspectTime))
 }
 
+// recordAnswer records that the endpoint answered a request.
+func (e *endpoint) recordAnswer(now time.Time) { e.answeredAt, e.isSilent = now, false }
+
+// recordSilence records that a request that was sent at a time ended without an answer.
+func (e *endpoint) recordSilence(sentAt time.Time) {
+	e.isSilent = e.isSilent || !e.answeredAt.After(sentAt)
+}
+
+// mayHold reports whether the endpoint, or the link to it, may hold a request for long
+// before it arrives. Retries that are held would arrive at once, although the retry limit
+// allows them over a longer time.
+func (e *endpoint) mayHold(query Query) bool { return e.isSilent && len(query.Tried) > 0 }
+
 func (e *endpoint) isCold(now time.Time) bool { return now.Before(e.coldUntil) }
 
 // isUp reports whether the endpoint is reachable and warm.
--- a/steer/result.go
+++ b/steer/result.go
@@ -74,6 +74,13 @@
 		return false
 	}
 	switch outcome.Result {
+	case Answered, Failed, Overloaded:
+		target.recordAnswer(now)
+	case TimedOut, Abandoned:
+		target.recordSilence(now.Add(-outcome.Elapsed))
+	case Unreachable:
+	}
+	switch outcome.Result {
 	case Answered:
 		s.recordResponse(state, target, outcome.Elapsed, now)
 	case Failed:
