Count retries that got no answer until they must have arrived

A retry that ends without an answer may arrive later, when its endpoint continues or its link delivers, and its credit had been earned again by then. What a host has saved up could so arrive twice in one window: 60 retries that were held and 60 that were earned meanwhile, on ten hosts.

Not seen in real processes: there a host sends few retries to a stopped endpoint before it is silent.

Change: a retry that ended at its deadline, or because its caller left, takes the place of the credit of one until the endpoint answers a request that was sent after it, or for two minutes. The retries that a host may have held and saved up are then together at most its part of the slack.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -28,7 +28,9 @@
 	retryHosts sharingHosts
 	// retryUses counts what was done with the credit of each service.
 	retryUses map[model.ServiceName]*retryUse
-	services  []model.ServiceName
+	// unanswered holds the retries to each service that may still arrive.
+	unanswered map[model.ServiceName][]unansweredRetry
+	services   []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
 	selectorRevision uint64
 	// isSelectorOutdated is true if the selector was not yet updated to config or to
@@ -57,7 +59,7 @@
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
 		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
-		retryUses: make(map[model.ServiceName]*retryUse),
+		retryUses: make(map[model.ServiceName]*retryUse), unanswered: make(map[model.ServiceName][]unansweredRetry),
 	}
 }
 
@@ -75,7 +77,7 @@
 		if c.budgets[name] == nil {
 			// Hosts that are started again and again would have a reserve each time.
 			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), 0)
-			c.budgets[name].LimitBurst(c.retryBurst(time.Now()))
+			c.limitBurst(name, time.Now())
 		}
 	}
 	c.isSelectorOutdated = true
@@ -174,9 +176,8 @@
 
 // limitBursts applies a change of the hosts that share the retry limit.
 func (c *Core) limitBursts(now time.Time) {
-	burst := c.retryBurst(now)
-	for _, budget := range c.budgets {
-		budget.LimitBurst(burst)
+	for service := range c.budgets {
+		c.limitBurst(service, now)
 	}
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -261,6 +261,9 @@
 		HasLoad: responseHeader.HasLoad, Busy: responseHeader.Load.Running + responseHeader.Load.Waiting,
 		Limit: steer.RateLimit{IsSet: responseHeader.HasLimit, PerSecond: responseHeader.RateLimit},
 	}, outcome.isEndpointGone)
+	e.server.core.recordRetries(e.service, attemptEnd{
+		endpoint: decision.Endpoint.Name, result: outcome.result, isRetry: len(e.tried) > 1, sentAt: startedAt,
+	})
 	if limitChanged {
 		e.server.log.Info("endpoint limit changed", "endpoint", decision.Endpoint.Name, "service", e.service, "request", e.header.AttemptID,
 			"isLimited", responseHeader.HasLimit, "perSecond", responseHeader.RateLimit)
