--- a/proxy/core.go
+++ b/proxy/core.go
@@ -28,7 +28,9 @@
 	retryHosts sharingHosts
 	// retryUses counts what was done with the credit of each service.
 	retryUses map[model.ServiceName]*retryUse
-	services  []model.ServiceName
+	// unanswered holds the retries to each service that may still arrive.
+	unanswered map[model.ServiceName][]unansweredRetry
+	services   []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
 	selectorRevision uint64
 	// isSelectorOutdated is true if the selector was not yet updated to config or to
@@ -46,21 +48,18 @@
 }
 
 // NewCore returns the core of a host without configuration and endpoints. A
-// retry limit without a positive ratio is replaced by DefaultRetryLimit, but for its
-// reserve.
+// retry limit without a positive ratio is replaced by DefaultRetryLimit.
 func NewCore(host model.HostName, zone model.ZoneName, regions map[model.ZoneName]model.RegionName, retryLimit RetryLimit) *Core {
 	if retryLimit.Ratio <= 0 {
-		reserve := retryLimit.Reserve
 		retryLimit = DefaultRetryLimit()
-		retryLimit.Reserve = reserve
 	}
 	selector := steer.New(host, zone, regions)
 	return &Core{
 		roster: roster.New(regions), selector: selector,
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
-		retryLimit: retryLimit,
-		retryUses:  make(map[model.ServiceName]*retryUse),
+		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
+		retryUses: make(map[model.ServiceName]*retryUse), unanswered: make(map[model.ServiceName][]unansweredRetry),
 	}
 }
 
@@ -76,8 +75,9 @@
 	c.services = config.Services()
 	for _, name := range c.services {
 		if c.budgets[name] == nil {
-			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), c.retryLimit.Reserve)
-			c.budgets[name].LimitBurst(c.retryLimit.burst(c.retryHosts.count))
+			// Hosts that are started again and again would have a reserve each time.
+			c.budgets[name] = score.NewBudget(c.retryLimit.percent(), 0)
+			c.limitBurst(name, time.Now())
 		}
 	}
 	c.isSelectorOutdated = true
@@ -147,13 +147,38 @@
 	for _, names := range hosts {
 		count += len(names)
 	}
-	before := c.retryState()
-	if c.retryHosts.observe(count, time.Now()) {
-		for _, budget := range c.budgets {
-			budget.LimitBurst(c.retryLimit.burst(c.retryHosts.count))
-		}
+	now := time.Now()
+	before := c.retryState(now)
+	if c.retryHosts.observe(count, now) {
+		c.limitBursts(now)
+	}
+	return RetryLimitChange{before: before, after: c.retryState(now)}
+}
+
+// SetNamedHosts sets the number of hosts that the store names, including this one, and
+// returns what this changes in the retry limit. They share it, also those that this host
+// does not hear.
+func (c *Core) SetNamedHosts(count int) RetryLimitChange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	before := c.retryState(now)
+	if c.retryHosts.observeNamed(count, now) {
+		c.limitBursts(now)
+	}
+	return RetryLimitChange{before: before, after: c.retryState(now), isNamed: true}
+}
+
+// retryBurst returns the number of retries to a service that this host may accumulate.
+func (c *Core) retryBurst(now time.Time) int {
+	return c.retryLimit.burst(c.retryHosts.number(now))
+}
+
+// limitBursts applies a change of the hosts that share the retry limit.
+func (c *Core) limitBursts(now time.Time) {
+	for service := range c.budgets {
+		c.limitBurst(service, now)
 	}
-	return RetryLimitChange{before: before, after: c.retryState()}
 }
 
 // Loads returns this host's load report for other hosts: the counts that
