Use no connection again before it is known that it was not refused

A caller of a read or an export got notSent, or a retry was made, for a request that an upstream ran; or it got the response to nothing it had asked for.

Cause: responses have no id, so the host closes a connection after a refusal, or a copy of the refusal would be read as the response to the next request. net/http returns a connection to its pool before it delivers a response without a body, so another request could get it before the refused attempt had closed it. Submits use each connection once and were not affected.

Change: an attempt that gets a used connection writes to it only after the response of the attempt before it has been examined; by then a refused connection is closed and blocked. net/http writes nothing before GotConn returns. A response to a request of which no byte was written is not accepted.

An extra response after one that is no refusal can still not be told from the next response on a kept connection.

--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -156,8 +156,9 @@
 
 // send sends a request. Without an error, the body of the response calls cancel.
 func (c *Client) send(ctx context.Context, cancel context.CancelCauseFunc, request Request) (*Response, error) {
-	attempt := &attempt{deadline: request.Deadline, maxAge: c.options.MaxAge}
-	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, attempt.trace()), request)
+	attempt := newAttempt(request.Deadline, c.options.MaxAge)
+	defer close(attempt.judged)
+	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, attempt.trace(ctx)), request)
 	if err != nil {
 		return nil, fmt.Errorf("make upstream request: %w", err)
 	}
@@ -165,6 +166,11 @@
 	if err != nil {
 		return nil, c.classifyError(ctx, attempt, request.Class, err)
 	}
+	if attempt.isUnwritten() {
+		_ = response.Body.Close()
+		attempt.closeConnections()
+		return nil, &NotStartedError{reason: "the connection has a response to another request"}
+	}
 	leaving := response.Header.Get(LeavingHeader) == "true"
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(NotStartedHeader) == "true" {
 		_ = response.Body.Close()
--- a/upstrm/connection.go
+++ b/upstrm/connection.go
@@ -35,6 +35,8 @@
 	// attempt is the attempt that uses the connection. It is nil while the
 	// connection is idle.
 	attempt *attempt
+	// latest is the attempt that was the last one to get the connection.
+	latest *attempt
 	// mayHaveWritten is true if bytes of the attempt may have been written. This
 	// includes a write that has not returned.
 	mayHaveWritten bool
@@ -95,11 +97,15 @@
 	_ = c.Close()
 }
 
-func (c *connection) assign(owner *attempt) {
+// assign gives the connection to an attempt and returns the attempt before it, or nil.
+func (c *connection) assign(owner *attempt) *attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	previous := c.latest
 	c.attempt = owner
+	c.latest = owner
 	c.mayHaveWritten = false
+	return previous
 }
 
 // blockWrites blocks all further writes and reports whether the attempt has
@@ -114,6 +120,18 @@
 	return !c.mayHaveWritten
 }
 
+// blockUnwritten blocks all further writes if the attempt has written nothing, and
+// reports whether that is so.
+func (c *connection) blockUnwritten(owner *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempt != owner || c.mayHaveWritten {
+		return false
+	}
+	c.isWriteBlocked = true
+	return true
+}
+
 // release marks a connection as idle at the end of its attempt, and closes it if
 // it is older than maxAge. If the next attempt already uses the connection, it
 // stays open. An attempt that gets the connection later cannot write to it, and
@@ -135,7 +153,10 @@
 type attempt struct {
 	deadline time.Time
 	maxAge   time.Duration
-	mu       sync.Mutex
+	// judged is closed once it is known whether the upstream refused the request, and
+	// its connection is closed if so.
+	judged chan struct{}
+	mu     sync.Mutex
 	// connections holds every connection that net/http chose for the request. It
 	// writes nothing to a connection before it chooses it.
 	connections []*connection
@@ -144,18 +165,19 @@
 	untracked bool
 }
 
-func (a *attempt) trace() *httptrace.ClientTrace {
+func newAttempt(deadline time.Time, maxAge time.Duration) *attempt {
+	return &attempt{deadline: deadline, maxAge: maxAge, judged: make(chan struct{})}
+}
+
+func (a *attempt) trace(ctx context.Context) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
+		// net/http returns a connection to the pool before it delivers a response
+		// without a body, so the previous attempt may not have seen yet that it was
+		// refused. net/http writes nothing before GotConn returns.
 		GotConn: func(info httptrace.GotConnInfo) {
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			chosen, isTracked := info.Conn.(*connection)
-			if !isTracked {
-				a.untracked = true
-				return
+			if previous := a.use(info.Conn); previous != nil && !previous.waitJudged(ctx) {
+				a.closeConnections()
 			}
-			chosen.assign(a)
-			a.connections = append(a.connections, chosen)
 		},
 		PutIdleConn: func(error) {
 			a.mu.Lock()
@@ -167,6 +189,30 @@
 	}
 }
 
+// use records that net/http chose a connection for the request. It returns the attempt
+// that had the connection before, or nil.
+func (a *attempt) use(conn net.Conn) *attempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	chosen, isTracked := conn.(*connection)
+	if !isTracked {
+		a.untracked = true
+		return nil
+	}
+	a.connections = append(a.connections, chosen)
+	return chosen.assign(a)
+}
+
+// waitJudged waits until the attempt is judged. It returns false if ctx ends first.
+func (a *attempt) waitJudged(ctx context.Context) bool {
+	select {
+	case <-a.judged:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // closeConnections closes the connections of the request.
 func (a *attempt) closeConnections() {
 	a.mu.Lock()
@@ -176,6 +222,18 @@
 	}
 }
 
+// isUnwritten reports whether no byte of the request was written, and then blocks its
+// writes.
+func (a *attempt) isUnwritten() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	unwritten := !a.untracked && len(a.connections) > 0
+	for _, chosen := range a.connections {
+		unwritten = chosen.blockUnwritten(a) && unwritten
+	}
+	return unwritten
+}
+
 // wroteNothing blocks further writes of the request and reports whether no byte was
 // written.
 func (a *attempt) wroteNothing() bool {
--- a/upstrm/connection_test.go
+++ b/upstrm/connection_test.go
@@ -21,17 +21,22 @@
 }
 
 // Guards against the report that nothing was written while a goroutine of net/http
-// may still write.
+// may still write: after an error, and after a response that was on the connection before
+// the request.
 func TestNothingIsWrittenAfterWroteNothing(t *testing.T) {
-	for range 2000 {
-		inner := &countingConn{}
-		owner := &attempt{deadline: time.Now().Add(time.Hour)}
-		chosen := &connection{Conn: inner, attempt: owner}
-		owner.connections = []*connection{chosen}
-		var writer sync.WaitGroup
-		writer.Go(func() { _, _ = chosen.Write([]byte("request")) })
-		nothing := owner.wroteNothing()
-		writer.Wait()
-		assert.Equal(t, nothing, inner.bytes == 0)
+	for name, check := range map[string]func(*attempt) bool{"error": (*attempt).wroteNothing, "response": (*attempt).isUnwritten} {
+		t.Run(name, func(t *testing.T) {
+			for range 2000 {
+				inner := &countingConn{}
+				owner := newAttempt(time.Now().Add(time.Hour), time.Hour)
+				chosen := &connection{Conn: inner}
+				owner.use(chosen)
+				var writer sync.WaitGroup
+				writer.Go(func() { _, _ = chosen.Write([]byte("request")) })
+				nothing := check(owner)
+				writer.Wait()
+				assert.Equal(t, nothing, inner.bytes == 0)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/upstrm/kept_test.go
@@ -0,0 +1,108 @@
+package upstrm_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"filberthold/model"
+	"filberthold/upstrm"
+
+	"gotest.tools/v3/assert"
+)
+
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nUpstream-Not-Started: true\r\nContent-Length: 0\r\n\r\n"
+
+// refusingTwice is an upstream on TCP sockets. To the first request on each connection
+// it sends a refusal and a second response in one write. It runs the later requests.
+type refusingTwice struct {
+	net.Listener
+	second      string
+	connections sync.WaitGroup
+	mu          sync.Mutex
+	// ran holds the paths of the requests that were run.
+	ran map[string]bool
+}
+
+func (u *refusingTwice) run() {
+	for {
+		conn, err := u.Accept()
+		if err != nil {
+			return
+		}
+		u.connections.Go(func() { u.serve(conn) })
+	}
+}
+
+func (u *refusingTwice) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	response := refusal + u.second
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if response == "" {
+			u.mu.Lock()
+			u.ran[request.URL.Path] = true
+			u.mu.Unlock()
+			response = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+		}
+		_, _ = io.WriteString(conn, response)
+		response = ""
+	}
+}
+
+// Guards against a second response on a refused connection that another request reads,
+// because it got the connection before the refusal closed it: the request runs and is
+// reported as not started, or it gets a response that is not its own.
+func TestRefusedConnectionIsNotUsedAgain(t *testing.T) {
+	for name, second := range map[string]string{"refusal": refusal, "response": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			upstream := &refusingTwice{Listener: listener, second: second, ran: make(map[string]bool)}
+			go upstream.run()
+			client := upstrm.NewClient("a")
+			var refused sync.Map
+			var callers sync.WaitGroup
+			for caller := range 32 {
+				callers.Go(func() {
+					for number := range 100 {
+						path := fmt.Sprintf("/%d/%d", caller, number)
+						response, err := client.Do(t.Context(), upstrm.Request{
+							Class: model.Read, Address: listener.Addr().String(), Method: http.MethodGet, Path: path,
+							Deadline: time.Now().Add(time.Minute),
+						})
+						var notStarted *upstrm.NotStartedError
+						if errors.As(err, &notStarted) {
+							refused.Store(path, true)
+						}
+						if err != nil {
+							continue
+						}
+						content, err := io.ReadAll(response.Body)
+						assert.Check(t, errors.Join(err, response.Body.Close()))
+						assert.Check(t, string(content) == path, "%s got the response %q", path, content)
+					}
+				})
+			}
+			callers.Wait()
+			client.Close()
+			assert.NilError(t, listener.Close())
+			upstream.connections.Wait()
+			for path := range upstream.ran {
+				_, isRefused := refused.Load(path)
+				assert.Check(t, !isRefused, "%s ran and is reported as not started", path)
+			}
+		})
+	}
+}
