Read late responses to submits to their end

A submit ran and its response arrived in the 30 s in which late responses are stored, but its key stayed claimed: callers got unknown for it, now and for each repeat.

Cause: the progress timeout for the body of a submit was the time left until its deadline. It ended a body that stalled for longer than that, and for a header after the deadline it was negative, so the context was cancelled at once and only bytes that were already buffered could be read.

Evidence: TestLateResponseIsReadToItsEnd failed on the code before, for a header before the deadline:

late_test.go:46: assertion failed: error is not nil: connection is silent: no byte for 1s: 40960 of 65536 bytes were read

and for one after it:

late_test.go:46: assertion failed: error is not nil: connection is silent: no byte for -1s: 12246 of 65536 bytes were read

Change: the body of a submit has no progress timeout. The context of the attempt bounds it, which ends claim.LateWindow after the deadline, as it bounds the wait for the header. The caller does not wait longer: the claim answers unknown at the deadline.

--- a/upstrm/body.go
+++ b/upstrm/body.go
@@ -31,7 +31,8 @@
 // progressBody is the body of a response. A read that makes no progress cancels the
 // request.
 type progressBody struct {
-	inner   io.ReadCloser
+	inner io.ReadCloser
+	// timeout bounds each read. 0 means no limit.
 	timeout time.Duration
 	timer   *time.Timer
 	// ctx is the context of the request. Its cause is a StallError if the timer
@@ -43,14 +44,17 @@
 
 func newProgressBody(ctx context.Context, inner io.ReadCloser, timeout time.Duration, cancel func(cause error)) *progressBody {
 	onStall := func() { cancel(&StallError{after: timeout}) }
-	wrapped := &progressBody{inner: inner, timeout: timeout, timer: time.AfterFunc(timeout, onStall), ctx: ctx, cancel: cancel}
-	wrapped.timer.Stop()
-	return wrapped
+	// The timer runs during reads only.
+	timer := time.AfterFunc(time.Hour, onStall)
+	timer.Stop()
+	return &progressBody{inner: inner, timeout: timeout, timer: timer, ctx: ctx, cancel: cancel}
 }
 
 // Read implements io.Reader.
 func (b *progressBody) Read(buffer []byte) (int, error) {
-	b.timer.Reset(b.timeout)
+	if b.timeout > 0 {
+		b.timer.Reset(b.timeout)
+	}
 	count, err := b.inner.Read(buffer)
 	b.timer.Stop()
 	var stall *StallError
--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -81,7 +81,8 @@
 	// Dial opens connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// ProgressTimeout is the time without a byte after which a body counts as
-	// stalled. For a read it also bounds each write and the wait for the header.
+	// stalled. For a read it also bounds each write and the wait for the header. It
+	// does not apply to submits, which only the context of Do bounds.
 	ProgressTimeout time.Duration
 	// IdleTimeout and MaxAge bound the idle time and the age of a connection. They
 	// make it rare that a request gets a connection that stalled while it was idle.
@@ -193,12 +194,12 @@
 }
 
 // wrapBody returns the body of a response with a progress timeout, and paces it if
-// the request is an export. The timeout of a submit is the time until its deadline;
-// see headerTimeout.
+// the request is an export. The body of a submit has no timeout but that of ctx: its
+// response is stored even if it is late; see headerTimeout.
 func (c *Client) wrapBody(ctx context.Context, cancel context.CancelCauseFunc, inner io.ReadCloser, request Request) io.ReadCloser {
 	timeout := c.options.ProgressTimeout
 	if request.Class == model.Submit {
-		timeout = time.Until(request.Deadline)
+		timeout = 0
 	}
 	wrapped := newProgressBody(ctx, inner, timeout, func(cause error) {
 		cancel(cause)
