Share the reserve of retries among the hosts of the configuration

Upstreams that fail would get up to ten repeats of early requests from each host, however many hosts there are: 120 for a service with 12 hosts, where the retry budget is 10% of the requests.

Cause: each host started with credit for ten retries of each service.

Change: the hosts of the configuration share the reserve of ten.

--- a/place/core.go
+++ b/place/core.go
@@ -98,8 +98,9 @@
 	// It is higher than maxAttempts, because an attempt of an export resumes where
 	// the previous one ended.
 	maxExportAttempts = 8
-	// retryReserve is the initial retry budget, in retries. Without it a service
-	// with few requests could not retry.
+	// retryReserve is the initial retry budget of a service, in retries, which the
+	// hosts of the configuration share; each of them has at least one. Without it a
+	// service with few requests could not retry.
 	retryReserve = 10
 	// reportMargin is how long after its deadline the end of an attempt may be
 	// reported. After that the upstream has ended the request by its own clock. A
@@ -212,6 +213,11 @@
 	}
 }
 
+// retryShare returns the share of retryReserve that this host has.
+func (c *Core) retryShare() int {
+	return max(1, retryReserve/max(1, len(c.deployment.Hosts())))
+}
+
 // assign computes the slot assignment of a revision.
 func (c *Core) assign(deployment *model.Deployment) {
 	if c.assignment == nil {
@@ -230,7 +236,7 @@
 		state = &serviceState{
 			queue:   admit.NewQueue[RequestID](service.QueueLimit()),
 			hedges:  score.NewBudget(score.HedgePercent, 0),
-			retries: score.NewBudget(score.RetryPercent, retryReserve),
+			retries: score.NewBudget(score.RetryPercent, c.retryShare()),
 		}
 		c.services[service.Name()] = state
 		c.serviceNames = append(c.serviceNames, service.Name())
