Give a restarted host no share of the reserve of retries

Upstreams that fail got repeats of early requests again from each host that was restarted, so hosts that restart in series, or in a loop, exceeded the retry budget however few requests they served.

Cause: each start of a host gave it its share of the reserve, which an earlier incarnation may have used.

Evidence: TestRestartedHostHasNoRetryReserve fails if placement ignores the new field (twelve hosts, started five times each, four requests at each start):

retry_test.go:97: assertion failed: retries is greater than hosts + arrivals/10: 60 retries for 240 requests

Change: a host creates the row starts/HOST in the table before it adopts its first revision. It has its share only if the store confirms that the row was absent. While the store is down, or if its response is lost, a host counts as restarted. The write is bounded by one second, and so is the delay of the first adoption.

--- a/entry/host.go
+++ b/entry/host.go
@@ -46,6 +46,8 @@
 	// assignment maps slots and link shares to hosts for the revision in force.
 	// Only finishAdoption uses it.
 	assignment *share.Assignment
+	// hasAdopted is true after the first adoption of a revision. Only adopt uses it.
+	hasAdopted bool
 	releases   *releaseSync
 	// aborted is closed when the host must end without a graceful shutdown.
 	aborted   chan struct{}
@@ -190,6 +192,10 @@
 	// Placement comes first: events keep their order, so placement gets the
 	// revision before any request that the new directory accepts.
 	event := place.Adopted{Deployment: deployment, Revision: id.Number()}
+	if !h.hasAdopted {
+		h.hasAdopted = true
+		event.IsRestart = !recordFirstStart(ctx, h.platform, model.HostName(h.base.Settings().Host), h.incarnation)
+	}
 	if err := h.dispatcher.Report(ctx, event); err != nil {
 		return fmt.Errorf("report revision: %w", err)
 	}
--- a/place/core.go
+++ b/place/core.go
@@ -208,8 +208,12 @@
 		c.ledger.BlockUntil(event.BusyUntil)
 	}
 	c.shiftBudgets.SetCaps(event.Deployment)
+	reserve := c.retryShare()
+	if event.IsRestart {
+		reserve = 0
+	}
 	for _, service := range event.Deployment.Services() {
-		c.adoptService(service, isFirst)
+		c.adoptService(service, isFirst, reserve)
 	}
 }
 
@@ -227,16 +231,16 @@
 	c.assignment = c.assignment.ForRevision(deployment)
 }
 
-// adoptService adds or updates a service and its endpoints. Endpoints of the
-// first revision have their full weight, without a slow start: the host is new,
-// the endpoints are not.
-func (c *Core) adoptService(service model.Service, isFirst bool) {
+// adoptService adds or updates a service and its endpoints. A new service starts with a
+// budget of reserve retries. Endpoints of the first revision have their full weight,
+// without a slow start: the host is new, the endpoints are not.
+func (c *Core) adoptService(service model.Service, isFirst bool, reserve int) {
 	state := c.services[service.Name()]
 	if state == nil {
 		state = &serviceState{
 			queue:   admit.NewQueue[RequestID](service.QueueLimit()),
 			hedges:  score.NewBudget(score.HedgePercent, 0),
-			retries: score.NewBudget(score.RetryPercent, c.retryShare()),
+			retries: score.NewBudget(score.RetryPercent, reserve),
 		}
 		c.services[service.Name()] = state
 		c.serviceNames = append(c.serviceNames, service.Name())
--- a/place/events.go
+++ b/place/events.go
@@ -99,6 +99,10 @@
 	// loans of an earlier incarnation may still be in flight. It is the latest time
 	// at which they can end. Until then the host uses none of its own slots.
 	BusyUntil time.Time `cbor:"busyUntil"`
+	// IsRestart is true for the first revision of an incarnation unless it is known to
+	// be the first incarnation of the host. Then the host has no share of the retry
+	// reserve, which an earlier incarnation may have used.
+	IsRestart bool `cbor:"isRestart,omitempty"`
 }
 
 // Marked reports that an incarnation of an endpoint is leaving. Source names the
--- a/place/retry_test.go
+++ b/place/retry_test.go
@@ -80,3 +80,19 @@
 		})
 	}
 }
+
+// Guards against hosts that are restarted in series and have unearned retries again after
+// each start.
+func TestRestartedHostHasNoRetryReserve(t *testing.T) {
+	const hosts, restarts, requests = 12, 4, 4
+	deployment := deployFleet(t, hosts)
+	retries := 0
+	for _, host := range deployment.Hosts() {
+		retries += retriesAfterStart(host.Name(), place.Adopted{Deployment: deployment}, requests)
+		for range restarts {
+			retries += retriesAfterStart(host.Name(), place.Adopted{Deployment: deployment, IsRestart: true}, requests)
+		}
+	}
+	arrivals := hosts * (1 + restarts) * requests
+	assert.Assert(t, retries <= hosts+arrivals/10, "%d retries for %d requests", retries, arrivals)
+}
