Give back the budget of a retry that is never sent

Callers got a refusal with the reason "retry budget used" although fewer than 10% of the requests had been retried.

Cause: the budget is spent before a retry waits for a slot, as it must be, so that the retries that wait do not exceed it together. A retry that was dropped from the queue, at its deadline or because its caller left, kept what it had spent.

Evidence: TestUnsentRetryCostsNothing fails on the code before (every retry waits while all endpoints are leaving, and is dropped):

caller leaves: retry_test.go:122: assertion failed: isWait is false: round 11 deadline passes: retry_test.go:122: assertion failed: isWait is false: round 11

Change: a request knows that its budget has been spent for a retry that is not sent, and gives it back at its end.

--- a/place/arrive.go
+++ b/place/arrive.go
@@ -154,6 +154,7 @@
 		return nil
 	}
 	delete(c.requests, id)
+	c.refundRetry(open)
 	c.services[open.request.Service].queue.Remove(id)
 	return c.cancelAttempts(id, "caller gave up", false)
 }
--- a/place/core.go
+++ b/place/core.go
@@ -77,6 +77,8 @@
 	isMoved bool
 	// hedgeAt is when a hedge is due, or the zero time.
 	hedgeAt time.Time
+	// isRetryPaid is true while the request waits for a retry that the budget has paid.
+	isRetryPaid bool
 }
 
 // attemptState is the state of an attempt until its end is reported.
--- a/place/retry_test.go
+++ b/place/retry_test.go
@@ -96,3 +96,39 @@
 	arrivals := hosts * (1 + restarts) * requests
 	assert.Assert(t, retries <= hosts+arrivals/10, "%d retries for %d requests", retries, arrivals)
 }
+
+// Guards against retries that are refused although the budget allows them, because earlier
+// ones spent it, waited for a slot and were never sent.
+func TestUnsentRetryCostsNothing(t *testing.T) {
+	for name, end := range map[string]func(core *place.Core, now time.Time){
+		"deadline passes": func(core *place.Core, now time.Time) { core.Apply(place.Ticked{}, now.Add(time.Second)) },
+		"caller leaves":   func(core *place.Core, now time.Time) { core.Apply(place.Abandoned{Request: "r"}, now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			deployment := deployFleet(t, 1)
+			core := place.New("host-0")
+			core.Apply(place.Adopted{Deployment: deployment}, now)
+			sendFirst := func() place.Finished {
+				decisions := core.Apply(place.Arrived{Request: place.Request{ID: "r", Service: "view", Home: "north", Deadline: now.Add(time.Second)}}, now)
+				return place.Finished{Attempt: decisions[0].(place.Send).Attempt, Result: place.Failed}
+			}
+			for round := range 12 {
+				failed := sendFirst()
+				for _, endpoint := range deployment.Endpoints() {
+					core.Apply(place.Marked{Endpoint: endpoint.Name(), Incarnation: fmt.Sprint(round)}, now)
+				}
+				_, isWait := core.Apply(failed, now)[0].(place.Wait)
+				assert.Assert(t, isWait, "round %d", round)
+				end(core, now)
+				now = now.Add(time.Second)
+				for _, endpoint := range deployment.Endpoints() {
+					core.Apply(place.Unmarked{Endpoint: endpoint.Name(), Incarnation: fmt.Sprint(round + 1)}, now)
+				}
+			}
+			decision := core.Apply(sendFirst(), now)[0]
+			_, isSend := decision.(place.Send)
+			assert.Assert(t, isSend, "%v", decision)
+		})
+	}
+}
--- a/place/send.go
+++ b/place/send.go
@@ -84,6 +84,7 @@
 	c.attempts[attempt.id] = attempt
 	open.attempts++
 	open.inFlight++
+	open.isRetryPaid = false
 	open.tried = append(open.tried, endpoint.Name())
 	c.tracker.RecordSent(attempt.endpoint, uint64(attempt.id), now)
 	return attempt
@@ -105,7 +106,7 @@
 		return c.sendBaseline(open, now)
 	case open.attempts-open.progressed >= limit:
 		return c.refuse(open, "all attempts used: "+detail)
-	case !isResumed && !c.services[open.request.Service].retries.Spend():
+	case !isResumed && !c.payRetry(open):
 		return c.refuse(open, "retry budget used: "+detail)
 	}
 	open.hedgeAt = time.Time{}
@@ -114,12 +115,29 @@
 	return c.sendOrWait(open, position, now)
 }
 
+// payRetry spends the budget for a retry of a request. It reports false if there is not
+// enough. The budget is spent before the wait for a slot, so that the retries that wait
+// do not exceed it together.
+func (c *Core) payRetry(open *openRequest) bool {
+	open.isRetryPaid = c.services[open.request.Service].retries.Spend()
+	return open.isRetryPaid
+}
+
+// refundRetry gives back what was spent for a retry that has not been sent.
+func (c *Core) refundRetry(open *openRequest) {
+	if open.isRetryPaid {
+		open.isRetryPaid = false
+		c.services[open.request.Service].retries.Refund()
+	}
+}
+
 // refuse ends a request without a response. The outcome is NotRun only for a
 // submit that was never sent or whose attempts all provably did not start.
 // Other classes have no rows in the register, so their outcome is then NotSent.
 // It is Unknown for each class if an attempt may have run.
 func (c *Core) refuse(open *openRequest, reason string) []Decision {
 	delete(c.requests, open.request.ID)
+	c.refundRetry(open)
 	outcome := model.NotSent
 	switch {
 	case open.mayHaveRun || open.inFlight > 0:
