Wait for submits before attempts at a planned stop

A host that stops could crash while a submit was retried whose caller had left. All requests that were in flight at it then end without an answer, and their keys stay claimed: repeats get unknown.

Cause: Shutdown waited for attempts before it waited for submits. A submit whose caller has left is no longer a request of the HTTP server, and starts its next attempt while Shutdown waits for the one before: the WaitGroup of attempts is added to from zero while another goroutine waits, which panics.

Change: Shutdown waits for submits first. After that nothing starts an attempt.

--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -26,6 +26,8 @@
 type harness struct {
 	class   model.Class
 	network *fakes.Network
+	// shutdown shuts the server down. Later calls return the result of the first one.
+	shutdown func() error
 
 	mu        sync.Mutex
 	addresses []string
@@ -87,8 +89,9 @@
 	server, callers := caller.NewServer(base, h, h, client), h.network.Listen("h1:1")
 	h.useRegister(t, server)
 	go func() { _ = server.Run(callers) }()
+	h.shutdown = sync.OnceValue(func() error { return server.Shutdown(context.Background()) })
 	t.Cleanup(func() {
-		assert.Check(t, server.Shutdown(context.Background()))
+		assert.Check(t, h.shutdown())
 		client.Close()
 	})
 	return h
--- a/caller/server.go
+++ b/caller/server.go
@@ -149,18 +149,21 @@
 
 // Shutdown closes the listener and waits for all requests in flight, including
 // submits whose callers have disconnected, and for the rows of host-bound keys.
-// The end of ctx does not end the wait for attempts.
+// The end of ctx does not end the wait for the attempts of requests that have ended.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
-	s.attempts.Wait()
 	if s.submits == nil {
+		s.attempts.Wait()
 		return nil
 	}
+	// The wait for attempts comes second: a submission starts attempts until its end,
+	// and a WaitGroup must not be added to from zero while another goroutine waits.
 	if err := s.submits.waitIdle(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
+	s.attempts.Wait()
 	if err := s.submits.flush(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
