Take no bytes from before a request for its response

A caller of a read or an export got the response to another request, or notSent for a request that an upstream ran.

Cause: net/http closes a connection on which more bytes arrive than the response has, but it returns the connection to its pool before it looks for them. A request that got the connection in between read them as its response. Submits use no connection twice.

Change: an attempt writes to a used connection only while net/http waits for bytes, which it does once it has handled all that arrived before. Bytes that arrive from then on and before the first byte of the request block the connection. The test replaces TestRefusedConnectionIsNotUsedAgain, whose two cases it contains.

An extra response that arrives after the next request was written can't be told from its response without an id.

--- a/upstrm/connection.go
+++ b/upstrm/connection.go
@@ -42,6 +42,92 @@
 	mayHaveWritten bool
 	// isWriteBlocked is true if all further writes fail.
 	isWriteBlocked bool
+	// isReading is true while net/http waits for bytes. It then has handled all that
+	// arrived before.
+	isReading bool
+	isClosed  bool
+	// readable is closed when a read begins or the connection is closed. It is nil
+	// unless an attempt waits for that.
+	readable chan struct{}
+}
+
+// Read implements net.Conn. Bytes that arrive before the first byte of a request was
+// written are no response to it, so they block its writes.
+func (c *connection) Read(buffer []byte) (int, error) {
+	c.beginRead()
+	count, err := c.Conn.Read(buffer)
+	c.endRead(count)
+	return count, err
+}
+
+func (c *connection) beginRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isReading = true
+	c.signalReadable()
+}
+
+func (c *connection) endRead(count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isReading = false
+	if count > 0 && !c.mayHaveWritten {
+		c.isWriteBlocked = true
+	}
+}
+
+// signalReadable wakes the attempt that waits for a read. The caller holds c.mu.
+func (c *connection) signalReadable() {
+	if c.readable != nil {
+		close(c.readable)
+		c.readable = nil
+	}
+}
+
+// nextRead returns a channel that is closed once a read is in progress or the connection
+// is closed.
+func (c *connection) nextRead() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readable == nil {
+		c.readable = make(chan struct{})
+	}
+	next := c.readable
+	if c.isReading || c.isClosed {
+		c.signalReadable()
+	}
+	return next
+}
+
+// waitIdle waits until nothing of the previous attempt can be taken for a response to the
+// next one: the attempt has closed the connection if it was refused, and net/http, which
+// returns a connection to its pool before that, has closed it if more bytes than the
+// response had arrived. It returns false if ctx ends first.
+func (c *connection) waitIdle(ctx context.Context, previous *attempt) bool {
+	return isClosedBeforeEnd(ctx, previous.judged) && isClosedBeforeEnd(ctx, c.nextRead())
+}
+
+func isClosedBeforeEnd(ctx context.Context, channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.close()
+}
+
+// close closes the connection. The caller holds c.mu.
+func (c *connection) close() error {
+	c.isClosed = true
+	c.signalReadable()
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn.
@@ -94,7 +180,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isWriteBlocked = true
-	_ = c.Close()
+	_ = c.close()
 }
 
 // assign gives the connection to an attempt and returns the attempt before it, or nil.
@@ -145,7 +231,7 @@
 	c.attempt = nil
 	if time.Since(c.opened) > maxAge {
 		c.isWriteBlocked = true
-		_ = c.Close()
+		_ = c.close()
 	}
 }
 
@@ -171,11 +257,9 @@
 
 func (a *attempt) trace(ctx context.Context) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		// net/http returns a connection to the pool before it delivers a response
-		// without a body, so the previous attempt may not have seen yet that it was
-		// refused. net/http writes nothing before GotConn returns.
+		// net/http writes nothing before GotConn returns.
 		GotConn: func(info httptrace.GotConnInfo) {
-			if previous := a.use(info.Conn); previous != nil && !previous.waitJudged(ctx) {
+			if chosen, previous := a.use(info.Conn); previous != nil && !chosen.waitIdle(ctx, previous) {
 				a.closeConnections()
 			}
 		},
@@ -189,28 +273,18 @@
 	}
 }
 
-// use records that net/http chose a connection for the request. It returns the attempt
-// that had the connection before, or nil.
-func (a *attempt) use(conn net.Conn) *attempt {
+// use records that net/http chose a connection for the request. It returns the connection
+// and the attempt that had it before, or nil.
+func (a *attempt) use(conn net.Conn) (chosen *connection, previous *attempt) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	chosen, isTracked := conn.(*connection)
 	if !isTracked {
 		a.untracked = true
-		return nil
+		return nil, nil
 	}
 	a.connections = append(a.connections, chosen)
-	return chosen.assign(a)
-}
-
-// waitJudged waits until the attempt is judged. It returns false if ctx ends first.
-func (a *attempt) waitJudged(ctx context.Context) bool {
-	select {
-	case <-a.judged:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return chosen, chosen.assign(a)
 }
 
 // closeConnections closes the connections of the request.
--- a/upstrm/kept_test.go
+++ b/upstrm/kept_test.go
@@ -19,18 +19,18 @@
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nUpstream-Not-Started: true\r\nContent-Length: 0\r\n\r\n"
 
-// refusingTwice is an upstream on TCP sockets. To the first request on each connection
-// it sends a refusal and a second response in one write. It runs the later requests.
-type refusingTwice struct {
+// answeringTwice is an upstream on TCP sockets. To the first request on each connection
+// it sends two responses in one write. It runs the later requests.
+type answeringTwice struct {
 	net.Listener
-	second      string
+	responses   string
 	connections sync.WaitGroup
 	mu          sync.Mutex
 	// ran holds the paths of the requests that were run.
 	ran map[string]bool
 }
 
-func (u *refusingTwice) run() {
+func (u *answeringTwice) run() {
 	for {
 		conn, err := u.Accept()
 		if err != nil {
@@ -40,10 +40,10 @@
 	}
 }
 
-func (u *refusingTwice) serve(conn net.Conn) {
+func (u *answeringTwice) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	response := refusal + u.second
+	response := u.responses
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -61,18 +61,30 @@
 	}
 }
 
-// Guards against a second response on a refused connection that another request reads,
-// because it got the connection before the refusal closed it: the request runs and is
+// Guards against a second response on a connection that another request reads, because it
+// got the connection before the first one had been examined: the request runs and is
 // reported as not started, or it gets a response that is not its own.
-func TestRefusedConnectionIsNotUsedAgain(t *testing.T) {
-	for name, second := range map[string]string{"refusal": refusal, "response": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"} {
+func TestSecondResponseIsNotReadByNextRequest(t *testing.T) {
+	const (
+		empty   = "HTTP/1.1 204 No Content\r\n\r\n"
+		content = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+	)
+	for name, responses := range map[string]string{
+		"refused twice":            refusal + refusal,
+		"refused, then answered":   refusal + content,
+		"answered, then refused":   content + refusal,
+		"answered twice":           content + content,
+		"empty, then refused":      empty + refusal,
+		"empty, then answered":     empty + content,
+		"empty, then a part of it": empty + content[:20],
+	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
-			upstream := &refusingTwice{Listener: listener, second: second, ran: make(map[string]bool)}
+			upstream := &answeringTwice{Listener: listener, responses: responses, ran: make(map[string]bool)}
 			go upstream.run()
 			client := upstrm.NewClient("a")
-			var refused sync.Map
+			var refused, answered sync.Map
 			var callers sync.WaitGroup
 			for caller := range 32 {
 				callers.Go(func() {
@@ -91,7 +103,7 @@
 						}
 						content, err := io.ReadAll(response.Body)
 						assert.Check(t, errors.Join(err, response.Body.Close()))
-						assert.Check(t, string(content) == path, "%s got the response %q", path, content)
+						answered.Store(path, string(content))
 					}
 				})
 			}
@@ -102,6 +114,8 @@
 			for path := range upstream.ran {
 				_, isRefused := refused.Load(path)
 				assert.Check(t, !isRefused, "%s ran and is reported as not started", path)
+				content, isAnswered := answered.Load(path)
+				assert.Check(t, !isAnswered || content == path, "%s got the response %q", path, content)
 			}
 		})
 	}
