--- a/place/core.go
+++ b/place/core.go
@@ -77,6 +77,8 @@
 	isMoved bool
 	// hedgeAt is when a hedge is due, or the zero time.
 	hedgeAt time.Time
+	// isRetryPaid is true while the request waits for a retry that the budget has paid.
+	isRetryPaid bool
 }
 
 // attemptState is the state of an attempt until its end is reported.
@@ -98,8 +100,9 @@
 	// It is higher than maxAttempts, because an attempt of an export resumes where
 	// the previous one ended.
 	maxExportAttempts = 8
-	// retryReserve is the initial retry budget, in retries. Without it a service
-	// with few requests could not retry.
+	// retryReserve is the initial retry budget of a service, in retries, which the
+	// hosts of the configuration share; each of them has at least one. Without it a
+	// service with few requests could not retry.
 	retryReserve = 10
 	// reportMargin is how long after its deadline the end of an attempt may be
 	// reported. After that the upstream has ended the request by its own clock. A
@@ -207,11 +210,20 @@
 		c.ledger.BlockUntil(event.BusyUntil)
 	}
 	c.shiftBudgets.SetCaps(event.Deployment)
+	reserve := c.retryShare()
+	if event.IsRestart {
+		reserve = 0
+	}
 	for _, service := range event.Deployment.Services() {
-		c.adoptService(service, isFirst)
+		c.adoptService(service, isFirst, reserve)
 	}
 }
 
+// retryShare returns the share of retryReserve that this host has.
+func (c *Core) retryShare() int {
+	return max(1, retryReserve/max(1, len(c.deployment.Hosts())))
+}
+
 // assign computes the slot assignment of a revision.
 func (c *Core) assign(deployment *model.Deployment) {
 	if c.assignment == nil {
@@ -221,16 +233,16 @@
 	c.assignment = c.assignment.ForRevision(deployment)
 }
 
-// adoptService adds or updates a service and its endpoints. Endpoints of the
-// first revision have their full weight, without a slow start: the host is new,
-// the endpoints are not.
-func (c *Core) adoptService(service model.Service, isFirst bool) {
+// adoptService adds or updates a service and its endpoints. A new service starts with a
+// budget of reserve retries. Endpoints of the first revision have their full weight,
+// without a slow start: the host is new, the endpoints are not.
+func (c *Core) adoptService(service model.Service, isFirst bool, reserve int) {
 	state := c.services[service.Name()]
 	if state == nil {
 		state = &serviceState{
 			queue:   admit.NewQueue[RequestID](service.QueueLimit()),
 			hedges:  score.NewBudget(score.HedgePercent, 0),
-			retries: score.NewBudget(score.RetryPercent, retryReserve),
+			retries: score.NewBudget(score.RetryPercent, reserve),
 		}
 		c.services[service.Name()] = state
 		c.serviceNames = append(c.serviceNames, service.Name())
--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -81,7 +81,8 @@
 	// Dial opens connections.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// ProgressTimeout is the time without a byte after which a body counts as
-	// stalled. For a read it also bounds each write and the wait for the header.
+	// stalled. For a read it also bounds each write and the wait for the header. It
+	// does not apply to submits, which only the context of Do bounds.
 	ProgressTimeout time.Duration
 	// IdleTimeout and MaxAge bound the idle time and the age of a connection. They
 	// make it rare that a request gets a connection that stalled while it was idle.
@@ -156,8 +157,9 @@
 
 // send sends a request. Without an error, the body of the response calls cancel.
 func (c *Client) send(ctx context.Context, cancel context.CancelCauseFunc, request Request) (*Response, error) {
-	attempt := &attempt{deadline: request.Deadline, maxAge: c.options.MaxAge}
-	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, attempt.trace()), request)
+	attempt := newAttempt(request.Deadline, c.options.MaxAge)
+	defer close(attempt.judged)
+	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, attempt.trace(ctx)), request)
 	if err != nil {
 		return nil, fmt.Errorf("make upstream request: %w", err)
 	}
@@ -165,6 +167,11 @@
 	if err != nil {
 		return nil, c.classifyError(ctx, attempt, request.Class, err)
 	}
+	if attempt.isUnwritten() {
+		_ = response.Body.Close()
+		attempt.closeConnections()
+		return nil, &NotStartedError{reason: "the connection has a response to another request"}
+	}
 	leaving := response.Header.Get(LeavingHeader) == "true"
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(NotStartedHeader) == "true" {
 		_ = response.Body.Close()
@@ -187,12 +194,12 @@
 }
 
 // wrapBody returns the body of a response with a progress timeout, and paces it if
-// the request is an export. The timeout of a submit is the time until its deadline;
-// see headerTimeout.
+// the request is an export. The body of a submit has no timeout but that of ctx: its
+// response is stored even if it is late; see headerTimeout.
 func (c *Client) wrapBody(ctx context.Context, cancel context.CancelCauseFunc, inner io.ReadCloser, request Request) io.ReadCloser {
 	timeout := c.options.ProgressTimeout
 	if request.Class == model.Submit {
-		timeout = time.Until(request.Deadline)
+		timeout = 0
 	}
 	wrapped := newProgressBody(ctx, inner, timeout, func(cause error) {
 		cancel(cause)
