Take only the response to a transaction for its commit

A submit could run twice, or be refused as notRun while its row stays claimed.

Cause: any 200 response to a transaction counted as its commit, and any row in the response to a read as the row of the key. A second copy of another response, or a 200 of something between host and platform, confirmed a claim that the store never saw.

Change: a commit counts only with the version that each of its writes makes, and a row only with its key. Any other response leaves the result unknown, which the register settles by reading the row back, as after a lost response. A copy of the response to another transaction of as many writes on the same versions can still not be told from it.

--- a/store/client.go
+++ b/store/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,6 +63,9 @@
 	if err := c.call(ctx, http.MethodGet, "/table/"+url.PathEscape(key), nil, &row); err != nil {
 		return Row{}, fmt.Errorf("get row %q: %w", key, err)
 	}
+	if row.Key != key {
+		return Row{}, fmt.Errorf("get row %q: response has row %q", key, row.Key)
+	}
 	return row, nil
 }
 
@@ -85,9 +89,18 @@
 	if err := c.call(ctx, http.MethodPost, "/transactions", body, &result); err != nil {
 		return nil, fmt.Errorf("commit %d writes: %w", len(writes), err)
 	}
+	if !confirms(result.Versions, writes) {
+		return nil, fmt.Errorf("commit %d writes: response has the versions %v", len(writes), result.Versions)
+	}
 	return result.Versions, nil
 }
 
+// confirms reports whether the versions of a response are those that the writes make. The
+// response to another call has none.
+func confirms(versions []uint64, writes []Write) bool {
+	return slices.EqualFunc(versions, writes, func(version uint64, write Write) bool { return version == write.IfVersion+1 })
+}
+
 // PutObject stores an object under a new name, or returns ErrExists.
 func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
 	if err := c.call(ctx, http.MethodPut, "/objects/"+url.PathEscape(name), body, nil); err != nil {
