Tell requests that no endpoint got from those that were given up

A caller's retries were rejected for lack of credit for up to two minutes, and an endpoint was passed over as silent, although nothing of a request was on its way to it.

Cause: a 421, which another endpoint at the address answers, and a request that was not sent because its caller left while the host connected, had the result of a request whose caller left after it was sent.

Evidence: TestMisdirectedRetryHasArrived failed with "1 (int) != 0 (int): an answered retry is taken for one that may still arrive", TestRetryThatWasNotSentIsNotHeld with "isHeldRetry() is true".

Both have a result of their own now, undelivered, which says nothing of the endpoint and holds nothing.

--- a/proxy/next_action.go
+++ b/proxy/next_action.go
@@ -65,7 +65,10 @@
 func classify(response *conns.Response, header platform.ResponseHeader, err error, isCancelled bool) attemptOutcome {
 	outcome := attemptOutcome{response: response, responseHeader: header, err: err}
 	var incomplete *conns.IncompleteError
+	var notSent *conns.NotSentError
 	switch {
+	case isCancelled && errors.As(err, &notSent):
+		outcome.result = steer.Undelivered
 	case isCancelled:
 		outcome.result = steer.Abandoned
 	case errors.As(err, &incomplete) && incomplete.IsTimeout():
@@ -73,7 +76,7 @@
 	case err != nil:
 		outcome.result = steer.Unreachable
 	case header.IsMisdirected:
-		outcome.result, outcome.isEndpointGone = steer.Abandoned, true
+		outcome.result, outcome.isEndpointGone = steer.Undelivered, true
 	case header.IsOverloaded:
 		outcome.result = steer.Overloaded
 	case response.Status >= http.StatusInternalServerError, isInvalid(response, header):
--- a/steer/result.go
+++ b/steer/result.go
@@ -22,9 +22,12 @@
 	Unreachable
 	// TimedOut means that no response arrived before the timeout.
 	TimedOut
-	// Abandoned means that the caller disconnected; it is no evidence about the
-	// endpoint.
+	// Abandoned means that the request was given up after it was sent, because the caller
+	// disconnected; it is no evidence about the endpoint.
 	Abandoned
+	// Undelivered means that the endpoint did not get the request: the caller left before
+	// it was sent, or another endpoint answered at the address.
+	Undelivered
 )
 
 // String returns the text form for logs and metrics.
@@ -42,6 +45,8 @@
 		return "silent"
 	case Abandoned:
 		return "abandoned"
+	case Undelivered:
+		return "undelivered"
 	}
 	return "unknown"
 }
@@ -78,7 +83,7 @@
 		target.recordAnswer(now)
 	case TimedOut, Abandoned:
 		target.recordSilence(now.Add(-outcome.Elapsed))
-	case Unreachable:
+	case Unreachable, Undelivered:
 	}
 	switch outcome.Result {
 	case Answered:
@@ -97,7 +102,7 @@
 	case TimedOut:
 		target.countResult(true, now)
 		target.recordTimeRatio(float64(outcome.Elapsed)/float64(state.median()), now)
-	case Abandoned:
+	case Abandoned, Undelivered:
 	}
 	if outcome.HasLoad {
 		target.applyLoadReport(outcome.Busy, now)
