End the silence of an endpoint when nothing can arrive any more

Requests were not retried at a sound endpoint an hour after one caller had left while it worked, if the objects of the host prefer another endpoint since.

The silence now ends after the time for which a request may be held, two minutes, which the count of unanswered retries uses as well.

--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -8,16 +8,12 @@
 	"filberthold/steer"
 )
 
-// maxHoldTime is how long after its end a retry that got no answer may still arrive at its
-// endpoint, which is stopped or behind a link that holds bytes.
-const maxHoldTime = 2 * time.Minute
-
 // unansweredRetry is a retry that has ended without an answer. It may still arrive, at the
 // same time as others, so it takes the place of the credit of one.
 type unansweredRetry struct {
 	endpoint model.EndpointName
 	sentAt   time.Time
-	// until is the end of maxHoldTime.
+	// until is the time from which the retry can no longer arrive.
 	until time.Time
 }
 
@@ -54,7 +50,7 @@
 		return hasArrived || !now.Before(retry.until)
 	})
 	if attempt.isHeldRetry() {
-		unanswered = append(unanswered, unansweredRetry{endpoint: attempt.endpoint, sentAt: attempt.sentAt, until: now.Add(maxHoldTime)})
+		unanswered = append(unanswered, unansweredRetry{endpoint: attempt.endpoint, sentAt: attempt.sentAt, until: now.Add(steer.MaxHoldTime)})
 	}
 	c.unanswered[service] = unanswered
 	if len(unanswered) != before {
--- a/proxy/unanswered_test.go
+++ b/proxy/unanswered_test.go
@@ -22,7 +22,7 @@
 			core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.Answered, sentAt: time.Now()})
 		},
 		"the time to arrive has passed": func(core *Core) {
-			time.Sleep(maxHoldTime)
+			time.Sleep(steer.MaxHoldTime)
 			core.recordRetries("s", attemptEnd{endpoint: "i-2", result: steer.Answered, sentAt: time.Now()})
 		},
 	} {
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -72,9 +72,9 @@
 	suspectUntil     time.Time
 	// answeredAt is when the endpoint last answered a request of this host.
 	answeredAt time.Time
-	// isSilent is true if a request has ended without an answer, and the endpoint has
-	// answered none since that one was sent.
-	isSilent bool
+	// silentUntil is the time until which requests may still arrive that ended without an
+	// answer. It is zero if the endpoint has answered one that was sent after them.
+	silentUntil time.Time
 }
 
 func newEndpoint(registered roster.Endpoint) *endpoint {
@@ -151,17 +151,25 @@
 }
 
 // recordAnswer records that the endpoint answered a request.
-func (e *endpoint) recordAnswer(now time.Time) { e.answeredAt, e.isSilent = now, false }
+func (e *endpoint) recordAnswer(now time.Time) { e.answeredAt, e.silentUntil = now, time.Time{} }
+
+// MaxHoldTime is how long after its end a request that got no answer may still arrive at
+// its endpoint, which is stopped or behind a link that holds bytes.
+const MaxHoldTime = 2 * time.Minute
 
 // recordSilence records that a request that was sent at a time ended without an answer.
-func (e *endpoint) recordSilence(sentAt time.Time) {
-	e.isSilent = e.isSilent || !e.answeredAt.After(sentAt)
+func (e *endpoint) recordSilence(sentAt, now time.Time) {
+	if !e.answeredAt.After(sentAt) {
+		e.silentUntil = now.Add(MaxHoldTime)
+	}
 }
 
 // mayHold reports whether the endpoint, or the link to it, may hold a request for long
 // before it arrives. Retries that are held would arrive at once, although the retry limit
 // allows them over a longer time.
-func (e *endpoint) mayHold(query Query) bool { return e.isSilent && len(query.Tried) > 0 }
+func (e *endpoint) mayHold(query Query, now time.Time) bool {
+	return len(query.Tried) > 0 && now.Before(e.silentUntil)
+}
 
 func (e *endpoint) isCold(now time.Time) bool { return now.Before(e.coldUntil) }
 
--- a/steer/result.go
+++ b/steer/result.go
@@ -82,7 +82,7 @@
 	case Answered, Failed, Overloaded:
 		target.recordAnswer(now)
 	case TimedOut, Abandoned:
-		target.recordSilence(now.Add(-outcome.Elapsed))
+		target.recordSilence(now.Add(-outcome.Elapsed), now)
 	case Unreachable, Undelivered:
 	}
 	switch outcome.Result {
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -291,7 +291,7 @@
 			break
 		}
 		// The objects of an unavailable endpoint use the next one in the ranking.
-		if candidate.isAvailable(now) && !candidate.mayHold(query) {
+		if candidate.isAvailable(now) && !candidate.mayHold(query, now) {
 			available++
 		}
 		if !s.mayUse(candidate, query, now) {
@@ -312,7 +312,7 @@
 }
 
 func (s *Selector) mayUse(candidate *endpoint, query Query, now time.Time) bool {
-	if slices.Contains(query.Tried, candidate.name) || candidate.mayHold(query) || candidate.isSuspect(now) || candidate.rate.isDeferred(now) || candidate.spare.isHeld(now) {
+	if slices.Contains(query.Tried, candidate.name) || candidate.mayHold(query, now) || candidate.isSuspect(now) || candidate.rate.isDeferred(now) || candidate.spare.isHeld(now) {
 		return false
 	}
 	if candidate.isCold(now) {
