Keep earned retries while the number of held ones changes

Where hosts outnumber the slack of the retry limit, a host lost the credit of its requests each time that a retry ended without an answer or that its endpoint answered again.

Cause: each change of the number of held retries limited the burst again, and limiting to no burst drops all credit, also when it was none before.

Evidence: TestRetryWithoutAnswerLeavesEarnedCredit (680 hosts) failed with "the earned retry is lost because an earlier one has arrived".

The burst is limited again only if it changes.

--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -53,7 +53,8 @@
 		unanswered = append(unanswered, unansweredRetry{endpoint: attempt.endpoint, sentAt: attempt.sentAt, until: now.Add(steer.MaxHoldTime)})
 	}
 	c.unanswered[service] = unanswered
-	if len(unanswered) != before {
+	// Without a burst, limiting it again would drop the credit of requests since.
+	if c.freeBurst(before, now) != c.freeBurst(len(unanswered), now) {
 		c.limitBurst(service, now)
 	}
 }
@@ -62,6 +63,12 @@
 // without the retries that may still arrive.
 func (c *Core) limitBurst(service model.ServiceName, now time.Time) {
 	if budget := c.budgets[service]; budget != nil {
-		budget.LimitBurst(max(0, c.retryBurst(now)-len(c.unanswered[service])))
+		budget.LimitBurst(c.freeBurst(len(c.unanswered[service]), now))
 	}
 }
+
+// freeBurst returns what this host may accumulate while a number of retries may still
+// arrive.
+func (c *Core) freeBurst(unanswered int, now time.Time) int {
+	return max(0, c.retryBurst(now)-unanswered)
+}
