Blame no endpoint for a body that its caller broke off

Other callers were refused with 503 for seconds after one caller's long body had broken off or had an invalid chunk.

Cause: the host closes the connection to the endpoint, so that a part does not look complete, and took the error for a connection that the endpoint broke. A sound endpoint was avoided for 1 to 4 s, and its idle connections were closed.

The sender of a body now distinguishes an error of its source from one of the connection, and such an attempt counts as abandoned, which says nothing of the endpoint.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -154,6 +154,8 @@
 	isReused bool
 	// isTimeout is true if the deadline passed before the response was read.
 	isTimeout bool
+	// isSourceBroken is true if the Stream of the request broke off.
+	isSourceBroken bool
 }
 
 // Error implements error.
@@ -168,6 +170,10 @@
 // IsTimeout reports whether the deadline passed before the response was read.
 func (e *IncompleteError) IsTimeout() bool { return e.isTimeout }
 
+// IsSourceBroken reports whether the Stream of the request broke off, so that it could not
+// be sent whole.
+func (e *IncompleteError) IsSourceBroken() bool { return e.isSourceBroken }
+
 // Exchange sends a request and reads its response. A NotSentError proves that
 // nothing was sent. After an IncompleteError the request may have run. The
 // connection is closed if ctx ends. The connection of a request without a complete response
@@ -248,7 +254,10 @@
 	response, err := readResponse(conn, request, kept)
 	if err != nil {
 		kept.Release()
-		return nil, &IncompleteError{cause: err, isReused: conn.isReused, isTimeout: isTimeout(err)}
+		sourceErr := bodyWriter.brokenSource()
+		return nil, &IncompleteError{
+			cause: errors.Join(err, sourceErr), isReused: conn.isReused, isTimeout: isTimeout(err), isSourceBroken: sourceErr != nil,
+		}
 	}
 	if bodyWriter != nil {
 		response.bodyWriter, response.conn = bodyWriter, conn
--- a/conns/stream.go
+++ b/conns/stream.go
@@ -14,8 +14,9 @@
 	request Request
 	// done is closed when the body is sent, or cannot be.
 	done chan struct{}
-	// err is set before done is closed.
-	err error
+	// err and sourceErr are set before done is closed. sourceErr is the error of the
+	// request's Stream, or nil.
+	err, sourceErr error
 }
 
 func newBodyWriter(conn *connection, request Request) *bodyWriter {
@@ -26,12 +27,36 @@
 // does not treat a part as the complete body, and the response reader gets an
 // error.
 func (b *bodyWriter) run() {
-	defer close(b.done)
-	if b.err = b.copyBody(); b.err != nil {
+	b.err = b.copyBody()
+	close(b.done)
+	if b.err != nil {
 		_ = b.conn.Close()
 	}
 }
 
+// brokenSource returns the error of the request's Stream if that has ended the body.
+func (b *bodyWriter) brokenSource() error {
+	if b == nil {
+		return nil
+	}
+	select {
+	case <-b.done:
+		return b.sourceErr
+	default:
+		return nil
+	}
+}
+
+// Read reads from the request's Stream.
+func (b *bodyWriter) Read(buffer []byte) (int, error) {
+	count, err := b.request.Stream.Read(buffer)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.sourceErr = err
+	}
+	// The error is not wrapped: io.Copy compares it with io.EOF.
+	return count, err
+}
+
 // wait waits until the body is sent, or cannot be.
 func (b *bodyWriter) wait() error {
 	<-b.done
@@ -40,7 +65,7 @@
 
 func (b *bodyWriter) copyBody() error {
 	if b.request.Length >= 0 {
-		copied, err := io.Copy(b.conn, b.request.Stream)
+		copied, err := io.Copy(b.conn, io.Reader(b))
 		if err == nil && copied < b.request.Length {
 			err = io.ErrUnexpectedEOF
 		}
@@ -56,7 +81,7 @@
 func (b *bodyWriter) copyChunks() error {
 	buffer := make([]byte, 16<<10)
 	for {
-		count, err := b.request.Stream.Read(buffer)
+		count, err := b.Read(buffer)
 		if count > 0 {
 			chunk := strconv.FormatInt(int64(count), 16) + "\r\n" + string(buffer[:count]) + "\r\n"
 			if _, writeErr := io.WriteString(b.conn, chunk); writeErr != nil {
--- a/proxy/next_action.go
+++ b/proxy/next_action.go
@@ -73,6 +73,8 @@
 		outcome.result = steer.Abandoned
 	case errors.As(err, &incomplete) && incomplete.IsTimeout():
 		outcome.result = steer.TimedOut
+	case errors.As(err, &incomplete) && incomplete.IsSourceBroken():
+		outcome.result = steer.Abandoned
 	case err != nil:
 		outcome.result = steer.Unreachable
 	case header.IsMisdirected:
--- a/steer/result.go
+++ b/steer/result.go
@@ -22,8 +22,8 @@
 	Unreachable
 	// TimedOut means that no response arrived before the timeout.
 	TimedOut
-	// Abandoned means that the request was given up after it was sent, because the caller
-	// disconnected; it is no evidence about the endpoint.
+	// Abandoned means that the request was given up while it was sent or after, because its
+	// caller disconnected or its body broke off; it is no evidence about the endpoint.
 	Abandoned
 	// Undelivered means that the endpoint did not get the request: the caller left before
 	// it was sent, or another endpoint answered at the address.
