Take the deadline of a streamed body for a timeout

An attempt whose endpoint does not read a long body ended at its deadline as a broken connection in some runs: its caller got 502 in place of 504, and the endpoint was avoided as unreachable.

Cause: the write and the read end at the same deadline. Where the write ended first, its goroutine closed the connection, and the reader got the error of a closed connection.

The sender leaves the connection to the reader at the deadline.

--- a/conns/stream.go
+++ b/conns/stream.go
@@ -25,11 +25,11 @@
 
 // run sends the body. After an error it closes the connection: the endpoint then
 // does not treat a part as the complete body, and the response reader gets an
-// error.
+// error. At the deadline, that reader ends by itself.
 func (b *bodyWriter) run() {
 	b.err = b.copyBody()
 	close(b.done)
-	if b.err != nil {
+	if b.err != nil && !isTimeout(b.err) {
 		_ = b.conn.Close()
 	}
 }
