--- a/soak/client.go
+++ b/soak/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"filberthold/platform"
 	"filberthold/platform/fake"
 )
 
@@ -48,6 +49,8 @@
 	body          string
 	attempt       string
 	hasRetryAfter bool
+	// isSigned is true if the response has an endpoint's signature.
+	isSigned bool
 	// hasExtraBytes is true if more bytes than the response arrived.
 	hasExtraBytes bool
 	elapsed       time.Duration
@@ -107,8 +110,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	header := platform.ParseResponseHeader(response.StatusCode, response.Header)
 	result := callResult{
-		status: response.StatusCode, body: string(body), attempt: fake.AttemptOf(response),
+		status: response.StatusCode, body: string(body), attempt: header.AttemptID, isSigned: header.IsSigned,
 		hasRetryAfter: response.Header.Get("Retry-After") != "", hasExtraBytes: c.reader.Buffered() > 0,
 	}
 	if err != nil {
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -73,6 +73,8 @@
 	plans   io.WriteCloser
 	// ended is closed when the current process has ended and its events are recorded.
 	ended chan struct{}
+	// endErr tells how the last process ended.
+	endErr error
 }
 
 func newEndpointProcess(options Options, record *fake.Endpoint, address string) *endpointProcess {
@@ -110,20 +112,22 @@
 	p.record.SetAddress(started.Address)
 	go func() {
 		defer close(ended)
-		p.readEvents(lines)
-		// A process that was killed ends with an error.
-		_ = command.Wait()
+		readErr := p.readEvents(lines)
+		waitErr := command.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.endErr = errors.Join(readErr, waitErr)
 	}()
 	return nil
 }
 
 // readEvents records events until the process ends. A line that the end of the process cut
 // off is of a request that had no effect yet.
-func (p *endpointProcess) readEvents(lines *json.Decoder) {
+func (p *endpointProcess) readEvents(lines *json.Decoder) error {
 	for {
 		var event fake.Event
 		if err := lines.Decode(&event); err != nil {
-			return
+			return fmt.Errorf("read event: %w", err)
 		}
 		p.record.Record(event)
 	}
@@ -142,7 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.command.Process.Signal(signal); err != nil {
-		return fmt.Errorf("signal endpoint on %s: %w", p.address, err)
+		return fmt.Errorf("signal endpoint on %s: %w", p.address, errors.Join(err, p.endErr))
 	}
 	return nil
 }
