End an interrupted soak at once

A fault of up to 60 s went on when the soak was interrupted, and a signal to all processes of a terminal ended the endpoints before the soak could end its hosts. Faults now end with the interruption, and the process of an endpoint only with its input.

--- a/cmds/soak_endpoint.go
+++ b/cmds/soak_endpoint.go
@@ -16,7 +16,7 @@
 		Hidden: true,
 		Args:   cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return soak.RunEndpoint(command.Context(), address, command.InOrStdin(), command.OutOrStdout())
+			return soak.RunEndpoint(address, command.InOrStdin(), command.OutOrStdout())
 		},
 	}
 	command.Flags().StringVar(&address, "address", "127.0.0.1:0", "IP address and TCP port")
--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,10 +21,10 @@
 	Address string `json:"address"`
 }
 
-// RunEndpoint runs an endpoint on an address. It reads plans, one a line, and ends at the end
-// of the input, so that the process ends with the soak that started it. It writes the
-// address on which it listens and then a line for each event.
-func RunEndpoint(ctx context.Context, address string, in io.Reader, out io.Writer) error {
+// RunEndpoint runs an endpoint on an address. It reads plans, one a line, and ends only at
+// the end of the input: with the soak that started it, and not by a signal to all processes
+// of a terminal. It writes the address on which it listens and then a line for each event.
+func RunEndpoint(address string, in io.Reader, out io.Writer) error {
 	plans := json.NewDecoder(in)
 	var plan fake.Plan
 	if err := plans.Decode(&plan); err != nil {
@@ -48,7 +47,7 @@
 		_ = lines.Encode(event)
 	})
 	go endpoint.Run()
-	for ctx.Err() == nil {
+	for {
 		if err := plans.Decode(&plan); err != nil {
 			if errors.Is(err, io.EOF) {
 				return nil
@@ -57,7 +56,6 @@
 		}
 		endpoint.Apply(plan)
 	}
-	return nil
 }
 
 // endpointProcess runs an endpoint as a process, which can be paused, killed and started
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,36 +32,36 @@
 		}
 	}
 	return []fault{
-		{"kill", onHost(func(_ *testbed, host *hostProcess, duration time.Duration) error {
+		{"kill", onHost(func(b *testbed, host *hostProcess, duration time.Duration) error {
 			if err := host.kill(); err != nil {
 				return err
 			}
-			time.Sleep(duration)
+			b.sleep(duration)
 			return host.start()
 		})},
-		{"stop", onHost(func(_ *testbed, host *hostProcess, duration time.Duration) error {
+		{"stop", onHost(func(b *testbed, host *hostProcess, duration time.Duration) error {
 			if err := host.stop(); err != nil {
 				return err
 			}
-			time.Sleep(duration)
+			b.sleep(duration)
 			return host.start()
 		})},
-		{"pause", onHost(func(_ *testbed, host *hostProcess, duration time.Duration) error {
+		{"pause", onHost(func(b *testbed, host *hostProcess, duration time.Duration) error {
 			if err := host.signal(syscall.SIGSTOP); err != nil {
 				return err
 			}
-			time.Sleep(duration)
+			b.sleep(duration)
 			return host.signal(syscall.SIGCONT)
 		})},
 		{"reload", onHost(func(_ *testbed, host *hostProcess, _ time.Duration) error { return host.signal(syscall.SIGHUP) })},
 		{"refusedByStore", onHost(func(b *testbed, host *hostProcess, duration time.Duration) error {
 			b.store.SetRefused(host.settings.IP, true)
-			time.Sleep(duration)
+			b.sleep(duration)
 			b.store.SetRefused(host.settings.IP, false)
 			return nil
 		})},
 		{"storeLink", func(b *testbed, random *rand.Rand, _ int, duration time.Duration) {
-			injectProxyFault(b.storeProxy, random, duration)
+			b.injectProxyFault(b.storeProxy, random, duration)
 		}},
 		{"storeHistory", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) { b.store.DropHistory() }},
 		{"configuration", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) {
@@ -71,7 +71,7 @@
 			b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(version))
 		}},
 		{"endpointLink", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
-			injectProxyFault(b.endpointProxies[targetIndex%len(b.endpointProxies)], random, duration)
+			b.injectProxyFault(b.endpointProxies[targetIndex%len(b.endpointProxies)], random, duration)
 		}},
 		{"hold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.injectHold(b.endpointProxies[targetIndex%len(b.endpointProxies)], random)
@@ -90,13 +90,13 @@
 			index := targetIndex % len(b.endpoints)
 			next := drawMisbehaviour(random)
 			b.setEndpoint(index, next.apply)
-			time.Sleep(duration)
+			b.sleep(duration)
 			b.setEndpoint(index, misbehaviour{behaviours: []fake.Behaviour{fake.Serve}}.apply)
 		}},
 		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
-			time.Sleep(duration)
+			b.sleep(duration)
 			b.setEndpoint(index, (*fake.Endpoint).Restart)
 			b.writeEntry(index, 1)
 		}},
@@ -106,7 +106,7 @@
 				endpoint.SetRetryAfter(fmt.Sprintf("%.2f", randomBetween(random, 0, maxSpare).Seconds()))
 				endpoint.SetBehaviour(fake.Shed)
 			})
-			time.Sleep(duration)
+			b.sleep(duration)
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) {
 				endpoint.SetBehaviour(fake.Serve)
 				endpoint.SetRetryAfter("")
@@ -126,9 +126,9 @@
 	maxHold = 60 * time.Second
 )
 
-func injectProxyFault(proxy *faultProxy, random *rand.Rand, duration time.Duration) {
+func (b *testbed) injectProxyFault(proxy *faultProxy, random *rand.Rand, duration time.Duration) {
 	modes := []mode{slow, blackhole, dropResponses, reset, resetResponse, byteByByte, late, resetAfter}
-	injectCondition(proxy, condition{
+	b.injectCondition(proxy, condition{
 		mode:  modes[random.IntN(len(modes))],
 		delay: randomBetween(random, minHold, duration+minHold),
 		bytes: 1 + random.IntN(maxBytesBeforeReset),
@@ -143,7 +143,7 @@
 func (b *testbed) injectHold(proxy *faultProxy, random *rand.Rand) {
 	modes := []mode{holdRequests, holdResponses, holdAll}
 	next := condition{mode: modes[random.IntN(len(modes))]}
-	injectCondition(proxy, next, randomHold(random, b.options.Duration/2))
+	b.injectCondition(proxy, next, randomHold(random, b.options.Duration/2))
 }
 
 // randomHold draws a time so that all orders of magnitude are equally frequent. It is at
@@ -153,10 +153,10 @@
 	return time.Duration(float64(minHold) * math.Pow(float64(longest)/float64(minHold), random.Float64()))
 }
 
-func injectCondition(proxy *faultProxy, next condition, duration time.Duration) {
+func (b *testbed) injectCondition(proxy *faultProxy, next condition, duration time.Duration) {
 	startedAt := time.Now()
 	proxy.setCondition(next)
-	time.Sleep(duration)
+	b.sleep(duration)
 	proxy.setMode(pass)
 	proxy.recordFault(startedAt)
 }
@@ -168,7 +168,7 @@
 	if err := b.processes[index].signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
-	time.Sleep(duration)
+	b.sleep(duration)
 	return b.processes[index].signal(syscall.SIGCONT)
 }
 
@@ -189,7 +189,7 @@
 	if newID != oldID && isRemovedFirst {
 		b.store.Remove(platform.EndpointTable, oldID)
 	}
-	time.Sleep(duration)
+	b.sleep(duration)
 	b.endpoints[index].Rename(newID)
 	if err := b.processes[index].start(); err != nil {
 		return err
@@ -201,6 +201,14 @@
 	return nil
 }
 
+// sleep waits for a time, or until the soak is interrupted.
+func (b *testbed) sleep(duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-b.interrupted:
+	}
+}
+
 // injectFaults starts random faults at random times until the duration of the
 // soak has passed.
 func (b *testbed) injectFaults(ctx context.Context) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -85,6 +85,8 @@
 	// processes run the endpoints. It is empty if they run in this process.
 	processes []*endpointProcess
 	hosts     []*hostProcess
+	// interrupted is closed when the soak must end before its time.
+	interrupted <-chan struct{}
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
@@ -97,7 +99,7 @@
 	if options.EndpointProgram == "" {
 		options.EndpointProgram = options.Program
 	}
-	b := &testbed{options: options, store: fake.NewStore(), report: Report{
+	b := &testbed{options: options, interrupted: ctx.Done(), store: fake.NewStore(), report: Report{
 		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int),
 	}}
 	server := httptest.NewServer(b.store)
