--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -22,10 +21,10 @@
 	Address string `json:"address"`
 }
 
-// RunEndpoint runs an endpoint on an address. It reads plans, one a line, and ends at the end
-// of the input, so that the process ends with the soak that started it. It writes the
-// address on which it listens and then a line for each event.
-func RunEndpoint(ctx context.Context, address string, in io.Reader, out io.Writer) error {
+// RunEndpoint runs an endpoint on an address. It reads plans, one a line, and ends only at
+// the end of the input: with the soak that started it, and not by a signal to all processes
+// of a terminal. It writes the address on which it listens and then a line for each event.
+func RunEndpoint(address string, in io.Reader, out io.Writer) error {
 	plans := json.NewDecoder(in)
 	var plan fake.Plan
 	if err := plans.Decode(&plan); err != nil {
@@ -48,7 +47,7 @@
 		_ = lines.Encode(event)
 	})
 	go endpoint.Run()
-	for ctx.Err() == nil {
+	for {
 		if err := plans.Decode(&plan); err != nil {
 			if errors.Is(err, io.EOF) {
 				return nil
@@ -57,7 +56,6 @@
 		}
 		endpoint.Apply(plan)
 	}
-	return nil
 }
 
 // endpointProcess runs an endpoint as a process, which can be paused, killed and started
@@ -73,6 +71,8 @@
 	plans   io.WriteCloser
 	// ended is closed when the current process has ended and its events are recorded.
 	ended chan struct{}
+	// endErr tells how the last process ended.
+	endErr error
 }
 
 func newEndpointProcess(options Options, record *fake.Endpoint, address string) *endpointProcess {
@@ -110,20 +110,22 @@
 	p.record.SetAddress(started.Address)
 	go func() {
 		defer close(ended)
-		p.readEvents(lines)
-		// A process that was killed ends with an error.
-		_ = command.Wait()
+		readErr := p.readEvents(lines)
+		waitErr := command.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.endErr = errors.Join(readErr, waitErr)
 	}()
 	return nil
 }
 
 // readEvents records events until the process ends. A line that the end of the process cut
 // off is of a request that had no effect yet.
-func (p *endpointProcess) readEvents(lines *json.Decoder) {
+func (p *endpointProcess) readEvents(lines *json.Decoder) error {
 	for {
 		var event fake.Event
 		if err := lines.Decode(&event); err != nil {
-			return
+			return fmt.Errorf("read event: %w", err)
 		}
 		p.record.Record(event)
 	}
@@ -142,7 +144,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.command.Process.Signal(signal); err != nil {
-		return fmt.Errorf("signal endpoint on %s: %w", p.address, err)
+		return fmt.Errorf("signal endpoint on %s: %w", p.address, errors.Join(err, p.endErr))
 	}
 	return nil
 }
