--- a/conns/given_up_test.go
+++ b/conns/given_up_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -119,3 +120,34 @@
 		})
 	}
 }
+
+// Guards against a body whose end is dropped when the connection of a long response is
+// closed: the endpoint sent the whole response before it read the body.
+func TestBodyArrivesAfterLongEarlyResponse(t *testing.T) {
+	const responseBytes = 2 * maxBufferedBody
+	listener := listenSlowly(t)
+	target := netip.MustParseAddrPort(listener.Addr().String())
+	received := make(chan int64, 1)
+	closed := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", responseBytes)
+		_, _ = conn.Write(make([]byte, responseBytes))
+		<-closed
+		count, _ := io.Copy(io.Discard, request.Body)
+		received <- count
+	}()
+	response, err := NewPool(nil).Exchange(t.Context(), target, slowRequest(5*time.Second))
+	assert.NilError(t, err)
+	assert.NilError(t, response.CopyTo(io.Discard))
+	assert.NilError(t, response.Close())
+	close(closed)
+	assert.Equal(t, <-received, int64(givenUpBody))
+}
