Start the processes of the soak in groups of their own

No host had a fault.

Cause: the shell that had started the soak ended while an endpoint was paused. When a process group loses its last parent outside and has a stopped member, the system sends SIGHUP to all of it, and the endpoints end by that.

TestProcessesLeadTheirOwnGroups fails without the change.

Hosts and endpoints lead process groups of their own now, whose parent is the soak.

--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -84,6 +84,7 @@
 func (p *endpointProcess) start() error {
 	command := exec.Command(p.program, EndpointCommand, "--address", p.address)
 	command.Stderr = p.output
+	command.SysProcAttr = ownGroup()
 	plans, err := command.StdinPipe()
 	if err != nil {
 		return fmt.Errorf("start endpoint: %w", err)
--- a/soak/host.go
+++ b/soak/host.go
@@ -56,12 +56,18 @@
 	return &hostProcess{program: options.Program, settings: settings, path: path, output: options.Log}, nil
 }
 
+// ownGroup lets a process lead a process group of its own. The system sends SIGHUP to all
+// processes of a group that has a paused one and loses its last parent outside, which may
+// be the shell of the soak.
+func ownGroup() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setpgid: true} }
+
 func (h *hostProcess) start() error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	command := exec.Command(h.program, "serve")
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.path)
 	command.Stdout, command.Stderr = h.output, h.output
+	command.SysProcAttr = ownGroup()
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", h.settings.Name, err)
 	}
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"os/exec"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,3 +27,19 @@
 	host.startedAt = time.Now().Add(-startupTime)
 	assert.ErrorContains(t, host.stop(), "signal: terminated")
 }
+
+// Guards against hosts and endpoints that end by a SIGHUP while one of them is paused,
+// because the shell that started the soak has ended (seed 3704).
+func TestProcessesLeadTheirOwnGroups(t *testing.T) {
+	options := Options{Program: "testdata/ignorant.sh", Directory: t.TempDir(), Log: io.Discard}
+	host, err := newHostProcess(options, fake.HostSettings{Name: "h", IP: "127.0.0.1"})
+	assert.NilError(t, err)
+	assert.NilError(t, host.start())
+	t.Cleanup(func() { _ = host.kill() })
+	endpoint, _ := startProcess(t)
+	for _, command := range []*exec.Cmd{host.command, endpoint.command} {
+		group, err := syscall.Getpgid(command.Process.Pid)
+		assert.NilError(t, err)
+		assert.Equal(t, group, command.Process.Pid)
+	}
+}
