Test a late copy of a refusal beside the other extra responses

The test of a late copy on the product's own wire repeated the callers of TestSecondResponseIsNotReadByNextRequest. It is a case of that table now, which fails with the wait for the attempt before undone, as the separate test did.

--- a/upstrm/kept_test.go
+++ b/upstrm/kept_test.go
@@ -19,11 +19,20 @@
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nUpstream-Not-Started: true\r\nContent-Length: 0\r\n\r\n"
 
-// answeringTwice is an upstream on TCP sockets. To the first request on each connection
-// it sends two responses in one write. It runs the later requests.
+// extraResponses are what an upstream sends besides the responses to the requests that it
+// runs.
+type extraResponses struct {
+	// first are the responses to the first request on a connection, which is not run.
+	first string
+	// late comes before each later response.
+	late string
+}
+
+// answeringTwice is an upstream on TCP sockets. It sends extra responses, each in one write
+// with what follows. It runs the requests but for the first one on each connection.
 type answeringTwice struct {
 	net.Listener
-	responses   string
+	extra       extraResponses
 	connections sync.WaitGroup
 	mu          sync.Mutex
 	// ran holds the paths of the requests that were run.
@@ -43,7 +52,7 @@
 func (u *answeringTwice) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	response := u.responses
+	response := u.extra.first
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -54,7 +63,7 @@
 			u.mu.Lock()
 			u.ran[request.URL.Path] = true
 			u.mu.Unlock()
-			response = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+			response = u.extra.late + fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
 		}
 		_, _ = io.WriteString(conn, response)
 		response = ""
@@ -69,19 +78,20 @@
 		empty   = "HTTP/1.1 204 No Content\r\n\r\n"
 		content = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
 	)
-	for name, responses := range map[string]string{
-		"refused twice":            refusal + refusal,
-		"refused, then answered":   refusal + content,
-		"answered, then refused":   content + refusal,
-		"answered twice":           content + content,
-		"empty, then refused":      empty + refusal,
-		"empty, then answered":     empty + content,
-		"empty, then a part of it": empty + content[:20],
+	for name, extra := range map[string]extraResponses{
+		"refused twice":            {first: refusal + refusal},
+		"refused, then answered":   {first: refusal + content},
+		"answered, then refused":   {first: content + refusal},
+		"answered twice":           {first: content + content},
+		"empty, then refused":      {first: empty + refusal},
+		"empty, then answered":     {first: empty + content},
+		"empty, then a part of it": {first: empty + content[:20]},
+		"refused, and again late":  {first: refusal, late: refusal},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
-			upstream := &answeringTwice{Listener: listener, responses: responses, ran: make(map[string]bool)}
+			upstream := &answeringTwice{Listener: listener, extra: extra, ran: make(map[string]bool)}
 			go upstream.run()
 			client := upstrm.NewClient("a")
 			var refused, answered sync.Map
