Wait until a paused process of the soak is stopped

A request that was sent to a paused endpoint got an answer ("error is nil, not 'the caller left'").

Cause: kill(2) returns before SIGSTOP is delivered. Until a thread of the process takes the signal, the other threads run on and serve.

No product code takes part. The soak's own pauses of endpoints and hosts begin late by the same cause.

Change: after SIGSTOP, endpoints and hosts of the soak are waited for until they are stopped.

--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -144,7 +144,7 @@
 func (p *endpointProcess) signal(signal syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := p.command.Process.Signal(signal); err != nil {
+	if err := signalProcess(p.command.Process, signal); err != nil {
 		return fmt.Errorf("signal endpoint on %s: %w", p.address, errors.Join(err, p.endErr))
 	}
 	return nil
--- a/soak/endpoint_test.go
+++ b/soak/endpoint_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"os/exec"
@@ -64,6 +65,20 @@
 	}
 }
 
+// Guards against a pause that begins some time after the soak believes in it, while the
+// process still answers.
+func TestPausedEndpointAnswersNothing(t *testing.T) {
+	process, caller := startProcess(t)
+	for number := range 40 {
+		assert.Equal(t, caller.send(callOf(fmt.Sprint("a-", number))).status, 200)
+		assert.NilError(t, process.signal(syscall.SIGSTOP))
+		left := callOf(fmt.Sprint("b-", number))
+		left.patience, left.isLeaving = 20*time.Millisecond, true
+		assert.ErrorIs(t, caller.send(left).err, errLeft)
+		assert.NilError(t, process.signal(syscall.SIGCONT))
+	}
+}
+
 // Guards against a change of the plan that does not reach the process of an endpoint.
 func TestEndpointProcessAppliesPlan(t *testing.T) {
 	process, caller := startProcess(t)
--- a/soak/host.go
+++ b/soak/host.go
@@ -92,7 +92,7 @@
 		h.disturbedAt = time.Now()
 		h.interruptions = append(h.interruptions, h.disturbedAt)
 	}
-	if err := h.command.Process.Signal(signal); err != nil {
+	if err := signalProcess(h.command.Process, signal); err != nil {
 		return fmt.Errorf("signal %s: %w", h.settings.Name, err)
 	}
 	return nil
