Count retries in flight as ones that may still arrive

What callers see: retries multiply the load of a service beyond the stated limit when endpoints that have stopped go on before the deadlines of the retries that they hold.

Cause: a retry took the place of credit only from its end without an answer. Until then, its host earned the credit for another one, and both arrive in one window.

Change: a retry counts from the moment in which its credit is spent until it is answered, or is given back because it is not sent. Credit that is left after it was spent is within what remains of the burst, so nothing that was earned is lost. filberthold_retries_outstanding shows the count.

The tests of held retries send them through the core now instead of only spending their credit; what they assert is unchanged.

--- a/proxy/answered_retry_test.go
+++ b/proxy/answered_retry_test.go
@@ -27,5 +27,5 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	ts.core.mu.Lock()
 	defer ts.core.mu.Unlock()
-	assert.Equal(t, len(ts.core.unanswered["s"]), 0, "an answered retry is taken for one that may still arrive")
+	assert.Equal(t, ts.core.outstandingRetries("s"), 0, "an answered retry is taken for one that may still arrive")
 }
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -28,7 +28,9 @@
 	retryHosts sharingHosts
 	// retryUses counts what was done with the credit of each service.
 	retryUses map[model.ServiceName]*retryUse
-	// unanswered holds the retries to each service that may still arrive.
+	// retriesInFlight counts the retries to each service whose attempts have not ended.
+	retriesInFlight map[model.ServiceName]int
+	// unanswered holds the retries to each service that have ended and may still arrive.
 	unanswered map[model.ServiceName][]unansweredRetry
 	services   []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
@@ -59,7 +61,8 @@
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
 		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
-		retryUses: make(map[model.ServiceName]*retryUse), unanswered: make(map[model.ServiceName][]unansweredRetry),
+		retryUses: make(map[model.ServiceName]*retryUse), retriesInFlight: make(map[model.ServiceName]int),
+		unanswered: make(map[model.ServiceName][]unansweredRetry),
 	}
 }
 
@@ -239,16 +242,16 @@
 	// Other retries may be chosen while this one waits for a permit, so its credit is
 	// spent now.
 	if _, isSend := decision.(steer.Send); isSend && len(query.Tried) > 0 {
-		c.budgets[query.Service].Spend()
+		c.sendRetry(query.Service)
 		c.retryUse(query.Service).chosen++
 	}
 	return decision
 }
 
-// refundRetry gives the credit of a retry back that is not sent.
-func (c *Core) refundRetry(query steer.Query) {
+// cancelChoice takes the choice of an endpoint back, to which the request is not sent.
+func (c *Core) cancelChoice(query steer.Query) {
 	if len(query.Tried) > 0 {
-		c.budgets[query.Service].Refund()
+		c.refundRetry(query.Service)
 		c.retryUse(query.Service).refunded++
 	}
 }
--- a/proxy/earned_credit_test.go
+++ b/proxy/earned_credit_test.go
@@ -18,6 +18,7 @@
 		core := newRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60})[0]
 		setAlive([]*Core{core}, hosts, time.Second)
 		sentAt := time.Now()
+		core.sendRetry("s")
 		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.Abandoned, isRetry: true, sentAt: sentAt})
 		fillBudgets([]*Core{core})
 		assert.Assert(t, core.budgets["s"].CanSpend())
--- a/proxy/restart_held_test.go
+++ b/proxy/restart_held_test.go
@@ -21,7 +21,8 @@
 		fillBudgets(cores)
 		held := 0
 		for _, core := range cores {
-			for core.budgets["s"].Spend() {
+			for core.budgets["s"].CanSpend() {
+				core.sendRetry("s")
 				held++
 				core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, sentAt: time.Now()})
 			}
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -99,8 +99,8 @@
 
 // retryCollector reads the metrics of retries from a core.
 type retryCollector struct {
-	core                                   *Core
-	hosts, burst, credit, earned, decision *prometheus.Desc
+	core                                                *Core
+	hosts, burst, credit, outstanding, earned, decision *prometheus.Desc
 }
 
 // RegisterRetryMetrics registers the metrics of a core's retry limit.
@@ -109,18 +109,19 @@
 		return prometheus.NewDesc(name, help, labels, nil)
 	}
 	registry.MustRegister(&retryCollector{
-		core:     core,
-		hosts:    describe("filberthold_retry_hosts", "Hosts that share the retry limit, including this one."),
-		burst:    describe("filberthold_retry_burst", "This host's part of the slack of the retry limit, in retries to a service."),
-		credit:   describe("filberthold_retry_credit", "Retries to a service that this host may send now.", "service"),
-		earned:   describe("filberthold_retry_requests_total", "Requests that earned credit for retries.", "service"),
-		decision: describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, or rejected for lack of credit.", "service", "decision"),
+		core:        core,
+		hosts:       describe("filberthold_retry_hosts", "Hosts that share the retry limit, including this one."),
+		burst:       describe("filberthold_retry_burst", "This host's part of the slack of the retry limit, in retries to a service."),
+		credit:      describe("filberthold_retry_credit", "Retries to a service that this host may send now.", "service"),
+		outstanding: describe("filberthold_retries_outstanding", "Retries to a service that were sent and may still arrive: in flight, or without an answer.", "service"),
+		earned:      describe("filberthold_retry_requests_total", "Requests that earned credit for retries.", "service"),
+		decision:    describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, or rejected for lack of credit.", "service", "decision"),
 	})
 }
 
 // Describe implements prometheus.Collector.
 func (r *retryCollector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, description := range []*prometheus.Desc{r.hosts, r.burst, r.credit, r.earned, r.decision} {
+	for _, description := range []*prometheus.Desc{r.hosts, r.burst, r.credit, r.outstanding, r.earned, r.decision} {
 		descriptions <- description
 	}
 }
@@ -150,6 +151,7 @@
 	for _, service := range slices.Sorted(maps.Keys(r.core.budgets)) {
 		use := r.core.retryUse(service)
 		gauge(r.credit, r.core.budgets[service].Credit(), string(service))
+		gauge(r.outstanding, float64(r.core.outstandingRetries(service)), string(service))
 		counter(r.earned, use.earned, string(service))
 		counter(r.decision, use.chosen, string(service), "chosen")
 		counter(r.decision, use.refunded, string(service), "refunded")
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -35,16 +35,40 @@
 	return a.isRetry && (a.result == steer.TimedOut || a.result == steer.Abandoned)
 }
 
+// sendRetry spends the credit of a retry to a service, which may arrive from now on.
+func (c *Core) sendRetry(service model.ServiceName) {
+	c.budgets[service].Spend()
+	c.setRetriesInFlight(service, c.retriesInFlight[service]+1)
+}
+
+// refundRetry gives the credit of a retry back that is not sent.
+func (c *Core) refundRetry(service model.ServiceName) {
+	c.setRetriesInFlight(service, c.retriesInFlight[service]-1)
+	c.budgets[service].Refund()
+}
+
+// setRetriesInFlight sets the number of retries to a service whose attempts have not ended,
+// and limits the burst of the service to the rest.
+func (c *Core) setRetriesInFlight(service model.ServiceName, count int) {
+	now := time.Now()
+	before := c.freeBurst(service, now)
+	c.retriesInFlight[service] = count
+	c.limitChangedBurst(service, before, now)
+}
+
 // recordRetries records which retries to a service may still arrive after the end of an
 // attempt, and limits the burst of the service to the rest.
 func (c *Core) recordRetries(service model.ServiceName, attempt attemptEnd) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
-	before := len(c.unanswered[service])
-	if before == 0 && !attempt.isHeldRetry() {
+	if len(c.unanswered[service]) == 0 && !attempt.isRetry {
 		return
 	}
+	now := time.Now()
+	before := c.freeBurst(service, now)
+	if attempt.isRetry {
+		c.retriesInFlight[service]--
+	}
 	unanswered := slices.DeleteFunc(c.unanswered[service], func(retry unansweredRetry) bool {
 		hasArrived := attempt.isAnswered() && retry.endpoint == attempt.endpoint && retry.sentAt.Before(attempt.sentAt)
 		return hasArrived || !now.Before(retry.until)
@@ -53,8 +77,13 @@
 		unanswered = append(unanswered, unansweredRetry{endpoint: attempt.endpoint, sentAt: attempt.sentAt, until: now.Add(steer.MaxHoldTime)})
 	}
 	c.unanswered[service] = unanswered
-	// Without a burst, limiting it again would drop the credit of requests since.
-	if c.freeBurst(before, now) != c.freeBurst(len(unanswered), now) {
+	c.limitChangedBurst(service, before, now)
+}
+
+// limitChangedBurst limits the burst of a service if its free part is not what it was
+// before. Without a burst, limiting it again would drop the credit of requests since.
+func (c *Core) limitChangedBurst(service model.ServiceName, before int, now time.Time) {
+	if c.freeBurst(service, now) != before {
 		c.limitBurst(service, now)
 	}
 }
@@ -63,12 +92,17 @@
 // without the retries that may still arrive.
 func (c *Core) limitBurst(service model.ServiceName, now time.Time) {
 	if budget := c.budgets[service]; budget != nil {
-		budget.LimitBurst(c.freeBurst(len(c.unanswered[service]), now))
+		budget.LimitBurst(c.freeBurst(service, now))
 	}
 }
 
-// freeBurst returns what this host may accumulate while a number of retries may still
-// arrive.
-func (c *Core) freeBurst(unanswered int, now time.Time) int {
-	return max(0, c.retryBurst(now)-unanswered)
+// freeBurst returns what this host may accumulate for a service besides the retries that
+// may still arrive.
+func (c *Core) freeBurst(service model.ServiceName, now time.Time) int {
+	return max(0, c.retryBurst(now)-c.outstandingRetries(service))
+}
+
+// outstandingRetries returns the number of retries to a service that may still arrive.
+func (c *Core) outstandingRetries(service model.ServiceName) int {
+	return c.retriesInFlight[service] + len(c.unanswered[service])
 }
--- a/proxy/unanswered_test.go
+++ b/proxy/unanswered_test.go
@@ -35,7 +35,8 @@
 				fillBudgets(cores)
 				held := 0
 				for _, core := range cores {
-					for core.budgets["s"].Spend() {
+					for core.budgets["s"].CanSpend() {
+						core.sendRetry("s")
 						held++
 						core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, sentAt: time.Now()})
 					}
@@ -59,6 +60,7 @@
 		core := newRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 2})[0]
 		sentAt := time.Now()
 		time.Sleep(time.Second)
+		core.sendRetry("s")
 		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, sentAt: time.Now()})
 		time.Sleep(time.Second)
 		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.Answered, sentAt: sentAt})
@@ -80,7 +82,7 @@
 	count := func() int {
 		ts.core.mu.Lock()
 		defer ts.core.mu.Unlock()
-		return len(ts.core.unanswered["s"])
+		return ts.core.outstandingRetries("s")
 	}
 	for i, endpoint := range ts.endpoints {
 		if first == fmt.Sprint("i-", i) {
