Leave the slack to the retries of before a host's start

What callers see: retries multiply the load of a service beyond the stated limit when all hosts are restarted while endpoints hold their retries.

Cause: a host that starts has forgotten the retries that it sent before. It accumulated its part of the slack anew, while those could still arrive.

Change: for two minutes after its start, the time for which a retry may be held, a host accumulates nothing; it keeps the credit of one retry for at most 10 s, as where hosts outnumber the slack. A line of the log tells the end of that time. The settings' word that this is the first start is not used, because settings may be kept over restarts.

--- a/proxy/retry_limit.go
+++ b/proxy/retry_limit.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"filberthold/steer"
+)
 
 // RetryLimit bounds the retries that all hosts together send to a service: at
 // most Ratio times the number of requests plus Slack.
@@ -23,8 +27,8 @@
 func (l RetryLimit) percent() int { return max(1, int(l.Ratio*ownFraction*100)) }
 
 // burst returns the number of retries that each of a number of hosts may
-// accumulate. It is 0 if there are more hosts than the slack allows retries, or if their
-// number is not known.
+// accumulate. It is 0 if there are more hosts than the slack allows retries, or for no
+// hosts.
 func (l RetryLimit) burst(hosts int) int {
 	if hosts == 0 {
 		return 0
@@ -36,6 +40,9 @@
 	// hostPeakTime is how long a host counts the others that it no longer hears. They may
 	// only be cut off from it, and go on to spend their part of the retry limit.
 	hostPeakTime = 10 * time.Minute
+	// forgottenTime is how long after a host's start retries may still arrive that it sent
+	// before. It has forgotten them, and may have used its whole part of the slack.
+	forgottenTime = steer.MaxHoldTime
 	// creditTime is how long a host may keep the credit of retries if there are too many
 	// hosts for a burst. The retries in such a time are then those earned in it and in the
 	// time before, which is within the limit without its slack.
@@ -53,6 +60,10 @@
 	// namedUntil is the time until which the hosts that the store names are counted. The
 	// store also names those that are gone for good.
 	namedUntil time.Time
+	// forgottenUntil is the time until which the slack is left to retries of before the
+	// start of this host. mayHaveForgotten is true until the first count after it.
+	forgottenUntil   time.Time
+	mayHaveForgotten bool
 	// until is when a smaller number counts.
 	until time.Time
 	// expiresAt is when the credit that was accumulated without a burst is lost.
@@ -61,12 +72,16 @@
 
 // newSharingHosts returns the hosts of a host that starts now and knows no other.
 func newSharingHosts(now time.Time) sharingHosts {
-	return sharingHosts{knownAt: now.Add(hostPeakTime), namedUntil: now.Add(hostPeakTime)}
+	return sharingHosts{
+		knownAt: now.Add(hostPeakTime), namedUntil: now.Add(hostPeakTime),
+		forgottenUntil: now.Add(forgottenTime), mayHaveForgotten: true,
+	}
 }
 
-// number returns the number of hosts, or 0 while it is not known.
+// number returns the number of hosts that divide the slack, or 0 while this host takes no
+// part of it.
 func (s *sharingHosts) number(now time.Time) int {
-	if now.Before(s.knownAt) {
+	if now.Before(s.knownAt) || s.mayHaveForgotten {
 		return 0
 	}
 	return s.count
@@ -88,11 +103,12 @@
 // observe records the number of hosts that are alive, including this one. It reports
 // whether the bursts must be limited anew: the count has changed, or credit expires.
 func (s *sharingHosts) observe(count int, now time.Time) bool {
-	before := s.count
+	before, mayHaveForgotten := s.count, s.mayHaveForgotten
+	s.mayHaveForgotten = now.Before(s.forgottenUntil)
 	if count >= s.count || !now.Before(s.until) {
 		s.count, s.until = count, now.Add(hostPeakTime)
 	}
-	if s.count == before && now.Before(s.expiresAt) {
+	if s.count == before && s.mayHaveForgotten == mayHaveForgotten && now.Before(s.expiresAt) {
 		return false
 	}
 	s.expiresAt = now.Add(creditTime)
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -51,11 +51,13 @@
 	burst int
 	// credit is the credit of all services together, in retries.
 	credit float64
+	// mayHaveForgotten is true while retries may arrive that were sent before the start.
+	mayHaveForgotten bool
 }
 
 // retryState returns this host's part of the retry limit.
 func (c *Core) retryState(now time.Time) retryState {
-	state := retryState{hosts: c.retryHosts.count, burst: c.retryBurst(now)}
+	state := retryState{hosts: c.retryHosts.count, burst: c.retryBurst(now), mayHaveForgotten: c.retryHosts.mayHaveForgotten}
 	for _, budget := range c.budgets {
 		state.credit += budget.Credit()
 	}
@@ -85,6 +87,8 @@
 		return "the store names more hosts than are alive"
 	case c.after.hosts > c.before.hosts:
 		return "more hosts are alive"
+	case c.before.mayHaveForgotten && !c.after.mayHaveForgotten:
+		return "no retry from before the start can arrive any more"
 	case c.after.hosts == c.before.hosts:
 		return "all hosts are known"
 	}
