Bound the retries of a host that may still arrive

What callers see: retries multiply the load of a service beyond the stated limit when many endpoints that had stopped for a minute go on.

Cause: credit that requests earn is not bounded over time. Retries pass over an endpoint from the first request that ends there without an answer, but each of hundreds of endpoints can hold a retry before that, and those of a minute arrive at once.

Evidence: TestRetriesHeldByManyEndpointsShareTheRetryLimit failed at all rates with 10 hosts and endpoints that hold one retry each for a minute: 120 retries of 80 that are allowed at 1 request a second and host, 260 of 120 at 3, 540 of 200 at 7, 1,450 of 460 at 20. It passes now, also with 1, 59, 195 and 680 hosts.

Change: a host sends no retry to a service while as many may still arrive as its part of the slack and a tenth of the requests of the last 5 s, at least one. The request ends with a reason of its own.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -221,10 +221,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	service := c.splitter.Pick(version, matchedRoute)
-	if budget := c.budgets[service]; budget != nil {
-		budget.Earn()
-		c.retryUse(service).earned++
-	}
+	c.earnRetry(service)
 	return service
 }
 
@@ -234,9 +231,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updateSelector()
-	if len(query.Tried) > 0 && !c.canRetry(query) {
+	if reason, isAllowed := c.canRetry(query); !isAllowed {
 		c.retryUse(query.Service).rejected++
-		return steer.Reject{Reason: "the retry budget is used up", RetryAfter: max(budgetRetryAfter, c.selector.MinRetryAfter(query, time.Now()))}
+		return steer.Reject{Reason: reason, RetryAfter: max(budgetRetryAfter, c.selector.MinRetryAfter(query, time.Now()))}
 	}
 	decision := c.selector.Choose(query, time.Now())
 	// Other retries may be chosen while this one waits for a permit, so its credit is
@@ -260,9 +257,18 @@
 // budget is used up.
 const budgetRetryAfter = 500 * time.Millisecond
 
-func (c *Core) canRetry(query steer.Query) bool {
-	budget := c.budgets[query.Service]
-	return budget != nil && budget.CanSpend()
+// canRetry reports whether a query may be sent, if it is a retry, or why not.
+func (c *Core) canRetry(query steer.Query) (string, bool) {
+	if len(query.Tried) == 0 {
+		return "", true
+	}
+	if budget := c.budgets[query.Service]; budget == nil || !budget.CanSpend() {
+		return "the retry budget is used up", false
+	}
+	if c.hasTooManyOutstanding(query.Service, time.Now()) {
+		return "too many retries may still arrive", false
+	}
+	return "", true
 }
 
 // recordOutcome records the end of an attempt and admits waiting requests. If
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -10,13 +10,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// retryUse counts what a host did with the credit of a service's retries since its start.
+// retryUse counts what a host did with the credit of a service's retries.
 type retryUse struct {
 	// earned counts the requests that earned credit.
 	earned uint64
 	// chosen counts the retries that spent credit, refunded those of them that were not
 	// sent and got it back, and rejected those for which there was none.
 	chosen, refunded, rejected uint64
+	// requests counts the recent requests.
+	requests requestRate
 }
 
 // retryUse returns the counts of a service.
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -35,6 +35,24 @@
 	return a.isRetry && (a.result == steer.TimedOut || a.result == steer.Abandoned)
 }
 
+// earnRetry counts a request in the retry budget of its service.
+func (c *Core) earnRetry(service model.ServiceName) {
+	if budget := c.budgets[service]; budget != nil {
+		budget.Earn()
+		use := c.retryUse(service)
+		use.earned++
+		use.requests.add(time.Now())
+	}
+}
+
+// hasTooManyOutstanding reports whether so many retries to a service may still arrive that
+// no other one may be sent. If endpoints hold them, they arrive at once, however long the
+// time was in which they were earned.
+func (c *Core) hasTooManyOutstanding(service model.ServiceName, now time.Time) bool {
+	earned := c.retryLimit.percent() * c.retryUse(service).requests.recent(now) / 100
+	return c.outstandingRetries(service) >= max(1, c.retryBurst(now)+earned)
+}
+
 // sendRetry spends the credit of a retry to a service, which may arrive from now on.
 func (c *Core) sendRetry(service model.ServiceName) {
 	c.budgets[service].Spend()
