Count retries on broken connections as ones that may still arrive

What callers see: retries beyond the stated limit when connections to endpoints that have stopped are reset and the endpoints go on later.

Cause: a retry counted as held only if it ended at its deadline or was given up. If its connection broke, its credit was earned again at once, although a stopped endpoint reads what its system has received before the reset.

Evidence: TestRetryOnBrokenConnectionMayStillArrive failed: 0 outstanding retries where 1 may arrive.

Change: a retry of which a part was sent counts until its endpoint answers a later request, or for two minutes. One that could not connect does not (TestRetryWithoutConnectionIsNotHeld, which passed before too).

--- a/proxy/earned_credit_test.go
+++ b/proxy/earned_credit_test.go
@@ -19,7 +19,7 @@
 		setAlive([]*Core{core}, hosts, time.Second)
 		sentAt := time.Now()
 		core.sendRetry("s")
-		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.Abandoned, isRetry: true, sentAt: sentAt})
+		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.Abandoned, isRetry: true, isSent: true, sentAt: sentAt})
 		fillBudgets([]*Core{core})
 		assert.Assert(t, core.budgets["s"].CanSpend())
 		time.Sleep(time.Millisecond)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -266,7 +266,7 @@
 		Limit: steer.RateLimit{IsSet: responseHeader.HasLimit, PerSecond: responseHeader.RateLimit},
 	}, outcome.isEndpointGone)
 	e.server.core.recordRetries(e.service, attemptEnd{
-		endpoint: decision.Endpoint.Name, result: outcome.result, isRetry: len(e.tried) > 1, sentAt: startedAt,
+		endpoint: decision.Endpoint.Name, result: outcome.result, isRetry: len(e.tried) > 1, isSent: outcome.isSent(), sentAt: startedAt,
 	})
 	if limitChanged {
 		e.server.log.Info("endpoint limit changed", "endpoint", decision.Endpoint.Name, "service", e.service, "request", e.header.AttemptID,
--- a/proxy/held_long_test.go
+++ b/proxy/held_long_test.go
@@ -44,7 +44,7 @@
 						for range rate {
 							if core.request() {
 								count++
-								core.recordRetries("s", attemptEnd{endpoint: "i", result: steer.Failed, isRetry: true, sentAt: time.Now()})
+								core.recordRetries("s", attemptEnd{endpoint: "i", result: steer.Failed, isRetry: true, isSent: true, sentAt: time.Now()})
 							}
 						}
 					}
@@ -74,5 +74,5 @@
 func (c *Core) endHeldRetry(number int, timeout time.Duration) {
 	sentAt := time.Now()
 	time.Sleep(timeout)
-	c.recordRetries("s", attemptEnd{endpoint: model.EndpointName(fmt.Sprint("i-", number)), result: steer.TimedOut, isRetry: true, sentAt: sentAt})
+	c.recordRetries("s", attemptEnd{endpoint: model.EndpointName(fmt.Sprint("i-", number)), result: steer.TimedOut, isRetry: true, isSent: true, sentAt: sentAt})
 }
--- a/proxy/next_action.go
+++ b/proxy/next_action.go
@@ -46,6 +46,12 @@
 	result         steer.Result
 }
 
+// isSent reports whether a part of the request may have been sent.
+func (o attemptOutcome) isSent() bool {
+	var notSent *conns.NotSentError
+	return !errors.As(o.err, &notSent)
+}
+
 // isDeliverable reports whether there is a valid response of the endpoint,
 // other than a refusal, that may be sent to the caller.
 func (o attemptOutcome) isDeliverable() bool {
--- a/proxy/restart_held_test.go
+++ b/proxy/restart_held_test.go
@@ -24,7 +24,7 @@
 			for core.budgets["s"].CanSpend() {
 				core.sendRetry("s")
 				held++
-				core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, sentAt: time.Now()})
+				core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, isSent: true, sentAt: time.Now()})
 			}
 		}
 		cores = startRetryCores(hosts, limit)
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -22,7 +22,9 @@
 	endpoint model.EndpointName
 	result   steer.Result
 	isRetry  bool
-	sentAt   time.Time
+	// isSent is true unless it is known that no part of the request was sent.
+	isSent bool
+	sentAt time.Time
 }
 
 // isAnswered reports whether the endpoint answered, and so has read what was sent before.
@@ -32,7 +34,9 @@
 
 // isHeldRetry reports whether the attempt is a retry that may arrive after its end.
 func (a attemptEnd) isHeldRetry() bool {
-	return a.isRetry && (a.result == steer.TimedOut || a.result == steer.Abandoned)
+	// A connection that breaks takes nothing back that the endpoint's system has read.
+	isUnanswered := a.result == steer.TimedOut || a.result == steer.Abandoned || a.result == steer.Unreachable
+	return a.isRetry && a.isSent && isUnanswered
 }
 
 // earnRetry counts a request in the retry budget of its service.
--- a/proxy/unanswered_test.go
+++ b/proxy/unanswered_test.go
@@ -38,7 +38,7 @@
 					for core.budgets["s"].CanSpend() {
 						core.sendRetry("s")
 						held++
-						core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, sentAt: time.Now()})
+						core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, isSent: true, sentAt: time.Now()})
 					}
 				}
 				setAlive(cores, hosts, time.Minute)
@@ -61,7 +61,7 @@
 		sentAt := time.Now()
 		time.Sleep(time.Second)
 		core.sendRetry("s")
-		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, sentAt: time.Now()})
+		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.TimedOut, isRetry: true, isSent: true, sentAt: time.Now()})
 		time.Sleep(time.Second)
 		core.recordRetries("s", attemptEnd{endpoint: "i-1", result: steer.Answered, sentAt: sentAt})
 		core.recordRetries("s", attemptEnd{endpoint: "i-2", result: steer.Answered, sentAt: time.Now()})
@@ -101,3 +101,41 @@
 	assert.Equal(t, status, http.StatusGatewayTimeout)
 	assert.Equal(t, count(), 1)
 }
+
+// Guards against a retry that arrives beyond the retry limit because its connection broke
+// after an endpoint's system had read it: a stopped endpoint runs it when it continues.
+func TestRetryOnBrokenConnectionMayStillArrive(t *testing.T) {
+	ts := startTestServer(t, 2)
+	_, first, _ := ts.send(http.MethodGet, "/read/1", "a1", "")
+	for i, endpoint := range ts.endpoints {
+		endpoint.SetBehaviour(fake.Reset)
+		if first == fmt.Sprint("i-", i) {
+			endpoint.SetBehaviour(fake.Shed)
+		}
+	}
+	status, _, _ := ts.send(http.MethodGet, "/read/1", "a2", "")
+	assert.Equal(t, status, http.StatusBadGateway)
+	ts.core.mu.Lock()
+	defer ts.core.mu.Unlock()
+	assert.Equal(t, ts.core.outstandingRetries("s"), 1)
+}
+
+// Guards against credit that is lost for two minutes with each endpoint that has ended: a
+// retry that could not connect does not arrive.
+func TestRetryWithoutConnectionIsNotHeld(t *testing.T) {
+	ts := startTestServer(t, 2)
+	_, first, _ := ts.send(http.MethodGet, "/read/1", "a1", "")
+	for i, endpoint := range ts.endpoints {
+		if first == fmt.Sprint("i-", i) {
+			endpoint.SetBehaviour(fake.Shed)
+			continue
+		}
+		assert.NilError(t, endpoint.Close())
+	}
+	status, _, _ := ts.send(http.MethodGet, "/read/1", "a2", "")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	ts.core.mu.Lock()
+	defer ts.core.mu.Unlock()
+	assert.Equal(t, ts.core.retryUse("s").chosen, uint64(1))
+	assert.Equal(t, ts.core.outstandingRetries("s"), 0)
+}
