Log changes of the retry limit in their order

The test kept no lines; it prints them now if it fails.

Cause, proved by a test but not for that run: the hosts that are alive and the names in the store are counted by two goroutines, and each change was logged after the lock was released. The line of the earlier change could come last, so the log showed a burst of 0 where the host had 30.

Ruled out by repetition, not by a trace: load alone. 54 runs of the tests of that name, nine at a time, and six of the whole package, two at a time, did not show it.

Change: a change is applied and logged under one lock. TestLinesOfRetryLimitAreInOrder failed before with the two lines in the wrong order.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -84,11 +84,15 @@
 	for _, alive := range n.transport.Alive() {
 		hosts[alive.Region] = append(hosts[alive.Region], alive.Host)
 	}
-	n.logLimitChange(n.core.SetHosts(hosts))
+	n.changeRetryLimit(func() proxy.RetryLimitChange { return n.core.SetHosts(hosts) })
 }
 
-func (n *Node) logLimitChange(change proxy.RetryLimitChange) {
-	if change.IsChange() {
+// changeRetryLimit applies a change and logs it. The lines are in the order of the changes,
+// so the last one tells the part of the retry limit that the host has.
+func (n *Node) changeRetryLimit(apply func() proxy.RetryLimitChange) {
+	n.retryLimitMu.Lock()
+	defer n.retryLimitMu.Unlock()
+	if change := apply(); change.IsChange() {
 		n.log.Info("retry limit changed", change.LogFields()...)
 	}
 }
@@ -181,6 +185,6 @@
 		}
 	}
 	n.transport.AddAddresses(addresses)
-	n.logLimitChange(n.core.SetNamedHosts(len(addresses) + 1))
+	n.changeRetryLimit(func() proxy.RetryLimitChange { return n.core.SetNamedHosts(len(addresses) + 1) })
 	return true
 }
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,10 +69,12 @@
 	// lookups counts the lookups that were answered.
 	lookups   atomic.Uint64
 	intervals intervals
-	replica   *storeReplica
-	reader    *reader
-	follower  *follower
-	relay     *relay.Handler
+	// retryLimitMu is held while a change of the retry limit is applied and logged.
+	retryLimitMu sync.Mutex
+	replica      *storeReplica
+	reader       *reader
+	follower     *follower
+	relay        *relay.Handler
 }
 
 // New returns a node that is not yet running. It logs to out and reads its settings
--- a/node/report_test.go
+++ b/node/report_test.go
@@ -1,11 +1,21 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"filberthold/model"
+	"filberthold/platform"
+	"filberthold/proxy"
 
 	"gotest.tools/v3/assert"
 )
@@ -16,6 +26,11 @@
 	c := startCluster(t)
 	var output syncBuffer
 	c.output = &output
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(output.String())
+		}
+	})
 	c.start(141, 142)
 	for _, host := range c.hosts {
 		c.waitFor("both hosts count two", func() bool {
@@ -58,3 +73,47 @@
 	}
 	return changes[len(changes)-1]
 }
+
+// slowFirstLine is a handler of log lines that handles the first one after the second one,
+// if that comes within 100 ms.
+type slowFirstLine struct {
+	slog.Handler
+	// started is closed when the first line begins, second when the second one does.
+	started, second chan struct{}
+	isStarted       atomic.Bool
+}
+
+func (h *slowFirstLine) Handle(ctx context.Context, record slog.Record) error {
+	if h.isStarted.CompareAndSwap(false, true) {
+		close(h.started)
+		select {
+		case <-h.second:
+		case <-time.After(100 * time.Millisecond):
+		}
+		return h.Handler.Handle(ctx, record)
+	}
+	defer close(h.second)
+	return h.Handler.Handle(ctx, record)
+}
+
+// Guards against a last line that does not tell the part of the retry limit that the host
+// has, because two changes are logged in another order than they are applied.
+func TestLinesOfRetryLimitAreInOrder(t *testing.T) {
+	node := New(platform.Settings{Host: "h1", Region: "north", RetryRatio: 0.2, RetrySlack: 60}, io.Discard, nil)
+	var output syncBuffer
+	handler := &slowFirstLine{Handler: slog.NewJSONHandler(&output, nil), started: make(chan struct{}), second: make(chan struct{})}
+	node.log = slog.New(handler)
+	setHosts := func(hosts int) {
+		node.changeRetryLimit(func() proxy.RetryLimitChange {
+			return node.core.SetHosts(map[model.RegionName][]model.HostName{"north": make([]model.HostName, hosts)})
+		})
+	}
+	var group sync.WaitGroup
+	group.Go(func() { setHosts(1) })
+	<-handler.started
+	group.Go(func() { setHosts(2) })
+	group.Wait()
+	lines := slices.Collect(strings.Lines(output.String()))
+	assert.Equal(t, len(lines), 2)
+	assert.Assert(t, strings.Contains(lines[1], `"hosts":2,`), output.String())
+}
