Relay operator's rows that were written again to hosts of their era

Cause: a host decided by its own rows what is a change for other hosts. A new reader of a region got the versions 14, 17 and 20 of the configuration in one response. The three rows were stored after the last one was in force, all with its value, so the second and the third counted as unchanged and the row as last changed at the first. A follower that had version 17 from another region's reader asked for later changes and got none, and its rows counted as current. The same hides an evacuation that ended and was written again from a host that had seen its end, if its source had not.

Change: a row that was written again with the same value goes to hosts that have an earlier version of its era (Cache.PutRewritten). Hosts of an earlier era get it only if its value changed, as before.

Tests, each seen to fail before the change: TestFollowerGetsConfigurationThatItsReaderReadWithTheOneBefore, TestFollowerGetsEvacuationThatWasWrittenAgain, TestFollowerGetsConfigurationThatItsReaderHadBeforeReturnOfStore.

--- a/node/replica.go
+++ b/node/replica.go
@@ -92,7 +92,11 @@
 	}
 	for _, row := range rows {
 		kept := r.withConfigInForce(row)
-		r.operator.Put(kept, !r.operator.HasValue(kept))
+		if r.operator.HasValue(kept) {
+			r.operator.PutRewritten(kept)
+			continue
+		}
+		r.operator.Put(kept, true)
 	}
 }
 
--- /dev/null
+++ b/node/rewritten_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"filberthold/model"
+	"filberthold/platform"
+	"filberthold/platform/fake"
+
+	"gotest.tools/v3/assert"
+)
+
+// beside returns the replica of another host at the same store.
+func (rt *replicaTest) beside() *replicaTest {
+	rt.t.Helper()
+	other := newReplicaTest(rt.t)
+	other.store, other.transport = rt.store, fake.NewTransport(rt.store)
+	return other
+}
+
+// readOperator reads the changes of the operator's rows from the store.
+func (rt *replicaTest) readOperator() {
+	rt.t.Helper()
+	assert.NilError(rt.t, rt.newReader(func(platform.Table) bool { return true }).readOperator(rt.t.Context()))
+}
+
+// Guards against a follower that never gets a configuration: it had the one before from
+// another host, and the host that it follows got both of them in one response of the
+// store. In a played day three to five hosts kept the configuration before for good.
+func TestFollowerGetsConfigurationThatItsReaderReadWithTheOneBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReplicaTest(t)
+		second, follower := first.beside(), first.beside()
+		for _, host := range []*replicaTest{first, second, follower} {
+			host.readOperator()
+		}
+		first.putConfigs(2, 2)
+		first.readOperator()
+		follower.followOperator(first)
+		assert.Equal(t, follower.configVersion(), uint64(2))
+		first.putConfigs(3, 3)
+		second.readOperator()
+		follower.followOperator(second)
+		assert.Equal(t, follower.replica.operator.Version(), second.replica.operator.Version())
+		assert.Equal(t, follower.configVersion(), uint64(3))
+	})
+}
+
+// Guards against a follower without an evacuation that was taken back and written again:
+// the host that it follows knows only the first and the last of these writes, which have
+// the same value.
+func TestFollowerGetsEvacuationThatWasWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReplicaTest(t)
+		second, follower := first.beside(), first.beside()
+		evacuate := func() { first.store.Put(platform.OperatorTable, "evacuate/za", "{}") }
+		evacuate()
+		for _, host := range []*replicaTest{first, second, follower} {
+			host.readOperator()
+		}
+		first.store.Remove(platform.OperatorTable, "evacuate/za")
+		first.readOperator()
+		follower.followOperator(first)
+		assert.DeepEqual(t, follower.evacuatedZones(), map[model.ZoneName]bool{})
+		evacuate()
+		first.readOperator()
+		second.followOperator(first)
+		follower.followOperator(second)
+		assert.DeepEqual(t, follower.evacuatedZones(), map[model.ZoneName]bool{"za": true})
+	})
+}
+
+// Guards against a follower that never gets a configuration which the store lost and the
+// operator wrote again: the host that it follows had it before.
+func TestFollowerGetsConfigurationThatItsReaderHadBeforeReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReplicaTest(t)
+		second, follower := first.beside(), first.beside()
+		older := first.store.Copy()
+		first.putConfigs(2, 2)
+		first.readOperator()
+		first.store.Restore(older)
+		first.readOperator()
+		second.readOperator()
+		follower.followOperator(second)
+		assert.Equal(t, follower.configVersion(), uint64(1))
+		first.putConfigs(2, 2)
+		first.readOperator()
+		follower.followOperator(first)
+		assert.Equal(t, follower.configVersion(), uint64(2))
+	})
+}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -43,6 +43,11 @@
 type cachedRow struct {
 	row       platform.Row
 	changedAt platform.Version
+	// rewrittenAt is the version at which the row was last written with the value that
+	// it had. Hosts of this era get it: they may have the row of a write between the
+	// two, which this cache did not get. It is zero if there was no such write since
+	// changedAt.
+	rewrittenAt platform.Version
 	// removal is the removal of the row from the store while its grace period runs.
 	// It is newer than the row. It is nil otherwise.
 	removal *heldRemoval
@@ -63,6 +68,32 @@
 	return r.row.Version
 }
 
+// lastChange returns the later of changedAt and rewrittenAt.
+func (r cachedRow) lastChange() platform.Version {
+	if r.rewrittenAt.Compare(r.changedAt) > 0 {
+		return r.rewrittenAt
+	}
+	return r.changedAt
+}
+
+// isChangedAfter reports whether a host at a version may have another row. One of an
+// earlier era has no row that was written in this one.
+func (r cachedRow) isChangedAfter(version platform.Version) bool {
+	if version.Era == r.rewrittenAt.Era {
+		return r.lastChange().Compare(version) > 0
+	}
+	return r.changedAt.Compare(version) > 0
+}
+
+// rewrite returns the cached row after it was written again with the same value.
+func (r cachedRow) rewrite(row platform.Row) cachedRow {
+	next := cachedRow{row: row, changedAt: r.changedAt, rewrittenAt: row.Version}
+	if row.Version.Era > r.rewrittenAt.Era {
+		next.changedAt = r.lastChange()
+	}
+	return next
+}
+
 // removedRow returns the row that marks the row as removed.
 func (r cachedRow) removedRow() platform.Row {
 	return platform.Row{Key: r.row.Key, Version: r.version(), IsRemoved: true}
@@ -82,16 +113,35 @@
 	if exists && row.Version.Compare(before.version()) < 0 {
 		return
 	}
-	next := cachedRow{row: row, changedAt: before.changedAt}
+	next := cachedRow{row: row, changedAt: before.changedAt, rewrittenAt: before.rewrittenAt}
 	// Other hosts may have applied a held removal at once.
 	if isSignificant || !exists || before.removal != nil {
-		next.changedAt = row.Version
+		next = cachedRow{row: row, changedAt: row.Version}
 		c.notify()
 	}
 	c.rows[row.Key] = next
 	c.evictRemovals()
 }
 
+// PutRewritten stores a row that was written with the value that the cache has, unless
+// the cache has this version of it or a newer one.
+func (c *Cache) PutRewritten(row platform.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, exists := c.rows[row.Key]
+	if exists && row.Version.Compare(before.version()) <= 0 {
+		return
+	}
+	next := before.rewrite(row)
+	// Other hosts may have applied a held removal at once.
+	if !exists || before.removal != nil {
+		next = cachedRow{row: row, changedAt: row.Version}
+	}
+	c.notify()
+	c.rows[row.Key] = next
+	c.evictRemovals()
+}
+
 // PutHeldRemoval stores the removal of a row that this host keeps in use until the end
 // of a grace period. Other hosts receive the removal at once, so that none of them is
 // at a version without it, and decide for themselves.
@@ -164,8 +214,8 @@
 			continue
 		}
 		delete(c.rows, key)
-		if cached.changedAt.Compare(c.historyStart) > 0 {
-			c.historyStart = cached.changedAt
+		if changedAt := cached.lastChange(); changedAt.Compare(c.historyStart) > 0 {
+			c.historyStart = changedAt
 		}
 	}
 }
@@ -242,7 +292,7 @@
 	defer c.mu.Unlock()
 	changes := Changes{Version: c.version, IsWhole: c.lacksChanges(after)}
 	for _, cached := range c.rows {
-		if changes.IsWhole || cached.changedAt.Compare(after) > 0 {
+		if changes.IsWhole || cached.isChangedAfter(after) {
 			changes.Rows = append(changes.Rows, cached.row)
 		}
 		if cached.removal != nil && (changes.IsWhole || cached.removal.version.Compare(after) > 0) {
