Relay the first renewal of an entry after a return of the store

An endpoint is draining, the store returns from a copy in which it is ready, and the endpoint writes again that it is draining. A host that had read this before took it for a renewal and did not relay it. A follower that had the row of the copy from another host, and then followed this one, used the endpoint on.

Change: the first renewal of an entry in an era goes to hosts of that era, as for the operator's rows. Later renewals do not. After a return of the store, each follower so gets each entry once more.

Tests, each seen to fail before the change: TestFollowerGetsStateThatItsReaderHadBeforeReturnOfStore, TestFirstRenewalOfEraIsRelayedOnce. The bytes that it costs after a return were not measured.

--- a/node/rewritten_test.go
+++ b/node/rewritten_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 
 	"filberthold/model"
 	"filberthold/platform"
 	"filberthold/platform/fake"
+	"filberthold/roster"
 
 	"gotest.tools/v3/assert"
 )
@@ -91,3 +93,43 @@
 		assert.Equal(t, follower.configVersion(), uint64(2))
 	})
 }
+
+// entryOf returns an entry of i-1 in a state.
+func entryOf(state, sequence string) string {
+	return strings.NewReplacer(`"ready"`, `"`+state+`"`, `"sequence":1`, `"sequence":`+sequence).Replace(readyEntry)
+}
+
+// hasEntry reports whether the host has applied an entry of i-1.
+func (rt *replicaTest) hasEntry(value string) bool {
+	rt.t.Helper()
+	entry, err := platform.DecodeEntry(platform.Row{Key: "i-1", Value: []byte(value)})
+	assert.NilError(rt.t, err)
+	return rt.core.ApplyEntry(entry) == roster.Unchanged
+}
+
+// readEndpoints reads the changes of the endpoints from the store.
+func (rt *replicaTest) readEndpoints() {
+	rt.t.Helper()
+	rt.read(rt.newReader(func(platform.Table) bool { return true }))
+}
+
+// Guards against requests to an endpoint that is draining: the store lost this, and the
+// endpoint wrote it again, which was no change for the host that the follower follows.
+func TestFollowerGetsStateThatItsReaderHadBeforeReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReplicaTest(t)
+		second, follower := first.beside(), first.beside()
+		first.readEndpoints()
+		older := first.store.Copy()
+		first.store.Put(platform.EndpointTable, "i-1", entryOf("draining", "2"))
+		first.readEndpoints()
+		first.store.Restore(older)
+		first.readEndpoints()
+		second.readEndpoints()
+		follower.follow(second)
+		first.store.Put(platform.EndpointTable, "i-1", entryOf("draining", "3"))
+		first.readEndpoints()
+		follower.follow(first)
+		assert.Assert(t, follower.hasEntry(entryOf("draining", "3")))
+	})
+}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -85,6 +85,15 @@
 	return r.changedAt.Compare(version) > 0
 }
 
+// renew returns the cached row after it was renewed. The first renewal of an era counts as
+// rewritten, because a returned store had the row of before the last change.
+func (r cachedRow) renew(row platform.Row) cachedRow {
+	if row.Version.Era > r.lastChange().Era {
+		return r.rewrite(row)
+	}
+	return cachedRow{row: row, changedAt: r.changedAt, rewrittenAt: r.rewrittenAt}
+}
+
 // rewrite returns the cached row after it was written again with the same value.
 func (r cachedRow) rewrite(row platform.Row) cachedRow {
 	next := cachedRow{row: row, changedAt: r.changedAt, rewrittenAt: row.Version}
@@ -113,10 +122,12 @@
 	if exists && row.Version.Compare(before.version()) < 0 {
 		return
 	}
-	next := cachedRow{row: row, changedAt: before.changedAt, rewrittenAt: before.rewrittenAt}
+	next := before.renew(row)
 	// Other hosts may have applied a held removal at once.
 	if isSignificant || !exists || before.removal != nil {
 		next = cachedRow{row: row, changedAt: row.Version}
+	}
+	if next.lastChange() != before.lastChange() {
 		c.notify()
 	}
 	c.rows[row.Key] = next
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -210,3 +210,27 @@
 		})
 	}
 }
+
+// Guards against a host that never gets the row that the store has in a new era because
+// the cache had its value before, and against relaying each renewal in that era.
+func TestFirstRenewalOfEraIsRelayedOnce(t *testing.T) {
+	cache := NewCache()
+	cache.Put(row("a", 50), true)
+	cache.Confirm(at(50), time.Now())
+	cache.Confirm(platform.Version{Era: 2, Number: 20}, time.Now())
+	renew := func(number uint64) {
+		version := platform.Version{Era: 2, Number: number}
+		cache.Put(platform.Row{Key: "a", Value: []byte("a"), Version: version}, false)
+		cache.Confirm(version, time.Now())
+	}
+	renew(30)
+	renew(41)
+	renew(44)
+	for after, isRelayed := range map[platform.Version]bool{
+		at(50): false, {Era: 2, Number: 29}: true, {Era: 2, Number: 30}: false, {Era: 2, Number: 43}: false,
+	} {
+		changes, _ := cache.Since(after)
+		assert.Assert(t, !changes.IsWhole)
+		assert.Equal(t, len(changes.Rows) == 1, isRelayed, "after %s", after)
+	}
+}
