Send the whole table to hosts that saw an era of the store earlier

The store returns from a copy in which an endpoint that had left, or an evacuation that had ended, is there again. A follower gets the row from one host. The row is removed again before another host reads the returned store: that host had the removal from before the return, so for it nothing changed. The follower then follows this host, is at its version, and keeps the row for good: requests go to an endpoint that has left.

Change: a cache knows the first version that it had of an era, and a poll from an earlier version of that era gets the whole table. A removal in a whole table counts as missing there: its version may be older than the row that the polling host has.

--- a/node/rewritten_test.go
+++ b/node/rewritten_test.go
@@ -133,3 +133,46 @@
 		assert.Assert(t, follower.hasEntry(entryOf("draining", "3")))
 	})
 }
+
+// Guards against requests to an endpoint that has left: the store brought its entry back
+// and lost it again, before the host that the follower follows read the store.
+func TestFollowerGetsRemovalBeforeItsReaderSawReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReplicaTest(t)
+		second, follower := first.beside(), first.beside()
+		first.readEndpoints()
+		older := first.store.Copy()
+		first.store.Remove(platform.EndpointTable, "i-1")
+		first.readEndpoints()
+		first.store.Restore(older)
+		second.readEndpoints()
+		follower.follow(second)
+		first.store.Remove(platform.EndpointTable, "i-1")
+		first.readEndpoints()
+		follower.follow(first)
+		assert.Equal(t, follower.replica.endpoints.Version(), first.replica.endpoints.Version())
+		assert.Assert(t, !follower.isEndpointUsed())
+	})
+}
+
+// Guards against an evacuation that one host keeps for good: the store brought it back, and
+// it ended again before the host that the follower follows read the store.
+func TestFollowerGetsEndOfEvacuationBeforeItsReaderSawReturnOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReplicaTest(t)
+		second, follower := first.beside(), first.beside()
+		first.store.Put(platform.OperatorTable, "evacuate/za", "{}")
+		first.readOperator()
+		older := first.store.Copy()
+		first.store.Remove(platform.OperatorTable, "evacuate/za")
+		first.readOperator()
+		first.store.Restore(older)
+		second.readOperator()
+		follower.followOperator(second)
+		assert.DeepEqual(t, follower.evacuatedZones(), map[model.ZoneName]bool{"za": true})
+		first.store.Remove(platform.OperatorTable, "evacuate/za")
+		first.readOperator()
+		follower.followOperator(first)
+		assert.DeepEqual(t, follower.evacuatedZones(), map[model.ZoneName]bool{})
+	})
+}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -30,6 +30,9 @@
 	// historyStart is the version from which on the cache has all changes, removals
 	// included.
 	historyStart platform.Version
+	// eraStart is the first version of this era that the cache had. It lacks the changes
+	// of the era before it.
+	eraStart platform.Version
 	// confirmedAt is when the store last confirmed, directly or through other
 	// hosts, that the rows are complete.
 	confirmedAt time.Time
@@ -232,13 +235,14 @@
 }
 
 // Missing returns the sorted keys of cached rows that are not among all rows of
-// the table and not known to be removed.
+// the table and not known to be removed. Removals among the rows count as missing: they
+// may be older than the row that the cache has.
 func (c *Cache) Missing(rows []platform.Row) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		present[row.Key] = true
+		present[row.Key] = present[row.Key] || !row.IsRemoved
 	}
 	var missing []string
 	for key, cached := range c.rows {
@@ -262,8 +266,8 @@
 	if c.version.IsZero() {
 		c.historyStart = version
 	}
-	if version.Era > c.version.Era {
-		c.earlier = c.version
+	if c.version.IsZero() || version.Era > c.version.Era {
+		c.earlier, c.eraStart = c.version, version
 	}
 	if version.Compare(c.version) > 0 {
 		c.version = version
@@ -315,8 +319,8 @@
 }
 
 // lacksChanges reports whether the cache may lack changes after a version: those before
-// its history, and those of an earlier era that the store lost before this cache got
-// them. c.mu is held.
+// its history or the first version of its era, and those of an earlier era that the store
+// lost before this cache got them. c.mu is held.
 func (c *Cache) lacksChanges(after platform.Version) bool {
 	if after.IsZero() {
 		return false
@@ -325,7 +329,7 @@
 		return true
 	}
 	if after.Era >= c.version.Era {
-		return false
+		return after.Compare(c.eraStart) < 0
 	}
 	return after.Era != c.earlier.Era || after.Compare(c.earlier) > 0
 }
