Take relayed entries for changes

A host that gets only the last of these writes from another host saw no change and did not relay it. A follower that had one of the writes between kept that one: it lacked an endpoint, or had another state of it than the store.

Change: an entry that another host relayed is stored as a change. That host relays only changes.

--- a/node/replica.go
+++ b/node/replica.go
@@ -166,7 +166,7 @@
 	defer r.mu.Unlock()
 	graceUntil := r.graceUntil(time.Now(), version.Era)
 	for _, row := range rows {
-		r.applyEndpointRow(row, graceUntil)
+		r.applyEndpointRow(row, graceUntil, false)
 	}
 	r.confirmEndpoints(version, confirmedAt)
 }
@@ -190,14 +190,15 @@
 
 // applyEndpointRow applies a changed entry, unless the replica has it already or a newer
 // one. An endpoint whose entry was removed stays usable until graceUntil, because it may
-// write the entry again after a store outage. r.mu is held.
-func (r *storeReplica) applyEndpointRow(row platform.Row, graceUntil time.Time) {
+// write the entry again after a store outage. A row that another host relayed is a change,
+// also if this host sees none: it may not have got the rows before it. r.mu is held.
+func (r *storeReplica) applyEndpointRow(row platform.Row, graceUntil time.Time, isRelayed bool) {
 	switch {
 	case r.endpoints.Has(row):
 	case row.IsRemoved:
 		r.applyRemoval(row, graceUntil)
 	default:
-		r.applyEntry(row)
+		r.applyEntry(row, isRelayed)
 	}
 }
 
@@ -216,7 +217,7 @@
 	r.log.Info("entry is missing after an outage of the store, endpoint stays in use", "endpoint", row.Key, "rowVersion", row.Version, "until", graceUntil)
 }
 
-func (r *storeReplica) applyEntry(row platform.Row) {
+func (r *storeReplica) applyEntry(row platform.Row, isRelayed bool) {
 	entry, err := platform.DecodeEntry(row)
 	if err == nil && entry.IsFromFuture(time.Now()) {
 		err = errFromFuture
@@ -230,7 +231,7 @@
 	if change == roster.Stale {
 		return
 	}
-	r.endpoints.Put(row, change != roster.Unchanged)
+	r.endpoints.Put(row, isRelayed || change != roster.Unchanged)
 	if change != roster.Unchanged {
 		r.log.Info("endpoint changed", "endpoint", entry.Endpoint, "service", entry.Service, "zone", entry.Zone,
 			"state", entry.State.String(), "coldFor", entry.ColdFor, "sequence", entry.Sequence, "born", entry.Incarnation, "rowVersion", row.Version)
--- a/node/rewritten_test.go
+++ b/node/rewritten_test.go
@@ -176,3 +176,25 @@
 		assert.DeepEqual(t, follower.evacuatedZones(), map[model.ZoneName]bool{})
 	})
 }
+
+// Guards against a follower that lacks an endpoint whose entry expired and was written
+// again: the host that it follows got the last of these writes from another host, for
+// which it was a change, and took it for a renewal.
+func TestFollowerGetsEntryThatWasWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := newReplicaTest(t)
+		second, follower := first.beside(), first.beside()
+		for _, host := range []*replicaTest{first, second, follower} {
+			host.readEndpoints()
+		}
+		first.store.Remove(platform.EndpointTable, "i-1")
+		first.readEndpoints()
+		follower.follow(first)
+		first.store.Put(platform.EndpointTable, "i-1", entryOf("ready", "2"))
+		first.readEndpoints()
+		second.follow(first)
+		follower.follow(second)
+		assert.Equal(t, follower.replica.endpoints.Version(), first.replica.endpoints.Version())
+		assert.Assert(t, follower.isEndpointUsed())
+	})
+}
--- a/node/update.go
+++ b/node/update.go
@@ -41,11 +41,11 @@
 		forgetHistory(r.endpoints, changes.Version)
 	}
 	for _, row := range changes.Rows {
-		r.applyEndpointRow(row, r.relayedGraceUntil(changes, row, receivedAt, graceUntil))
+		r.applyEndpointRow(row, r.relayedGraceUntil(changes, row, receivedAt, graceUntil), true)
 	}
 	if changes.IsWhole {
 		for _, row := range removedRows(r.endpoints.Missing(changes.Rows), changes.Version) {
-			r.applyEndpointRow(row, graceUntil)
+			r.applyEndpointRow(row, graceUntil, true)
 		}
 	}
 	r.confirmEndpoints(changes.Version, receivedAt.Add(-changes.Age))
