--- a/relay/cache.go
+++ b/relay/cache.go
@@ -30,6 +30,9 @@
 	// historyStart is the version from which on the cache has all changes, removals
 	// included.
 	historyStart platform.Version
+	// eraStart is the first version of this era that the cache had. It lacks the changes
+	// of the era before it.
+	eraStart platform.Version
 	// confirmedAt is when the store last confirmed, directly or through other
 	// hosts, that the rows are complete.
 	confirmedAt time.Time
@@ -43,6 +46,11 @@
 type cachedRow struct {
 	row       platform.Row
 	changedAt platform.Version
+	// rewrittenAt is the version at which the row was last written with the value that
+	// it had. Hosts of this era get it: they may have the row of a write between the
+	// two, which this cache did not get. It is zero if there was no such write since
+	// changedAt.
+	rewrittenAt platform.Version
 	// removal is the removal of the row from the store while its grace period runs.
 	// It is newer than the row. It is nil otherwise.
 	removal *heldRemoval
@@ -63,6 +71,41 @@
 	return r.row.Version
 }
 
+// lastChange returns the later of changedAt and rewrittenAt.
+func (r cachedRow) lastChange() platform.Version {
+	if r.rewrittenAt.Compare(r.changedAt) > 0 {
+		return r.rewrittenAt
+	}
+	return r.changedAt
+}
+
+// isChangedAfter reports whether a host at a version may have another row. One of an
+// earlier era has no row that was written in this one.
+func (r cachedRow) isChangedAfter(version platform.Version) bool {
+	if version.Era == r.rewrittenAt.Era {
+		return r.lastChange().Compare(version) > 0
+	}
+	return r.changedAt.Compare(version) > 0
+}
+
+// renew returns the cached row after it was renewed. The first renewal of an era counts as
+// rewritten, because a returned store had the row of before the last change.
+func (r cachedRow) renew(row platform.Row) cachedRow {
+	if row.Version.Era > r.lastChange().Era {
+		return r.rewrite(row)
+	}
+	return cachedRow{row: row, changedAt: r.changedAt, rewrittenAt: r.rewrittenAt}
+}
+
+// rewrite returns the cached row after it was written again with the same value.
+func (r cachedRow) rewrite(row platform.Row) cachedRow {
+	next := cachedRow{row: row, changedAt: r.changedAt, rewrittenAt: row.Version}
+	if row.Version.Era > r.rewrittenAt.Era {
+		next.changedAt = r.lastChange()
+	}
+	return next
+}
+
 // removedRow returns the row that marks the row as removed.
 func (r cachedRow) removedRow() platform.Row {
 	return platform.Row{Key: r.row.Key, Version: r.version(), IsRemoved: true}
@@ -82,16 +125,37 @@
 	if exists && row.Version.Compare(before.version()) < 0 {
 		return
 	}
-	next := cachedRow{row: row, changedAt: before.changedAt}
+	next := before.renew(row)
 	// Other hosts may have applied a held removal at once.
 	if isSignificant || !exists || before.removal != nil {
-		next.changedAt = row.Version
+		next = cachedRow{row: row, changedAt: row.Version}
+	}
+	if next.lastChange() != before.lastChange() {
 		c.notify()
 	}
 	c.rows[row.Key] = next
 	c.evictRemovals()
 }
 
+// PutRewritten stores a row that was written with the value that the cache has, unless
+// the cache has this version of it or a newer one.
+func (c *Cache) PutRewritten(row platform.Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, exists := c.rows[row.Key]
+	if exists && row.Version.Compare(before.version()) <= 0 {
+		return
+	}
+	next := before.rewrite(row)
+	// Other hosts may have applied a held removal at once.
+	if !exists || before.removal != nil {
+		next = cachedRow{row: row, changedAt: row.Version}
+	}
+	c.notify()
+	c.rows[row.Key] = next
+	c.evictRemovals()
+}
+
 // PutHeldRemoval stores the removal of a row that this host keeps in use until the end
 // of a grace period. Other hosts receive the removal at once, so that none of them is
 // at a version without it, and decide for themselves.
@@ -164,20 +228,21 @@
 			continue
 		}
 		delete(c.rows, key)
-		if cached.changedAt.Compare(c.historyStart) > 0 {
-			c.historyStart = cached.changedAt
+		if changedAt := cached.lastChange(); changedAt.Compare(c.historyStart) > 0 {
+			c.historyStart = changedAt
 		}
 	}
 }
 
 // Missing returns the sorted keys of cached rows that are not among all rows of
-// the table and not known to be removed.
+// the table and not known to be removed. Removals among the rows count as missing: they
+// may be older than the row that the cache has.
 func (c *Cache) Missing(rows []platform.Row) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		present[row.Key] = true
+		present[row.Key] = present[row.Key] || !row.IsRemoved
 	}
 	var missing []string
 	for key, cached := range c.rows {
@@ -201,8 +266,8 @@
 	if c.version.IsZero() {
 		c.historyStart = version
 	}
-	if version.Era > c.version.Era {
-		c.earlier = c.version
+	if c.version.IsZero() || version.Era > c.version.Era {
+		c.earlier, c.eraStart = c.version, version
 	}
 	if version.Compare(c.version) > 0 {
 		c.version = version
@@ -242,7 +307,7 @@
 	defer c.mu.Unlock()
 	changes := Changes{Version: c.version, IsWhole: c.lacksChanges(after)}
 	for _, cached := range c.rows {
-		if changes.IsWhole || cached.changedAt.Compare(after) > 0 {
+		if changes.IsWhole || cached.isChangedAfter(after) {
 			changes.Rows = append(changes.Rows, cached.row)
 		}
 		if cached.removal != nil && (changes.IsWhole || cached.removal.version.Compare(after) > 0) {
@@ -254,8 +319,8 @@
 }
 
 // lacksChanges reports whether the cache may lack changes after a version: those before
-// its history, and those of an earlier era that the store lost before this cache got
-// them. c.mu is held.
+// its history or the first version of its era, and those of an earlier era that the store
+// lost before this cache got them. c.mu is held.
 func (c *Cache) lacksChanges(after platform.Version) bool {
 	if after.IsZero() {
 		return false
@@ -264,7 +329,7 @@
 		return true
 	}
 	if after.Era >= c.version.Era {
-		return false
+		return after.Compare(c.eraStart) < 0
 	}
 	return after.Era != c.earlier.Era || after.Compare(c.earlier) > 0
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -200,7 +200,8 @@
 		{"known version", at(45), false},
 		{"version that this host never had", at(46), true},
 		{"era that this host never had", platform.Version{Era: 2, Number: 10}, true},
-		{"same era", platform.Version{Era: 3, Number: 20}, false},
+		{"version of this era that this host never had", platform.Version{Era: 3, Number: 29}, true},
+		{"first version of this era", platform.Version{Era: 3, Number: 30}, false},
 		{"later era", platform.Version{Era: 4, Number: 1}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -210,3 +211,27 @@
 		})
 	}
 }
+
+// Guards against a host that never gets the row that the store has in a new era because
+// the cache had its value before, and against relaying each renewal in that era.
+func TestFirstRenewalOfEraIsRelayedOnce(t *testing.T) {
+	cache := NewCache()
+	cache.Put(row("a", 50), true)
+	cache.Confirm(at(50), time.Now())
+	cache.Confirm(platform.Version{Era: 2, Number: 20}, time.Now())
+	renew := func(number uint64) {
+		version := platform.Version{Era: 2, Number: number}
+		cache.Put(platform.Row{Key: "a", Value: []byte("a"), Version: version}, false)
+		cache.Confirm(version, time.Now())
+	}
+	renew(30)
+	renew(41)
+	renew(44)
+	for after, isRelayed := range map[platform.Version]bool{
+		at(50): false, {Era: 2, Number: 29}: true, {Era: 2, Number: 30}: false, {Era: 2, Number: 43}: false,
+	} {
+		changes, _ := cache.Since(after)
+		assert.Assert(t, !changes.IsWhole)
+		assert.Equal(t, len(changes.Rows) == 1, isRelayed, "after %s", after)
+	}
+}
