Subtract the age of relayed entries from their cold times

Callers saw: nothing that was reported. Found while the start of a host was worked on: a host that gets the endpoints from another one, because the store serves no host, took endpoints for cold that had been warm for long, and sent them only what the owner of a cold endpoint may send.

Cause: the cold time of an entry counts down, and renewals are not relayed. A host that does not read the store keeps the entry with which the endpoint started, and a host that starts from it counted the whole cold time again.

The transit between hosts is not subtracted, so the result is never too short.

--- a/relay/cache.go
+++ b/relay/cache.go
@@ -43,6 +43,8 @@
 type cachedRow struct {
 	row       platform.Row
 	changedAt platform.Version
+	// storedAt is when the first host got the row from the store. It is zero for a removal.
+	storedAt time.Time
 	// removal is the removal of the row from the store while its grace period runs.
 	// It is newer than the row. It is nil otherwise.
 	removal *heldRemoval
@@ -63,6 +65,15 @@
 	return r.row.Version
 }
 
+// agedRow returns the row with its age, which a removal does not need.
+func (r cachedRow) agedRow(now time.Time) platform.Row {
+	row := r.row
+	if !row.IsRemoved {
+		row.Age = now.Sub(r.storedAt)
+	}
+	return row
+}
+
 // removedRow returns the row that marks the row as removed.
 func (r cachedRow) removedRow() platform.Row {
 	return platform.Row{Key: r.row.Key, Version: r.version(), IsRemoved: true}
@@ -83,6 +94,9 @@
 		return
 	}
 	next := cachedRow{row: row, changedAt: before.changedAt}
+	if !row.IsRemoved {
+		next.storedAt = time.Now().Add(-row.Age)
+	}
 	// Other hosts may have applied a held removal at once.
 	if isSignificant || !exists || before.removal != nil {
 		next.changedAt = row.Version
@@ -241,9 +255,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := Changes{Version: c.version, IsWhole: c.lacksChanges(after)}
+	now := time.Now()
 	for _, cached := range c.rows {
 		if changes.IsWhole || cached.changedAt.Compare(after) > 0 {
-			changes.Rows = append(changes.Rows, cached.row)
+			changes.Rows = append(changes.Rows, cached.agedRow(now))
 		}
 		if cached.removal != nil && (changes.IsWhole || cached.removal.version.Compare(after) > 0) {
 			changes.addHeldRemoval(cached)
