Ask another host at the start for what the store may have lost

Callers saw: requests served by an endpoint that had left (200 instead of 503), from a host that started again after the store had returned from an older copy. The same start used endpoints that were draining, availability zones that were evacuated, and configuration 1 where the other hosts had 5.

Cause: a host that starts read the store itself, and only hosts that ran before know what the store lost.

Change: before its first read of the store, a host polls another one (starter) with the existing poll, which brings rows, held removals and the configuration in force. It then meets a later era like a host that ran. New in the answer to a host without endpoints are the removals that the roster remembers, with incarnation, sequence and age: they are needed if the peer is in the earlier era, where the host still reads the whole table of the new one. The age is handed on, so that removals are not handed on for good.

- Which host: ready, reaching the store, of the own region, by hash; leaving hosts last.
A host that does not answer or has no rows is passed over.
- Without one, the store is used 0.3 s after the hosts of the store's rows were asked, or after 0.7 s.
They are now asked at once, not with the next tick.
Hosts that are heard and do not answer cost 3 s at most.
- Rows of a peer that had lost the store do not make the host ready, and its outage gives this host no grace period.
If no host reaches the store, the rows of a ready one are used as before.

--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -85,11 +85,14 @@
 	}
 }
 
-// AddAddresses adds addresses of possible hosts, to which heartbeats are sent.
+// AddAddresses adds addresses of possible hosts and asks the new ones at once for answers.
 func (t *Transport) AddAddresses(addresses []netip.Addr) {
+	now := time.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.detector.Table().AddAddresses(addresses, time.Now())
+	t.detector.Table().AddAddresses(addresses, now)
+	sends := t.detector.ContactNew(t.own, now)
+	t.mu.Unlock()
+	t.send(sends)
 }
 
 // Alive returns the other hosts that are alive.
@@ -99,6 +102,13 @@
 	return t.detector.Table().Alive(time.Now())
 }
 
+// Leaving returns the other hosts that are shutting down and still answer.
+func (t *Transport) Leaving() []member.Heartbeat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.detector.Table().Leaving(time.Now())
+}
+
 // Run sends and receives messages until ctx ends. The address is free when it
 // returns.
 func (t *Transport) Run(ctx context.Context) error {
--- a/member/detector.go
+++ b/member/detector.go
@@ -258,6 +258,12 @@
 	return sends
 }
 
+// ContactNew returns the announcement to the addresses to which none was sent yet, without
+// waiting for the next tick.
+func (d *Detector) ContactNew(own Heartbeat, now time.Time) []Send {
+	return d.contact(own, d.table.newContacts(now), now)
+}
+
 // contact returns the announcement to addresses from which no host has answered.
 func (d *Detector) contact(own Heartbeat, addresses []netip.Addr, now time.Time) []Send {
 	if len(addresses) == 0 {
--- a/member/reader.go
+++ b/member/reader.go
@@ -1,10 +1,12 @@
 package member
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
 
+	"filberthold/hashes"
 	"filberthold/model"
 )
 
@@ -116,6 +118,34 @@
 	return append(holders, filter(others, func(host Heartbeat) bool { return host.IsReady && host.Region != self.Region })...)
 }
 
+// StartHolders returns the hosts from which a host that starts gets what they know: those
+// that are ready, then those that are leaving. Hosts that reach the store come first,
+// because the others may know less, and among these the hosts of its own region. The order
+// of hosts that are alike differs from host to host, so that many hosts that start at once
+// do not all ask the same one.
+func StartHolders(self Heartbeat, others, leaving []Heartbeat) []Heartbeat {
+	holders := append(filter(others, func(host Heartbeat) bool { return host.IsReady }), leaving...)
+	slices.SortFunc(holders, func(a, b Heartbeat) int {
+		return cmp.Or(
+			preferTrue(a.IsReady, b.IsReady), preferTrue(a.IsStoreReachable, b.IsStoreReachable),
+			preferTrue(a.Region == self.Region, b.Region == self.Region),
+			cmp.Compare(hashes.Sum(string(self.Host), string(a.Host)), hashes.Sum(string(self.Host), string(b.Host))),
+		)
+	})
+	return holders
+}
+
+// preferTrue orders true before false.
+func preferTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // readers returns the store reader of each region, that of the given region
 // first.
 func readers(hosts []Heartbeat, region model.RegionName) []Heartbeat {
--- a/member/table.go
+++ b/member/table.go
@@ -230,6 +230,17 @@
 	return alive
 }
 
+// Leaving returns the hosts that have not expired and are leaving, by name.
+func (t *Table) Leaving(now time.Time) []Heartbeat {
+	var leaving []Heartbeat
+	for _, host := range t.sorted {
+		if host.heartbeat.IsLeaving && host.isAlive(now) {
+			leaving = append(leaving, host.heartbeat)
+		}
+	}
+	return leaving
+}
+
 // usable returns the records of the hosts that Alive returns.
 func (t *Table) usable(now time.Time) []*record {
 	usable := make([]*record, 0, len(t.sorted))
--- a/node/grace.go
+++ b/node/grace.go
@@ -26,7 +26,8 @@
 // is confirmed. r.mu is held.
 func (r *storeReplica) graceUntil(now time.Time, era uint64) time.Time {
 	known := r.endpoints.Version()
-	isOutdated := r.endpoints.Age(now) > minOutageHeartbeats*r.heartbeatInterval
+	withoutNews := min(r.endpoints.Age(now), now.Sub(r.learnedAt))
+	isOutdated := withoutNews > minOutageHeartbeats*r.heartbeatInterval
 	if !known.IsZero() && (isOutdated || era > known.Era) {
 		r.outageEndedAt = now
 	}
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -74,6 +74,12 @@
 	return sources
 }
 
+// startHolders returns the hosts from which this one gets what they know when it starts,
+// in order of preference.
+func (n *Node) startHolders() []member.Heartbeat {
+	return member.StartHolders(n.heartbeat(), n.transport.Alive(), n.transport.Leaving())
+}
+
 // updateHosts passes the hosts that are alive to the core, including this one
 // unless it is leaving.
 func (n *Node) updateHosts() {
@@ -181,6 +187,7 @@
 		}
 	}
 	n.transport.AddAddresses(addresses)
+	n.starter.markHostsAsked(time.Now())
 	n.logLimitChange(n.core.SetNamedHosts(len(addresses) + 1))
 	return true
 }
--- a/node/large_test.go
+++ b/node/large_test.go
@@ -29,7 +29,7 @@
 // startRelay serves the replica's rows to followers over a link until the test ends.
 func (rt *replicaTest) startRelay(link *fakes.Link) {
 	rt.t.Helper()
-	handler := relay.NewHandler(slog.New(slog.DiscardHandler), rt.replica.operator, rt.replica.endpoints, rt.intervals.pollWait)
+	handler := relay.NewHandler(slog.New(slog.DiscardHandler), rt.replica.operator, rt.replica.endpoints, rt.core.Removals, rt.intervals.pollWait)
 	server := &httpServer{http: &http.Server{Handler: handler}, listener: link}
 	rt.run(server.run)
 }
--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -99,15 +99,21 @@
 func (c *cluster) checkRestarted(condition string) {
 	c.t.Helper()
 	last := len(c.hosts) - 1
-	before := c.hosts[last]
+	c.restart(last)
+	c.waitFor(condition, c.hosts[last].node.isReady)
+	for range 5 {
+		assert.Equal(c.t, c.status(c.hosts[last], "/v1/x"), http.StatusServiceUnavailable, condition)
+	}
+}
+
+// restart stops a host and starts it again without waiting for it.
+func (c *cluster) restart(index int) {
+	c.t.Helper()
+	before := c.hosts[index]
 	before.stop()
 	err := <-before.done
 	before.done <- err
 	assert.NilError(c.t, err)
 	ip := before.node.settings.IP.As4()
-	c.hosts[last] = c.run(int(ip[3]))
-	c.waitFor(condition, c.hosts[last].node.isReady)
-	for range 5 {
-		assert.Equal(c.t, c.status(c.hosts[last], "/v1/x"), http.StatusServiceUnavailable, condition)
-	}
+	c.hosts[index] = c.run(int(ip[3]))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,7 @@
 	replica   *storeReplica
 	reader    *reader
 	follower  *follower
+	starter   *starter
 	relay     *relay.Handler
 }
 
@@ -90,11 +91,13 @@
 	}
 	node.intervals = newIntervals(settings)
 	node.replica = newStoreReplica(log, core, settings.HeartbeatInterval)
-	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, node.intervals.pollWait)
+	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, core.Removals, node.intervals.pollWait)
 	node.registerMetrics()
 	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), node.freshness(), node.buffers)
 	node.reader = newReader(log, store, node.replica, node.intervals, node.shouldReadStore, node.probeInterval)
-	node.follower = newFollower(log, node.replica, node.intervals, node.sources, relay.NewClient(node.intervals.pollWait).Poll)
+	poll := relay.NewClient(node.intervals.pollWait).Poll
+	node.follower = newFollower(log, node.replica, node.intervals, node.sources, poll)
+	node.starter = &starter{log: log, replica: node.replica, intervals: node.intervals, holders: node.startHolders, poll: poll}
 	return node
 }
 
@@ -143,9 +146,7 @@
 		return fmt.Errorf("start host: %w", err)
 	}
 	group.Go(func() error { return n.transport.Run(runCtx) })
-	group.Go(func() error { return n.reader.operatorLoop(runCtx) })
-	group.Go(func() error { return n.reader.endpointLoop(runCtx) })
-	group.Go(func() error { return n.follower.loop(runCtx) })
+	group.Go(func() error { return n.runReplica(runCtx) })
 	group.Go(func() error { return n.registerLoop(runCtx) })
 	group.Go(func() error { return n.server.CleanupLoop(runCtx) })
 	group.Go(func() error { return n.expiryLoop(runCtx) })
@@ -165,6 +166,19 @@
 	return nil
 }
 
+// runReplica gets what another host knows and keeps the replica up to date from then on.
+func (n *Node) runReplica(ctx context.Context) error {
+	n.starter.run(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.reader.operatorLoop(ctx) })
+	group.Go(func() error { return n.reader.endpointLoop(ctx) })
+	group.Go(func() error { return n.follower.loop(ctx) })
+	if err := group.Wait(); err != nil {
+		return fmt.Errorf("update replica: %w", err)
+	}
+	return nil
+}
+
 // listen opens the listeners of the addresses in the settings and serves them.
 func (n *Node) listen(ctx context.Context, group *errgroup.Group) error {
 	callers, err := net.Listen("tcp", n.settings.CallerAddress)
--- a/node/replica.go
+++ b/node/replica.go
@@ -42,6 +42,11 @@
 	// of their grace periods. A key is removed when its row is written again or has
 	// expired.
 	lostUntil map[string]time.Time
+	// awaited holds the tables that must be current before the host is ready.
+	awaited map[platform.Table]bool
+	// learnedAt is when this host got at its start what another one knows, or zero. The
+	// outages before it were those of the other host.
+	learnedAt time.Time
 }
 
 // newStoreReplica returns an empty replica. Endpoints renew their entries at each
@@ -50,7 +55,7 @@
 	return &storeReplica{
 		log: log, core: core, heartbeatInterval: heartbeatInterval, operator: relay.NewCache(), endpoints: relay.NewCache(),
 		evacuated: make(map[model.ZoneName]bool), rejected: make(map[string]bool),
-		lostUntil: make(map[string]time.Time),
+		lostUntil: make(map[string]time.Time), awaited: map[platform.Table]bool{platform.EndpointTable: true},
 	}
 }
 
@@ -70,6 +75,7 @@
 // applyOperatorRows applies changed rows of the operator's table, which came from
 // the store. The replica is then complete up to the given version as of confirmedAt.
 func (r *storeReplica) applyOperatorRows(rows []platform.Row, version platform.Version, confirmedAt time.Time) {
+	defer r.markCurrent(platform.OperatorTable)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.putOperatorRows(rows, version, storeSource)
@@ -124,6 +130,7 @@
 
 // applyOperatorTable applies all rows of the operator's table, which came from the store.
 func (r *storeReplica) applyOperatorTable(rows platform.Rows, confirmedAt time.Time) {
+	defer r.markCurrent(platform.OperatorTable)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.putOperatorTable(rows.Rows, rows.Version, storeSource)
@@ -158,13 +165,16 @@
 // applyEndpointRows applies changed entries of endpoints, which this host read from the
 // store. The replica is then complete up to the given version as of confirmedAt.
 func (r *storeReplica) applyEndpointRows(rows []platform.Row, version platform.Version, confirmedAt time.Time) {
+	defer r.markCurrent(platform.EndpointTable)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	graceUntil := r.graceUntil(time.Now(), version.Era)
 	for _, row := range rows {
 		r.applyEndpointRow(row, graceUntil)
 	}
-	r.confirmEndpoints(version, confirmedAt)
+	// All removals up to the version must have been put into the cache, also those in a
+	// grace period: followers ask for the changes after their version only.
+	r.endpoints.Confirm(version, confirmedAt)
 }
 
 // applyEndpointTable applies the entries of all endpoints, which this host read from the
@@ -176,14 +186,6 @@
 	r.log.Info("endpoints read", "count", len(rows.Rows), "storeVersion", rows.Version)
 }
 
-// confirmEndpoints records that the entries are complete up to a version. All removals up
-// to it must have been put into the cache, also those in a grace period: followers ask
-// for the changes after their version only. r.mu is held.
-func (r *storeReplica) confirmEndpoints(version platform.Version, confirmedAt time.Time) {
-	r.endpoints.Confirm(version, confirmedAt)
-	r.core.MarkEndpointsLoaded()
-}
-
 // applyEndpointRow applies a changed entry, unless the replica has it already or a newer
 // one. An endpoint whose entry was removed stays usable until graceUntil, because it may
 // write the entry again after a store outage. r.mu is held.
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -132,6 +132,23 @@
 	return c.roster.Remove(name, time.Now(), graceUntil)
 }
 
+// Removals returns the removals of entries that the host remembers.
+func (c *Core) Removals() []roster.Removal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.roster.Removals(time.Now())
+}
+
+// ApplyRemovals applies removals that another host remembers.
+func (c *Core) ApplyRemovals(removals []roster.Removal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, removal := range removals {
+		c.roster.ApplyRemoval(removal, now)
+	}
+}
+
 // Expire removes the endpoints whose entries were not written again within
 // their grace period, and returns them.
 func (c *Core) Expire() []model.EndpointName {
--- a/relay/http.go
+++ b/relay/http.go
@@ -13,6 +13,7 @@
 	"filberthold/conns"
 	"filberthold/fetch"
 	"filberthold/platform"
+	"filberthold/roster"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -73,6 +74,9 @@
 type Update struct {
 	Operator  Changes `cbor:"operator"`
 	Endpoints Changes `cbor:"endpoints"`
+	// Removals are what the host remembers of removed entries. They are sent only to a
+	// host without endpoints: it has not seen the entries.
+	Removals []roster.Removal `cbor:"removals,omitempty"`
 	// ReceivedAt is when the response began to arrive. The ages of the changes refer
 	// to it.
 	ReceivedAt time.Time `cbor:"-"`
@@ -82,6 +86,8 @@
 type Handler struct {
 	log                 *slog.Logger
 	operator, endpoints *Cache
+	// removals returns what this host remembers of removed entries.
+	removals func() []roster.Removal
 	// wait is how long a poll waits for a change. It bounds how outdated the age
 	// at the polling host is.
 	wait   time.Duration
@@ -93,10 +99,10 @@
 // SentBytes returns the number of bytes sent to other hosts so far.
 func (h *Handler) SentBytes() uint64 { return h.sentBytes.Load() }
 
-// NewHandler returns a handler for two caches. A poll waits for a change for the
-// given time.
-func NewHandler(log *slog.Logger, operator, endpoints *Cache, wait time.Duration) *Handler {
-	return &Handler{log: log, operator: operator, endpoints: endpoints, wait: wait}
+// NewHandler returns a handler for two caches and the removals that this host remembers.
+// A poll waits for a change for the given time.
+func NewHandler(log *slog.Logger, operator, endpoints *Cache, removals func() []roster.Removal, wait time.Duration) *Handler {
+	return &Handler{log: log, operator: operator, endpoints: endpoints, removals: removals, wait: wait}
 }
 
 // ServeHTTP implements http.Handler. It responds immediately if there are
@@ -152,6 +158,9 @@
 func (h *Handler) changesSince(operatorAfter, endpointsAfter platform.Version) (update Update, operatorChanged, endpointsChanged <-chan struct{}) {
 	update.Operator, operatorChanged = h.operator.Since(operatorAfter)
 	update.Endpoints, endpointsChanged = h.endpoints.Since(endpointsAfter)
+	if endpointsAfter.IsZero() {
+		update.Removals = h.removals()
+	}
 	now := time.Now()
 	update.Operator.Age = h.operator.Age(now)
 	update.Endpoints.Age = h.endpoints.Age(now)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filberthold/platform"
+	"filberthold/roster"
 
 	"gotest.tools/v3/assert"
 )
@@ -72,10 +73,13 @@
 	assert.Assert(t, cache.Age(now) < time.Second)
 }
 
+// noRemovals is a host that remembers no removals.
+func noRemovals() []roster.Removal { return nil }
+
 func startHandler(t *testing.T) (*Cache, *Cache, string) {
 	t.Helper()
 	operator, endpoints := NewCache(), NewCache()
-	server := httptest.NewServer(NewHandler(slog.New(slog.DiscardHandler), operator, endpoints, time.Second))
+	server := httptest.NewServer(NewHandler(slog.New(slog.DiscardHandler), operator, endpoints, noRemovals, time.Second))
 	t.Cleanup(server.Close)
 	return operator, endpoints, strings.TrimPrefix(server.URL, "http://")
 }
--- a/relay/transfer_test.go
+++ b/relay/transfer_test.go
@@ -47,7 +47,7 @@
 		value := incompressible(2_000_000)
 		operator.Put(platform.Row{Key: "config", Value: value, Version: at(1)}, true)
 		link := fakes.NewLink(smallLink)
-		serveOver(t, link, NewHandler(slog.New(slog.DiscardHandler), operator, endpoints, 100*time.Millisecond))
+		serveOver(t, link, NewHandler(slog.New(slog.DiscardHandler), operator, endpoints, noRemovals, 100*time.Millisecond))
 		update, err := NewClientOver(100*time.Millisecond, link.DialContext).Poll(context.Background(), "reader:1", platform.Version{}, platform.Version{})
 		assert.NilError(t, err)
 		assert.Equal(t, len(update.Operator.Rows[0].Value), len(value))
