--- a/relay/cache.go
+++ b/relay/cache.go
@@ -51,6 +51,8 @@
 	// two, which this cache did not get. It is zero if there was no such write since
 	// changedAt.
 	rewrittenAt platform.Version
+	// storedAt is when the first host got the row from the store. It is zero for a removal.
+	storedAt time.Time
 	// removal is the removal of the row from the store while its grace period runs.
 	// It is newer than the row. It is nil otherwise.
 	removal *heldRemoval
@@ -71,6 +73,15 @@
 	return r.row.Version
 }
 
+// changedRow returns the cached row after a change.
+func changedRow(row platform.Row) cachedRow {
+	changed := cachedRow{row: row, changedAt: row.Version}
+	if !row.IsRemoved {
+		changed.storedAt = time.Now().Add(-row.Age)
+	}
+	return changed
+}
+
 // lastChange returns the later of changedAt and rewrittenAt.
 func (r cachedRow) lastChange() platform.Version {
 	if r.rewrittenAt.Compare(r.changedAt) > 0 {
@@ -94,18 +105,30 @@
 	if row.Version.Era > r.lastChange().Era {
 		return r.rewrite(row)
 	}
-	return cachedRow{row: row, changedAt: r.changedAt, rewrittenAt: r.rewrittenAt}
+	next := changedRow(row)
+	next.changedAt, next.rewrittenAt = r.changedAt, r.rewrittenAt
+	return next
 }
 
 // rewrite returns the cached row after it was written again with the same value.
 func (r cachedRow) rewrite(row platform.Row) cachedRow {
-	next := cachedRow{row: row, changedAt: r.changedAt, rewrittenAt: row.Version}
+	next := changedRow(row)
+	next.changedAt, next.rewrittenAt = r.changedAt, row.Version
 	if row.Version.Era > r.rewrittenAt.Era {
 		next.changedAt = r.lastChange()
 	}
 	return next
 }
 
+// agedRow returns the row with its age, which a removal does not need.
+func (r cachedRow) agedRow(now time.Time) platform.Row {
+	row := r.row
+	if !row.IsRemoved {
+		row.Age = now.Sub(r.storedAt)
+	}
+	return row
+}
+
 // removedRow returns the row that marks the row as removed.
 func (r cachedRow) removedRow() platform.Row {
 	return platform.Row{Key: r.row.Key, Version: r.version(), IsRemoved: true}
@@ -128,7 +151,7 @@
 	next := before.renew(row)
 	// Other hosts may have applied a held removal at once.
 	if isSignificant || !exists || before.removal != nil {
-		next = cachedRow{row: row, changedAt: row.Version}
+		next = changedRow(row)
 	}
 	if next.lastChange() != before.lastChange() {
 		c.notify()
@@ -149,7 +172,7 @@
 	next := before.rewrite(row)
 	// Other hosts may have applied a held removal at once.
 	if !exists || before.removal != nil {
-		next = cachedRow{row: row, changedAt: row.Version}
+		next = changedRow(row)
 	}
 	c.notify()
 	c.rows[row.Key] = next
@@ -306,9 +329,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := Changes{Version: c.version, IsWhole: c.lacksChanges(after)}
+	now := time.Now()
 	for _, cached := range c.rows {
 		if changes.IsWhole || cached.isChangedAfter(after) {
-			changes.Rows = append(changes.Rows, cached.row)
+			changes.Rows = append(changes.Rows, cached.agedRow(now))
 		}
 		if cached.removal != nil && (changes.IsWhole || cached.removal.version.Compare(after) > 0) {
 			changes.addHeldRemoval(cached)
