Use a removed endpoint that a returned store revives once it renews its entry

Found while the start of a host was searched for its cause elsewhere: a host that ran on sends requests to an endpoint that had left, after the store returned from a copy with its entry.

Cause: an entry that is older than the last one that a host has seen changes nothing, but hosts that get changes only have seen an older sequence than the copy may hold, because renewals are not relayed. After an outage all of them read the table of the new era. The same held for each host a minute after the removal, when the roster has forgotten it.

Change: a row of a whole table whose removal this host knows from an earlier era may be from before the removal, so its sequence becomes that of the removed entry, and the endpoint counts with its next entry, within a heartbeat if it runs.

--- a/node/follower.go
+++ b/node/follower.go
@@ -21,8 +21,8 @@
 )
 
 // pollFunc polls the host at an address for the rows that changed after the given
-// versions.
-type pollFunc func(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version) (relay.Update, error)
+// versions, and for the renewals of the watched entries.
+type pollFunc func(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version, watched ...string) (relay.Update, error)
 
 // follower keeps the replica up to date by polling another host.
 type follower struct {
@@ -67,7 +67,7 @@
 
 func (f *follower) pollSource(ctx context.Context, source member.Heartbeat) {
 	startedAt := time.Now()
-	update, err := f.poll(ctx, source.ControlAddress, f.replica.operator.Version(), f.replica.endpoints.Version())
+	update, err := f.poll(ctx, source.ControlAddress, f.replica.operator.Version(), f.replica.endpoints.Version(), f.replica.revivedKeys(startedAt)...)
 	now := time.Now()
 	if err != nil {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
--- a/node/follower_test.go
+++ b/node/follower_test.go
@@ -22,7 +22,7 @@
 	sources := func() []member.Heartbeat {
 		return []member.Heartbeat{{Host: "a", ControlAddress: "a"}, {Host: "b", ControlAddress: "b"}}
 	}
-	poll := func(_ context.Context, address string, _, _ platform.Version) (relay.Update, error) {
+	poll := func(_ context.Context, address string, _, _ platform.Version, _ ...string) (relay.Update, error) {
 		time.Sleep(rt.intervals.pollWait)
 		update := updates[address]
 		update.ReceivedAt = time.Now()
--- a/node/replica.go
+++ b/node/replica.go
@@ -42,6 +42,10 @@
 	// of their grace periods. A key is removed when its row is written again or has
 	// expired.
 	lostUntil map[string]time.Time
+	// revivedUntil holds the keys of the removed entries that are back in a store which
+	// returned from an older copy, and the time until which their renewals are awaited. A
+	// key is removed when its entry is renewed or removed again.
+	revivedUntil map[string]time.Time
 	// awaited holds the tables that must be current before the host is ready.
 	awaited map[platform.Table]bool
 	// learnedAt is when this host got at its start what another one knows, or zero. The
@@ -55,7 +59,7 @@
 	return &storeReplica{
 		log: log, core: core, heartbeatInterval: heartbeatInterval, operator: relay.NewCache(), endpoints: relay.NewCache(),
 		evacuated: make(map[model.ZoneName]bool), rejected: make(map[string]bool),
-		lostUntil: make(map[string]time.Time), awaited: map[platform.Table]bool{platform.EndpointTable: true},
+		lostUntil: make(map[string]time.Time), revivedUntil: make(map[string]time.Time), awaited: map[platform.Table]bool{platform.EndpointTable: true},
 	}
 }
 
@@ -181,6 +185,7 @@
 // store.
 func (r *storeReplica) applyEndpointTable(rows platform.Rows, confirmedAt time.Time) {
 	forgetHistory(r.endpoints, rows.Version)
+	r.holdRevivedEntries(rows.Rows, time.Now())
 	missing := removedRows(r.endpoints.Missing(rows.Rows), rows.Version)
 	r.applyEndpointRows(append(rows.Rows, missing...), rows.Version, confirmedAt)
 	r.log.Info("endpoints read", "count", len(rows.Rows), "storeVersion", rows.Version)
@@ -203,6 +208,7 @@
 // the endpoint stays usable here until graceUntil. r.mu is held.
 func (r *storeReplica) applyRemoval(row platform.Row, graceUntil time.Time) {
 	delete(r.rejected, row.Key)
+	delete(r.revivedUntil, row.Key)
 	if r.core.RemoveEntry(model.EndpointName(row.Key), graceUntil) {
 		r.log.Info("endpoint is gone", "endpoint", row.Key, "rowVersion", row.Version)
 	}
@@ -228,6 +234,7 @@
 	if change == roster.Stale {
 		return
 	}
+	delete(r.revivedUntil, row.Key)
 	r.endpoints.Put(row, change != roster.Unchanged)
 	if change != roster.Unchanged {
 		r.log.Info("endpoint changed", "endpoint", entry.Endpoint, "service", entry.Service, "zone", entry.Zone,
--- a/node/starter_test.go
+++ b/node/starter_test.go
@@ -54,7 +54,7 @@
 	return time.Since(startedAt)
 }
 
-func (h *holderTest) poll(ctx context.Context, address string, _, _ platform.Version) (relay.Update, error) {
+func (h *holderTest) poll(ctx context.Context, address string, _, _ platform.Version, _ ...string) (relay.Update, error) {
 	name := model.HostName(address)
 	h.asked = append(h.asked, name)
 	update, exists := h.holders[name]
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -149,6 +149,14 @@
 	}
 }
 
+// ApplyReturned applies the entry of a removed endpoint from a store that returned from
+// an older copy.
+func (c *Core) ApplyReturned(entry roster.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.roster.ApplyReturned(entry, time.Now())
+}
+
 // Expire removes the endpoints whose entries were not written again within
 // their grace period, and returns them.
 func (c *Core) Expire() []model.EndpointName {
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -159,6 +159,15 @@
 	return exists && cached.version().Compare(row.Version) >= 0
 }
 
+// IsRevived reports whether a row was removed in an earlier era of the store than its own.
+// The store may have lost the removal.
+func (c *Cache) IsRevived(row platform.Row) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached, exists := c.rows[row.Key]
+	return exists && cached.row.IsRemoved && !row.IsRemoved && cached.version().Era < row.Version.Era
+}
+
 // HasValue reports whether the cache has a row with the same value, at any version.
 func (c *Cache) HasValue(row platform.Row) bool {
 	c.mu.Lock()
@@ -250,14 +259,16 @@
 
 // Since returns the rows with a significant change after a version, ordered by
 // version, and a channel that is closed at the next such change. If it cannot know all
-// changes after the version, it returns all rows.
-func (c *Cache) Since(after platform.Version) (Changes, <-chan struct{}) {
+// changes after the version, it returns all rows. Of the rows with the watched keys it
+// returns those with any change after the version.
+func (c *Cache) Since(after platform.Version, watched ...string) (Changes, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	changes := Changes{Version: c.version, IsWhole: c.lacksChanges(after)}
 	now := time.Now()
-	for _, cached := range c.rows {
-		if changes.IsWhole || cached.changedAt.Compare(after) > 0 {
+	for key, cached := range c.rows {
+		isRenewed := cached.row.Version.Compare(after) > 0 && slices.Contains(watched, key)
+		if changes.IsWhole || isRenewed || cached.changedAt.Compare(after) > 0 {
 			changes.Rows = append(changes.Rows, cached.agedRow(now))
 		}
 		if cached.removal != nil && (changes.IsWhole || cached.removal.version.Compare(after) > 0) {
--- a/relay/http.go
+++ b/relay/http.go
@@ -25,6 +25,10 @@
 	// begin. It covers the transit time between regions, and also bounds the wait for
 	// a connection.
 	pollTimeout = 500 * time.Millisecond
+	// MaxWatched bounds the watched keys of a poll, whose head must not be too long.
+	MaxWatched = 16
+	// watchParameter is the name of the query parameter for a watched key.
+	watchParameter = "watch"
 	// maxChangesBytes bounds the size of a response.
 	maxChangesBytes = 8 << 20
 )
@@ -115,7 +119,11 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	update, operatorChanged, endpointsChanged := h.changesSince(operatorAfter, endpointsAfter)
+	watched := query[watchParameter]
+	if len(watched) > MaxWatched {
+		watched = watched[:MaxWatched]
+	}
+	update, operatorChanged, endpointsChanged := h.changesSince(operatorAfter, endpointsAfter, watched)
 	if len(update.Operator.Rows) == 0 && len(update.Endpoints.Rows) == 0 {
 		timer := time.NewTimer(h.wait)
 		defer timer.Stop()
@@ -126,7 +134,7 @@
 		case <-request.Context().Done():
 			return
 		}
-		update, _, _ = h.changesSince(operatorAfter, endpointsAfter)
+		update, _, _ = h.changesSince(operatorAfter, endpointsAfter, watched)
 	}
 	content, err := h.encode(update)
 	if err != nil {
@@ -155,9 +163,9 @@
 	return content, nil
 }
 
-func (h *Handler) changesSince(operatorAfter, endpointsAfter platform.Version) (update Update, operatorChanged, endpointsChanged <-chan struct{}) {
+func (h *Handler) changesSince(operatorAfter, endpointsAfter platform.Version, watched []string) (update Update, operatorChanged, endpointsChanged <-chan struct{}) {
 	update.Operator, operatorChanged = h.operator.Since(operatorAfter)
-	update.Endpoints, endpointsChanged = h.endpoints.Since(endpointsAfter)
+	update.Endpoints, endpointsChanged = h.endpoints.Since(endpointsAfter, watched...)
 	if endpointsAfter.IsZero() {
 		update.Removals = h.removals()
 	}
@@ -190,11 +198,13 @@
 }
 
 // Poll requests the rows that changed after the given versions from a host. The
-// host responds at the next change, or without one after its wait.
-func (c *Client) Poll(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version) (Update, error) {
+// host responds at the next change, or without one after its wait. Of the endpoints whose
+// keys are watched, up to MaxWatched, the response contains renewals too.
+func (c *Client) Poll(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version, watched ...string) (Update, error) {
 	query := url.Values{
-		"operator":  {operatorAfter.String()},
-		"endpoints": {endpointsAfter.String()},
+		"operator":     {operatorAfter.String()},
+		"endpoints":    {endpointsAfter.String()},
+		watchParameter: watched,
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+ChangesPath+"?"+query.Encode(), nil)
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -76,10 +76,15 @@
 // noRemovals is a host that remembers no removals.
 func noRemovals() []roster.Removal { return nil }
 
+// maxHeadBytes is the limit that hosts set for the head of a poll.
+const maxHeadBytes = 16 << 10
+
 func startHandler(t *testing.T) (*Cache, *Cache, string) {
 	t.Helper()
 	operator, endpoints := NewCache(), NewCache()
-	server := httptest.NewServer(NewHandler(slog.New(slog.DiscardHandler), operator, endpoints, noRemovals, time.Second))
+	server := httptest.NewUnstartedServer(NewHandler(slog.New(slog.DiscardHandler), operator, endpoints, noRemovals, time.Second))
+	server.Config.MaxHeaderBytes = maxHeadBytes
+	server.Start()
 	t.Cleanup(server.Close)
 	return operator, endpoints, strings.TrimPrefix(server.URL, "http://")
 }
@@ -214,3 +219,30 @@
 		})
 	}
 }
+
+// Guards against a renewal that a host awaits and does not get, against one that is sent
+// again with each poll, and against names of endpoints that make the poll too long.
+func TestWatchedRenewalsAreRelayed(t *testing.T) {
+	operator, endpoints, address := startHandler(t)
+	operator.Confirm(at(9), time.Now())
+	for _, key := range []string{"a", "b"} {
+		endpoints.Put(row(key, 3), true)
+		endpoints.Put(row(key, 5), false)
+	}
+	endpoints.Confirm(at(9), time.Now())
+	poll := func(after uint64, watched ...string) []platform.Row {
+		update, err := NewClient(time.Second).Poll(context.Background(), address, at(9), at(after), watched...)
+		assert.NilError(t, err)
+		return update.Endpoints.Rows
+	}
+	endpoints.ForgetHistory(at(4))
+	rows := poll(4, "a")
+	assert.Equal(t, len(rows), 1)
+	assert.Equal(t, rows[0].Key, "a")
+	assert.Equal(t, len(poll(9, "a")), 0)
+	longest := []string{"a"}
+	for i := range MaxWatched - 1 {
+		longest = append(longest, fmt.Sprint(i)+strings.Repeat("ü", 99))
+	}
+	assert.Equal(t, len(poll(4, longest...)), 1)
+}
--- a/roster/removal.go
+++ b/roster/removal.go
@@ -45,3 +45,18 @@
 	r.records[removal.Endpoint] = &record{entry: last, isRemoved: true, removedAt: now.Add(-removal.Age)}
 	r.revision++
 }
+
+// ApplyReturned applies an entry of an endpoint that was removed, from a store that
+// returned from an older copy. The entry may be one from before the removal, also if the
+// roster has not seen it. The endpoint is usable again after a later entry only. A later
+// incarnation than the removed one is not affected.
+func (r *Roster) ApplyReturned(entry Entry, now time.Time) {
+	current := r.records[entry.Endpoint]
+	if current == nil {
+		r.records[entry.Endpoint] = &record{entry: entry, isRemoved: true, removedAt: now}
+		return
+	}
+	if current.isRemoved && current.entry.Incarnation == entry.Incarnation && entry.Sequence > current.entry.Sequence {
+		current.entry.Sequence = entry.Sequence
+	}
+}
