Use a store without an era at once at the start

What callers saw: nothing that was reported.

Cause: each host waited for another one that might know what the store lost, also where the store states no era and so returns from no copy.

Change: the answer to the first write tells whether the store states an era. Without one, the host reads it at once.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -170,6 +170,7 @@
 		n.log.Warn("row of this host not written", "error", err)
 		return false
 	}
+	n.starter.markEra(n.store.Era())
 	return true
 }
 
--- a/node/starter.go
+++ b/node/starter.go
@@ -40,18 +40,25 @@
 	// hostsAskedAt is when the hosts that the store names were first asked to announce
 	// themselves, or nil.
 	hostsAskedAt atomic.Pointer[time.Time]
+	// isStoreComplete is true if the store has answered and lost nothing.
+	isStoreComplete atomic.Bool
 }
 
+// markEra records the era of the store after an answer. A store that returns from older
+// copies states its era, so one without an era has lost nothing.
+func (s *starter) markEra(era uint64) { s.isStoreComplete.Store(era == 0) }
+
 // markHostsAsked records that the hosts that the store names were asked to announce
 // themselves.
 func (s *starter) markHostsAsked(now time.Time) { s.hostsAskedAt.CompareAndSwap(nil, &now) }
 
-// run returns after a host has answered, or if there is none or none answers.
+// run returns after a host has answered, if there is none or none answers, or if the store
+// has lost nothing.
 func (s *starter) run(ctx context.Context) {
 	startedAt := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(maxStartWait))
 	defer cancel()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !s.isStoreComplete.Load() {
 		holder, exists := s.nextHolder()
 		switch {
 		case exists && s.ask(ctx, holder):
--- a/node/starter_test.go
+++ b/node/starter_test.go
@@ -29,6 +29,8 @@
 	// hostsAskedAfter is how long after the start the hosts that the store names are asked
 	// to announce themselves, or 0 if its rows are not read.
 	hostsAskedAfter time.Duration
+	// storeAnswersAfter is how long after the start a store without an era answers, or 0.
+	storeAnswersAfter time.Duration
 }
 
 func newHolderTest(t *testing.T, heard ...model.HostName) *holderTest {
@@ -49,6 +51,9 @@
 	if h.hostsAskedAfter > 0 {
 		time.AfterFunc(h.hostsAskedAfter, func() { s.markHostsAsked(time.Now()) })
 	}
+	if h.storeAnswersAfter > 0 {
+		time.AfterFunc(h.storeAnswersAfter, func() { s.markEra(0) })
+	}
 	startedAt := time.Now()
 	s.run(h.t.Context())
 	return time.Since(startedAt)
@@ -109,17 +114,19 @@
 		name            string
 		hosts           int
 		hostsAskedAfter time.Duration
+		storeAnswers    time.Duration
 		longest         time.Duration
 	}{
-		{"all hosts start", 0, 30 * time.Millisecond, 350 * time.Millisecond},
-		{"no store and no host", 0, 0, holderWait},
-		{"one silent host", 1, 30 * time.Millisecond, time.Second},
-		{"many silent hosts", 200, 30 * time.Millisecond, maxStartWait},
+		{"all hosts start", 0, 30 * time.Millisecond, 0, 350 * time.Millisecond},
+		{"all hosts start and the store has lost nothing", 0, 30 * time.Millisecond, 20 * time.Millisecond, 30 * time.Millisecond},
+		{"no store and no host", 0, 0, 0, holderWait},
+		{"one silent host", 1, 30 * time.Millisecond, 0, time.Second},
+		{"many silent hosts", 200, 30 * time.Millisecond, 0, maxStartWait},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newHolderTest(t)
-				h.hostsAskedAfter = test.hostsAskedAfter
+				h.hostsAskedAfter, h.storeAnswersAfter = test.hostsAskedAfter, test.storeAnswers
 				for i := range test.hosts {
 					h.heard = append(h.heard, model.HostName(fmt.Sprint("h", i)))
 				}
