Read the store while another host is asked at the start

Cause: the first read of the store waited for the answer to the first write, also where the store has lost nothing.

Change: the store is read at once. Rows of a store without an era are used at once, others when another host has told what it knows or none did, and they are read again if it told something after their read began.

TestRowsAreReadAgainAfterAnotherHostTold is new with the function.

--- a/node/freshness_test.go
+++ b/node/freshness_test.go
@@ -51,10 +51,13 @@
 	rt.run(r.endpointLoop)
 }
 
+// startIsOver is an awaitFunc of a host that has started.
+func startIsOver(context.Context, uint64, time.Time) bool { return false }
+
 // newReader returns a store reader that does not run.
 func (rt *replicaTest) newReader(isActive func(platform.Table) bool) *reader {
 	store := platform.NewStoreOver("store:1", rt.transport)
-	return newReader(slog.New(slog.DiscardHandler), store, rt.replica, rt.intervals, isActive,
+	return newReader(slog.New(slog.DiscardHandler), store, rt.replica, rt.intervals, isActive, startIsOver,
 		func() time.Duration { return 300 * time.Millisecond })
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -97,10 +97,12 @@
 	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, core.Removals, node.intervals.pollWait)
 	node.registerMetrics()
 	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), node.freshness(), node.buffers)
-	node.reader = newReader(log, store, node.replica, node.intervals, node.shouldReadStore, node.probeInterval)
 	poll := relay.NewClient(node.intervals.pollWait).Poll
+	node.starter = &starter{
+		log: log, replica: node.replica, intervals: node.intervals, holders: node.startHolders, poll: poll, over: make(chan struct{}),
+	}
+	node.reader = newReader(log, store, node.replica, node.intervals, node.shouldReadStore, node.starter.await, node.probeInterval)
 	node.follower = newFollower(log, node.replica, node.intervals, node.sources, poll)
-	node.starter = &starter{log: log, replica: node.replica, intervals: node.intervals, holders: node.startHolders, poll: poll}
 	return node
 }
 
@@ -169,13 +171,16 @@
 	return nil
 }
 
-// runReplica gets what another host knows and keeps the replica up to date from then on.
+// runReplica gets what another host knows and keeps the replica up to date. The store is
+// read meanwhile, because most stores have lost nothing.
 func (n *Node) runReplica(ctx context.Context) error {
-	n.starter.run(ctx)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.reader.operatorLoop(ctx) })
 	group.Go(func() error { return n.reader.endpointLoop(ctx) })
-	group.Go(func() error { return n.follower.loop(ctx) })
+	group.Go(func() error {
+		n.starter.run(ctx)
+		return n.follower.loop(ctx)
+	})
 	if err := group.Wait(); err != nil {
 		return fmt.Errorf("update replica: %w", err)
 	}
--- a/node/reader.go
+++ b/node/reader.go
@@ -24,6 +24,9 @@
 	maxAnswerTimeout = 1500 * time.Millisecond
 )
 
+// awaitFunc is the type of starter.await.
+type awaitFunc func(ctx context.Context, era uint64, readAt time.Time) bool
+
 // reader updates the replica from the store while this host is a store reader.
 type reader struct {
 	log       *slog.Logger
@@ -32,6 +35,9 @@
 	intervals intervals
 	// isActive reports whether this host should read a table of the store now.
 	isActive func(platform.Table) bool
+	// awaitStart waits until rows may be used that were read from readAt on, in an era. It
+	// reports whether they must be read again.
+	awaitStart awaitFunc
 	// probeInterval returns the pause before an unreachable store is probed
 	// again.
 	probeInterval func() time.Duration
@@ -49,9 +55,10 @@
 }
 
 func newReader(log *slog.Logger, store *platform.Store, replica *storeReplica, intervals intervals,
-	isActive func(platform.Table) bool, probeInterval func() time.Duration) *reader {
+	isActive func(platform.Table) bool, awaitStart awaitFunc, probeInterval func() time.Duration) *reader {
 	r := &reader{
-		log: log, store: store, replica: replica, intervals: intervals, isActive: isActive, probeInterval: probeInterval,
+		log: log, store: store, replica: replica, intervals: intervals, isActive: isActive,
+		awaitStart: awaitStart, probeInterval: probeInterval,
 		dependency: dependency{log: log, name: "store"}, operatorRows: dependency{log: log, name: "operatorRows"},
 	}
 	r.isStoreReachable.Store(true)
@@ -113,10 +120,14 @@
 			return err
 		}
 	}
+	listedAt := time.Now()
 	rows, err := r.store.List(ctx, platform.EndpointTable)
 	if err != nil {
 		return err
 	}
+	if r.awaitStart(ctx, rows.Version.Era, listedAt) {
+		return r.readEndpoints(ctx, time.Now())
+	}
 	r.replica.applyEndpointTable(rows, startedAt)
 	return nil
 }
@@ -187,6 +198,9 @@
 	if err != nil {
 		return err
 	}
+	if r.awaitStart(ctx, rows.Version.Era, startedAt) {
+		return r.readOperator(ctx)
+	}
 	r.replica.applyOperatorTable(rows, startedAt)
 	return nil
 }
--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -29,7 +29,7 @@
 	core := proxy.NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, proxy.DefaultRetryLimit())
 	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), netip.Addr{})
 	r := newReader(log, store, newStoreReplica(log, core, heartbeatInterval), newIntervals(platform.Settings{}), func(platform.Table) bool { return true },
-		func() time.Duration { return 0 })
+		startIsOver, func() time.Duration { return 0 })
 	fakeStore.Put(platform.EndpointTable, "i-1", readyEntry)
 	fakeStore.Put(platform.EndpointTable, "i-2", readyEntry)
 	assert.NilError(t, r.readEndpoints(t.Context(), time.Now()))
--- a/node/starter.go
+++ b/node/starter.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"filberthold/member"
 	"filberthold/model"
 	"filberthold/platform"
+	"filberthold/relay"
 )
 
 const (
@@ -40,13 +42,30 @@
 	// hostsAskedAt is when the hosts that the store names were first asked to announce
 	// themselves, or nil.
 	hostsAskedAt atomic.Pointer[time.Time]
+	// over is closed when the host no longer waits for another one.
+	over chan struct{}
+	// mu guards the fields below.
+	mu sync.Mutex
 	// isStoreComplete is true if the store has answered and lost nothing.
-	isStoreComplete atomic.Bool
+	isStoreComplete bool
+	// learnedAt is when another host has told what it knows, or zero.
+	learnedAt time.Time
 }
 
 // markEra records the era of the store after an answer. A store that returns from older
 // copies states its era, so one without an era has lost nothing.
-func (s *starter) markEra(era uint64) { s.isStoreComplete.Store(era == 0) }
+func (s *starter) markEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isStoreComplete = era == 0
+}
+
+// needsHost reports whether another host may know what the store lost.
+func (s *starter) needsHost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.isStoreComplete
+}
 
 // markHostsAsked records that the hosts that the store names were asked to announce
 // themselves.
@@ -55,10 +74,11 @@
 // run returns after a host has answered, if there is none or none answers, or if the store
 // has lost nothing.
 func (s *starter) run(ctx context.Context) {
+	defer close(s.over)
 	startedAt := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(maxStartWait))
 	defer cancel()
-	for ctx.Err() == nil && !s.isStoreComplete.Load() {
+	for ctx.Err() == nil && s.needsHost() {
 		holder, exists := s.nextHolder()
 		switch {
 		case exists && s.ask(ctx, holder):
@@ -80,6 +100,21 @@
 	return time.Since(startedAt) >= holderWait || askedAt != nil && time.Since(*askedAt) >= holderAnswerTime
 }
 
+// await waits until rows of the store may be used that were read from readAt on, in an era.
+// It reports whether the host has learned something meanwhile, which may be newer.
+func (s *starter) await(ctx context.Context, era uint64, readAt time.Time) bool {
+	s.markEra(era)
+	if era > 0 {
+		select {
+		case <-s.over:
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.learnedAt.After(readAt)
+}
+
 // nextHolder returns the preferred host that was not asked yet.
 func (s *starter) nextHolder() (member.Heartbeat, bool) {
 	for _, holder := range s.holders() {
@@ -105,9 +140,23 @@
 	if update.Operator.Version.IsZero() || update.Endpoints.Version.IsZero() {
 		return false
 	}
-	s.replica.learn(update, holder.Host, s.intervals)
+	if !s.learn(update, holder.Host) {
+		return true
+	}
 	s.log.Info("learned from a host", "peer", holder.Host, "elapsed", time.Since(startedAt), "removals", len(update.Removals),
 		"operatorVersion", update.Operator.Version, "operatorAge", update.Operator.Age,
 		"endpointsVersion", update.Endpoints.Version, "age", update.Endpoints.Age)
 	return true
 }
+
+// learn applies what a host knows, unless the rows of the store may be in use already.
+func (s *starter) learn(update relay.Update, source model.HostName) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isStoreComplete {
+		return false
+	}
+	s.replica.learn(update, source, s.intervals)
+	s.learnedAt = time.Now()
+	return true
+}
--- a/node/starter_test.go
+++ b/node/starter_test.go
@@ -40,7 +40,7 @@
 // start runs the start of the host and returns how long it took.
 func (h *holderTest) start() time.Duration {
 	h.t.Helper()
-	s := &starter{log: slog.New(slog.DiscardHandler), replica: h.replica, intervals: h.intervals, poll: h.poll}
+	s := &starter{log: slog.New(slog.DiscardHandler), replica: h.replica, intervals: h.intervals, poll: h.poll, over: make(chan struct{})}
 	s.holders = func() []member.Heartbeat {
 		var holders []member.Heartbeat
 		for _, name := range h.heard {
@@ -220,3 +220,42 @@
 		})
 	}
 }
+
+// Guards against rows of the store that replace newer ones, which another host told while
+// they were on their way, and against a store that is not used before a host has answered
+// although it has lost nothing.
+func TestRowsAreReadAgainAfterAnotherHostTold(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		era   uint64
+		tells bool
+		// isReadAgain is what await reports, waits how long it takes.
+		isReadAgain bool
+		waits       time.Duration
+	}{
+		{"the store states no era", 0, false, false, 0},
+		{"no host tells", 1, false, false, holderWait},
+		{"a host tells", 1, true, true, 100 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHolderTest(t)
+				s := &starter{log: slog.New(slog.DiscardHandler), replica: h.replica, intervals: h.intervals, poll: h.poll, over: make(chan struct{})}
+				holder := newHolder(t)
+				h.holders["holder"] = holder.whole()
+				readAt := time.Now()
+				s.holders = func() []member.Heartbeat {
+					if test.tells && time.Since(readAt) >= 100*time.Millisecond {
+						return []member.Heartbeat{{Host: "holder", ControlAddress: "holder"}}
+					}
+					return nil
+				}
+				go s.run(t.Context())
+				assert.Equal(t, s.await(t.Context(), test.era, readAt), test.isReadAgain)
+				assert.Equal(t, time.Since(readAt), test.waits)
+				<-s.over
+				assert.Assert(t, !s.await(t.Context(), test.era, time.Now()))
+			})
+		})
+	}
+}
