Let the store of the soak refuse single hosts

The fault refusedByStore of the soak refused no host: callers of the fake store saw no change while it was active.

Cause: the store identifies hosts by their IP addresses, and all of them reached it through one proxy, so it saw the proxy's address for each.

Change: each host has a proxy of its own to the store, which connects from the address of the host. A fault of the store's link takes all of them at once, as before.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -55,13 +55,18 @@
 		})},
 		{"reload", onHost(func(_ *testbed, host *hostProcess, _ time.Duration) error { return host.signal(syscall.SIGHUP) })},
 		{"refusedByStore", onHost(func(b *testbed, host *hostProcess, duration time.Duration) error {
+			defer host.storeProxy.recordFault(time.Now())
 			b.store.SetRefused(host.settings.IP, true)
 			b.sleep(duration)
 			b.store.SetRefused(host.settings.IP, false)
 			return nil
 		})},
 		{"storeLink", func(b *testbed, random *rand.Rand, _ int, duration time.Duration) {
-			b.injectProxyFault(b.storeProxy, random, duration)
+			var proxies []*faultProxy
+			for _, host := range b.hosts {
+				proxies = append(proxies, host.storeProxy)
+			}
+			b.injectProxyFault(proxies, random, duration)
 		}},
 		{"storeHistory", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) { b.store.DropHistory() }},
 		{"configuration", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) {
@@ -71,7 +76,7 @@
 			b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(version))
 		}},
 		{"endpointLink", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
-			b.injectProxyFault(b.endpointProxies[targetIndex%len(b.endpointProxies)], random, duration)
+			b.injectProxyFault([]*faultProxy{b.endpointProxies[targetIndex%len(b.endpointProxies)]}, random, duration)
 		}},
 		{"hold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.injectHold(b.endpointProxies[targetIndex%len(b.endpointProxies)], random)
@@ -126,9 +131,10 @@
 	maxHold = 60 * time.Second
 )
 
-func (b *testbed) injectProxyFault(proxy *faultProxy, random *rand.Rand, duration time.Duration) {
+// injectProxyFault injects the same fault into some proxies.
+func (b *testbed) injectProxyFault(proxies []*faultProxy, random *rand.Rand, duration time.Duration) {
 	modes := []mode{slow, blackhole, dropResponses, reset, resetResponse, byteByByte, late, resetAfter}
-	b.injectCondition(proxy, condition{
+	b.injectCondition(proxies, condition{
 		mode:  modes[random.IntN(len(modes))],
 		delay: randomBetween(random, minHold, duration+minHold),
 		bytes: 1 + random.IntN(maxBytesBeforeReset),
@@ -143,7 +149,7 @@
 func (b *testbed) injectHold(proxy *faultProxy, random *rand.Rand) {
 	modes := []mode{holdRequests, holdResponses, holdAll}
 	next := condition{mode: modes[random.IntN(len(modes))]}
-	b.injectCondition(proxy, next, randomHold(random, b.options.Duration/2))
+	b.injectCondition([]*faultProxy{proxy}, next, randomHold(random, b.options.Duration/2))
 }
 
 // randomHold draws a time so that all orders of magnitude are equally frequent. It is at
@@ -153,12 +159,16 @@
 	return time.Duration(float64(minHold) * math.Pow(float64(longest)/float64(minHold), random.Float64()))
 }
 
-func (b *testbed) injectCondition(proxy *faultProxy, next condition, duration time.Duration) {
+func (b *testbed) injectCondition(proxies []*faultProxy, next condition, duration time.Duration) {
 	startedAt := time.Now()
-	proxy.setCondition(next)
+	for _, proxy := range proxies {
+		proxy.setCondition(next)
+	}
 	b.sleep(duration)
-	proxy.setMode(pass)
-	proxy.recordFault(startedAt)
+	for _, proxy := range proxies {
+		proxy.setMode(pass)
+		proxy.recordFault(startedAt)
+	}
 }
 
 // pauseEndpoint stops the process of an endpoint for a time. The system accepts connections
--- a/soak/host.go
+++ b/soak/host.go
@@ -43,6 +43,8 @@
 	exitErr error
 	// disturbedAt is when the process was last killed, paused or continued.
 	disturbedAt time.Time
+	// storeProxy forwards the connections of the host to the store.
+	storeProxy *faultProxy
 	// interruptions holds the times at which a process was started, killed, paused or
 	// continued.
 	interruptions []time.Time
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -74,7 +74,10 @@
 type faultProxy struct {
 	listener net.Listener
 	target   string
-	mu       sync.Mutex
+	// source is the IP address from which the proxy connects to the target. It is any one
+	// if empty.
+	source string
+	mu     sync.Mutex
 	// condition applies to the data of all connections.
 	condition condition
 	// changed is closed when the condition changes.
@@ -152,7 +155,11 @@
 }
 
 func (p *faultProxy) forward(client *net.TCPConn) {
-	server, err := net.Dial("tcp", p.target)
+	dialer := &net.Dialer{}
+	if p.source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.source)}
+	}
+	server, err := dialer.Dial("tcp", p.target)
 	if err != nil {
 		resetConn(client)
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -76,9 +76,7 @@
 	// subnet has the addresses of the hosts, from 1, and of the endpoints and proxies.
 	subnet *subnet.Subnet
 	store  *fake.Store
-	// storeProxy and endpointProxies forward connections to the store and the
-	// endpoints.
-	storeProxy      *faultProxy
+	// endpointProxies forward connections to the endpoints.
 	endpointProxies []*faultProxy
 	// endpoints hold the plans and the records of the endpoints.
 	endpoints []*fake.Endpoint
@@ -139,12 +137,6 @@
 	if err := b.reserveSubnet(); err != nil {
 		return err
 	}
-	proxy, err := startProxy(b.subnet.Address(proxyNumber), store)
-	if err != nil {
-		return err
-	}
-	b.storeProxy = proxy
-	go proxy.run()
 	b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(1))
 	for i := range endpointCount {
 		if err := b.addEndpoint(fmt.Sprint("i-", i)); err != nil {
@@ -156,20 +148,36 @@
 		seeds = append(seeds, b.subnet.Address(i+1))
 	}
 	for i, ip := range seeds {
-		host, err := newHostProcess(b.options, fake.HostSettings{
-			Name: fmt.Sprint("host-", i), IP: ip, Zone: "za", Region: "north", Seeds: seeds, Store: proxy.address(), StopGrace: stopGrace,
-		})
-		if err != nil {
+		settings := fake.HostSettings{Name: fmt.Sprint("host-", i), IP: ip, Zone: "za", Region: "north", Seeds: seeds, StopGrace: stopGrace}
+		if err := b.addHost(settings, store); err != nil {
 			return err
 		}
-		if err := host.start(); err != nil {
-			return err
-		}
-		b.hosts = append(b.hosts, host)
 	}
 	return nil
 }
 
+// addHost starts a host with a proxy of its own for the store, which identifies hosts by
+// their IP addresses.
+func (b *testbed) addHost(settings fake.HostSettings, store string) error {
+	proxy, err := startProxy(b.subnet.Address(proxyNumber), store)
+	if err != nil {
+		return err
+	}
+	proxy.source = settings.IP
+	settings.Store = proxy.address()
+	host, err := newHostProcess(b.options, settings)
+	if err != nil {
+		return err
+	}
+	host.storeProxy = proxy
+	go proxy.run()
+	if err := host.start(); err != nil {
+		return err
+	}
+	b.hosts = append(b.hosts, host)
+	return nil
+}
+
 func (b *testbed) addEndpoint(name string) error {
 	endpoint, err := b.startEndpoint(name, b.subnet.Address(endpointNumber)+":0")
 	if err != nil {
@@ -226,6 +234,7 @@
 			_ = host.signal(syscall.SIGCONT)
 			_ = host.kill()
 		}
+		host.storeProxy.close()
 	}
 	for _, process := range b.processes {
 		process.close()
@@ -234,9 +243,6 @@
 		_ = endpoint.Close()
 		b.endpointProxies[i].close()
 	}
-	if b.storeProxy != nil {
-		b.storeProxy.close()
-	}
 	if b.subnet != nil {
 		_ = b.subnet.Release()
 	}
