Answer long bodies early in the soak

Change: a tenth of the submits have bodies of 96 KiB to 1 MiB, sent in 16 pieces over 160 ms, half of them in chunks. The fault "early" lets an endpoint answer requests with a body by 1 to 3 MiB before it reads them. The callers read the response while they write, and compare all of its bytes. A response that breaks off counts as lost, unless its deadline has passed or the link of its endpoint had a fault meanwhile.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -38,7 +38,7 @@
 	attempt  string
 	isSubmit bool
 	status   int
-	// body is the body of the response: the name of the endpoint, if it served the
+	// body is the first line of the response's body: the name of the endpoint, if it served the
 	// request.
 	body string
 	host *hostProcess
@@ -46,6 +46,8 @@
 	digest string
 	// isLost is true if a host that was not disturbed gave no whole response.
 	isLost bool
+	// isBrokenOff is true if the response began and did not end.
+	isBrokenOff bool
 	// sentAt and endedAt are the times of the request and of its response.
 	sentAt, endedAt time.Time
 }
@@ -90,6 +92,9 @@
 	if class == "submit" {
 		request.method, request.isChunked = http.MethodPost, random.IntN(2) == 0
 		request.body = bodyOf(attempt, minBodyBytes+random.IntN(maxBodyBytes-minBodyBytes+1))
+		if random.Float64() < longBodyRatio {
+			request.lengthen(random)
+		}
 	}
 	if random.Float64() < leavingRatio {
 		request.isLeaving, request.patience = true, randomBetween(random, time.Millisecond, maxStay)
@@ -119,10 +124,12 @@
 		outcome = class + " no whole answer"
 	}
 	b.count(b.report.Outcomes, outcome)
+	body, _, _ := strings.Cut(result.body, "\n")
 	c.mu.Lock()
 	c.ended = append(c.ended, endedRequest{
-		attempt: request.attempt, isSubmit: class == "submit", status: result.status, body: result.body, host: host, digest: request.digest(),
-		isLost: result.err != nil && !hasLeft && isUndisturbed, sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
+		attempt: request.attempt, isSubmit: class == "submit", status: result.status, body: body, host: host, digest: request.digest(),
+		isLost:      result.err != nil && !hasLeft && isUndisturbed,
+		isBrokenOff: result.isBrokenOff(), sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
 	})
 	c.mu.Unlock()
 	if result.elapsed > callerTimeout+maxLateness && isUndisturbed {
@@ -134,7 +141,7 @@
 	switch {
 	case result.attempt != request.attempt:
 		b.recordViolation("%s: got the answer to %q (%d)", request.attempt, result.attempt, result.status)
-	case result.status == http.StatusOK && !strings.HasPrefix(result.body, "i-"):
+	case result.status == http.StatusOK && !isWhole(result.body, request.attempt):
 		b.recordViolation("%s: success with the body %.20q", request.attempt, result.body)
 	case result.status == http.StatusOK && !result.isSigned:
 		b.recordViolation("%s: success without an endpoint's signature", request.attempt)
@@ -164,6 +171,7 @@
 	arrivals := make(map[string]int, len(c.ended))
 	for _, request := range c.ended {
 		digests[request.attempt] = request.digest
+		request.isLost = request.isLost && (!request.isBrokenOff || !c.mayBreakOff(request))
 		if violation := request.executionViolation(c.testbed.runs(request.attempt)); violation != "" {
 			c.testbed.recordViolation("%s: %s, host %s, sent %s, ended %s", request.attempt, violation,
 				request.host.settings.Name, request.sentAt.Format(logTime), request.endedAt.Format(logTime))
--- a/soak/client.go
+++ b/soak/client.go
@@ -30,6 +30,8 @@
 	body    string
 	// isChunked is true if the body is sent in chunks, and not with a length.
 	isChunked bool
+	// isPaced is true if the caller sends the body in pieces with pauses between them.
+	isPaced bool
 	// patience is how long the caller waits for a response until it closes its connection.
 	patience time.Duration
 	// isLeaving is true if the caller leaves on purpose when its patience ends.
@@ -78,7 +80,6 @@
 }
 
 func (c *client) send(request call) callResult {
-	startedAt := time.Now()
 	result, err := c.exchange(request)
 	var timeout net.Error
 	if request.isLeaving && errors.As(err, &timeout) && timeout.Timeout() {
@@ -87,68 +88,121 @@
 	if err != nil {
 		c.close()
 	}
-	result.elapsed, result.err = time.Since(startedAt), err
+	result.err = err
 	return result
 }
 
-func (c *client) exchange(request call) (callResult, error) {
+// connect opens a connection if there is none, and sets its deadline.
+func (c *client) connect(patience time.Duration) error {
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, connectTimeout)
 		if err != nil {
-			return callResult{}, fmt.Errorf("connect: %w", err)
+			return fmt.Errorf("connect: %w", err)
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	if err := c.conn.SetDeadline(time.Now().Add(request.patience)); err != nil {
-		return callResult{}, fmt.Errorf("set deadline: %w", err)
+	if err := c.conn.SetDeadline(time.Now().Add(patience)); err != nil {
+		return fmt.Errorf("set deadline: %w", err)
+	}
+	return nil
+}
+
+// exchange sends a request and reads its response meanwhile. The time of the result is that
+// of the response, and not that of the body's end.
+func (c *client) exchange(request call) (callResult, error) {
+	startedAt := time.Now()
+	if err := c.connect(request.patience); err != nil {
+		return callResult{elapsed: time.Since(startedAt)}, err
+	}
+	written := make(chan error, 1)
+	go func(conn net.Conn) { written <- request.write(conn) }(c.conn)
+	result, mustClose, err := c.read(request)
+	result.elapsed = time.Since(startedAt)
+	if err != nil {
+		c.close()
 	}
-	writeErr := c.write(request)
 	// A host may have answered and closed the connection before it read the whole body.
+	writeErr := <-written
+	if err != nil {
+		return result, errors.Join(err, writeErr)
+	}
+	if mustClose || writeErr != nil {
+		c.close()
+	}
+	return result, nil
+}
+
+// read reads a response. It reports whether the connection must be closed.
+func (c *client) read(request call) (result callResult, mustClose bool, err error) {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: request.method})
 	if err != nil {
-		return callResult{}, fmt.Errorf("read response: %w", errors.Join(err, writeErr))
+		return callResult{}, true, fmt.Errorf("read response: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	header := platform.ParseResponseHeader(response.StatusCode, response.Header)
-	result := callResult{
+	result = callResult{
 		status: response.StatusCode, body: string(body), attempt: header.AttemptID, isSigned: header.IsSigned,
 		hasRetryAfter: response.Header.Get("Retry-After") != "", hasExtraBytes: c.reader.Buffered() > 0,
 	}
 	if err != nil {
-		return result, fmt.Errorf("read body: %w", err)
-	}
-	if response.Close || writeErr != nil {
-		c.close()
+		return result, true, fmt.Errorf("read body: %w", err)
 	}
-	return result, nil
+	return result, response.Close, nil
 }
 
-// write writes a request once.
-func (c *client) write(request call) error {
+// write writes a request once: its head and each piece of its body by itself.
+func (c call) write(to io.Writer) error {
 	header := make(http.Header)
-	fake.SetRequestHeader(header, request.attempt, request.path, callerTimeout)
-	var text strings.Builder
-	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.method, request.path, fake.Domain)
-	_ = header.Write(&text)
-	if request.isChunked {
-		text.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		// The writer that adds the chunks' frames fails only if the builder does.
-		chunks := httputil.NewChunkedWriter(&text)
-		for half := range 2 {
-			_, _ = io.WriteString(chunks, request.body[half*len(request.body)/2:(half+1)*len(request.body)/2])
-		}
-		_ = chunks.Close()
-		text.WriteString("\r\n")
+	fake.SetRequestHeader(header, c.attempt, c.path, callerTimeout)
+	var head strings.Builder
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, c.path, fake.Domain)
+	_ = header.Write(&head)
+	var body io.WriteCloser = bodyWriter{to}
+	if c.isChunked {
+		head.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		body = chunkedWriter{httputil.NewChunkedWriter(to), to}
 	} else {
-		fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n%s", len(request.body), request.body)
+		fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n", len(c.body))
 	}
-	if _, err := io.WriteString(c.conn, text.String()); err != nil {
+	if _, err := io.WriteString(to, head.String()); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
+	for i, piece := range c.pieces() {
+		if i > 0 {
+			time.Sleep(pieceInterval)
+		}
+		if _, err := io.WriteString(body, piece); err != nil {
+			return fmt.Errorf("write body: %w", err)
+		}
+	}
+	if err := body.Close(); err != nil {
+		return fmt.Errorf("end body: %w", err)
+	}
 	return nil
 }
 
+// bodyWriter writes a body that has a length.
+type bodyWriter struct{ io.Writer }
+
+// Close implements io.Closer.
+func (bodyWriter) Close() error { return nil }
+
+// chunkedWriter writes a body in chunks.
+type chunkedWriter struct {
+	io.WriteCloser
+	to io.Writer
+}
+
+// Close writes the last chunk and the end of the trailer.
+func (w chunkedWriter) Close() error {
+	if err := w.WriteCloser.Close(); err != nil {
+		return err
+	}
+	_, err := io.WriteString(w.to, "\r\n")
+	return err
+}
+
 func (c *client) close() {
 	if c.conn != nil {
 		_ = c.conn.Close()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -117,6 +117,9 @@
 				endpoint.SetRetryAfter("")
 			})
 		}},
+		{"early", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			b.answerEarly(targetIndex%len(b.endpoints), random, duration)
+		}},
 	}
 }
 
@@ -251,7 +254,7 @@
 		switch kind.name {
 		case "endpoint":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause":
+		case "hold", "endpointPause", "early":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -267,7 +270,7 @@
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpoint", "leaving", "spared":
+	case "endpoint", "leaving", "spared", "early":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
 	case "endpointPause", "endpointKill":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
