Send requests ahead in the soak

Change: six callers send two to four reads at once over kept connections and read the responses in order. A request that ran and has no response counts as lost, as before, also if the host was stopped; not if an earlier response of the connection broke off, behind which HTTP/1.1 has no place for one. The lateness of a response counts from the one before it.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -66,15 +66,27 @@
 	for i := range callerCount {
 		group.Go(func() { c.sendLoop(ctx, rand.New(rand.NewPCG(c.testbed.options.Seed, uint64(i)+100)), i) })
 	}
+	for i := range aheadCount {
+		group.Go(func() { c.sendAheadLoop(ctx, rand.New(rand.NewPCG(c.testbed.options.Seed, uint64(i)+200)), i) })
+	}
 	group.Wait()
 }
 
-func (c *callers) sendLoop(ctx context.Context, random *rand.Rand, number int) {
-	clients := make([]*client, len(c.testbed.hosts))
-	for i, host := range c.testbed.hosts {
-		clients[i] = &client{address: host.settings.CallerAddress()}
-		defer clients[i].close()
+// newClients returns a client of each host.
+func (b *testbed) newClients() (clients []*client, closeAll func()) {
+	for _, host := range b.hosts {
+		clients = append(clients, &client{address: host.settings.CallerAddress()})
+	}
+	return clients, func() {
+		for _, each := range clients {
+			each.close()
+		}
 	}
+}
+
+func (c *callers) sendLoop(ctx context.Context, random *rand.Rand, number int) {
+	clients, closeClients := c.testbed.newClients()
+	defer closeClients()
 	for count := 0; ctx.Err() == nil; count++ {
 		to := random.IntN(len(clients))
 		class := []string{"read", "submit", "export"}[random.IntN(3)]
@@ -128,11 +140,11 @@
 	c.mu.Lock()
 	c.ended = append(c.ended, endedRequest{
 		attempt: request.attempt, isSubmit: class == "submit", status: result.status, body: body, host: host, digest: request.digest(),
-		isLost:      result.err != nil && !hasLeft && isUndisturbed,
+		isLost:      result.err != nil && !hasLeft && isUndisturbed && !result.isBehindBroken,
 		isBrokenOff: result.isBrokenOff(), sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
 	})
 	c.mu.Unlock()
-	if result.elapsed > callerTimeout+maxLateness && isUndisturbed {
+	if result.elapsed-result.behind > callerTimeout+maxLateness && isUndisturbed {
 		b.recordViolation("%s: %s after %s from %s, which was not disturbed", request.attempt, outcome, result.elapsed, host.settings.Name)
 	}
 	if result.err != nil {
--- a/soak/client.go
+++ b/soak/client.go
@@ -56,7 +56,12 @@
 	// hasExtraBytes is true if more bytes than the response arrived.
 	hasExtraBytes bool
 	elapsed       time.Duration
-	err           error
+	// behind is the part of elapsed until the response to the request before, if both were
+	// sent at once.
+	behind time.Duration
+	// isBehindBroken is true if an earlier response of the same group broke off.
+	isBehindBroken bool
+	err            error
 }
 
 // client sends requests to an address over a connection that it keeps open. It writes each
