Let endpoints of the soak become cold twice

Change: the fault "cold" lets an endpoint become cold, warm and cold again, and states it in entries at each heartbeat; a cold endpoint may become cold anew before it is warm. From drainMs after the first of these entries, the endpoint must not get more requests in a second than coldPerS x coldOverage + coldSlack (2.6 x 1.5 + 5), counting those that were sent and arrived within it. Seconds are left out if a process was paused, or a host lost the store, from 3 s before the entry on; kills, starts and stops excuse nothing, as the rule says. The report counts the cold times that could be judged.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -103,7 +103,7 @@
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
 			b.sleep(duration)
 			b.setEndpoint(index, (*fake.Endpoint).Restart)
-			b.writeEntry(index, 1)
+			b.writeEntry(index)
 		}},
 		{"spared", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
@@ -120,6 +120,9 @@
 		{"early", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			b.answerEarly(targetIndex%len(b.endpoints), random, duration)
 		}},
+		{"cold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			b.becomeColdTwice(targetIndex%len(b.endpoints), random)
+		}},
 	}
 }
 
@@ -207,7 +210,7 @@
 	if err := b.processes[index].start(); err != nil {
 		return err
 	}
-	b.writeEntry(index, 1)
+	b.writeEntry(index)
 	if newID != oldID && !isRemovedFirst {
 		b.store.Remove(platform.EndpointTable, oldID)
 	}
@@ -254,7 +257,7 @@
 		switch kind.name {
 		case "endpoint":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause", "early":
+		case "hold", "endpointPause", "early", "cold":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -272,7 +275,7 @@
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
 	case "endpoint", "leaving", "spared", "early":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
-	case "endpointPause", "endpointKill":
+	case "endpointPause", "endpointKill", "cold":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
 	case "endpointLink", "hold":
 		return []string{faultName, fmt.Sprint("link ", endpoint)}
--- a/soak/host.go
+++ b/soak/host.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -45,9 +44,25 @@
 	disturbedAt time.Time
 	// storeProxy forwards the connections of the host to the store.
 	storeProxy *faultProxy
-	// interruptions holds the times at which a process was started, killed, paused or
-	// continued.
-	interruptions []time.Time
+	// interruptions holds the starts of processes and the signals to them.
+	interruptions []interruption
+}
+
+// interruption is the start of a process, or a signal to it.
+type interruption struct {
+	at time.Time
+	// signal is 0 for a start.
+	signal syscall.Signal
+}
+
+// isDisturbance reports whether a process cannot prepare for it.
+func (i interruption) isDisturbance() bool {
+	return i.signal != syscall.SIGTERM && i.signal != syscall.SIGHUP
+}
+
+// isPause reports whether a pause begins or ends.
+func (i interruption) isPause() bool {
+	return i.signal == syscall.SIGSTOP || i.signal == syscall.SIGCONT
 }
 
 func newHostProcess(options Options, settings fake.HostSettings) (*hostProcess, error) {
@@ -75,7 +90,7 @@
 	}
 	exited := make(chan struct{})
 	h.command, h.exited, h.startedAt = command, exited, time.Now()
-	h.interruptions = append(h.interruptions, h.startedAt)
+	h.interruptions = append(h.interruptions, interruption{at: h.startedAt})
 	go func() {
 		err := command.Wait()
 		h.mu.Lock()
@@ -90,10 +105,11 @@
 func (h *hostProcess) signal(signal syscall.Signal) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if signal != syscall.SIGTERM && signal != syscall.SIGHUP {
-		h.disturbedAt = time.Now()
-		h.interruptions = append(h.interruptions, h.disturbedAt)
+	next := interruption{at: time.Now(), signal: signal}
+	if next.isDisturbance() {
+		h.disturbedAt = next.at
 	}
+	h.interruptions = append(h.interruptions, next)
 	if err := signalProcess(h.command.Process, signal); err != nil {
 		return fmt.Errorf("signal %s: %w", h.settings.Name, err)
 	}
@@ -142,11 +158,3 @@
 	defer h.mu.Unlock()
 	return h.disturbedAt.After(since)
 }
-
-// wasInterrupted reports whether a process was started, killed, paused or continued
-// between two times.
-func (h *hostProcess) wasInterrupted(from, to time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return slices.ContainsFunc(h.interruptions, func(at time.Time) bool { return at.After(from) && at.Before(to) })
-}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,6 +65,8 @@
 	Seed     uint64         `json:"seed"`
 	Outcomes map[string]int `json:"outcomes"`
 	Faults   map[string]int `json:"faults"`
+	// Checked counts the cases by name that a check with many excuses could judge.
+	Checked map[string]int `json:"checked"`
 	// Violations lists the violated guarantees, at most maxViolations.
 	Violations []string `json:"broken"`
 }
@@ -88,7 +90,9 @@
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
-	report       Report
+	// coldTimes are those that the endpoints' entries stated.
+	coldTimes []coldTime
+	report    Report
 }
 
 // Run runs a soak until its duration has passed. The report lists violated
@@ -98,7 +102,7 @@
 		options.EndpointProgram = options.Program
 	}
 	b := &testbed{options: options, interrupted: ctx.Done(), store: fake.NewStore(), report: Report{
-		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int),
+		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int), Checked: make(map[string]int),
 	}}
 	server := httptest.NewServer(b.store)
 	defer server.Close()
@@ -128,6 +132,7 @@
 	callers.checkExecutions()
 	callers.checkNotices()
 	callers.checkRetries()
+	callers.checkColdTimes()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.report, nil
@@ -191,7 +196,7 @@
 	b.endpoints, b.endpointProxies = append(b.endpoints, endpoint), append(b.endpointProxies, proxy)
 	index := len(b.endpoints) - 1
 	b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLatency(endpointLatency) })
-	b.writeEntry(index, 1)
+	b.writeEntry(index)
 	return nil
 }
 
@@ -219,9 +224,11 @@
 }
 
 // writeEntry writes the entry of an endpoint with the address of its proxy.
-func (b *testbed) writeEntry(index, sequence int) {
+func (b *testbed) writeEntry(index int) {
 	endpoint := b.endpoints[index]
-	entry := strings.Replace(endpoint.Entry("s", "za", "ready", sequence), endpoint.Address(), b.endpointProxies[index].address(), 1)
+	// The milliseconds of an incarnation increase with each entry.
+	sequence := 1 + max(0, time.Now().UnixMilli()-endpoint.Plan().Incarnation)
+	entry := strings.Replace(endpoint.Entry("s", "za", "ready", int(sequence)), endpoint.Address(), b.endpointProxies[index].address(), 1)
 	b.store.Put(platform.EndpointTable, endpoint.ID(), entry)
 }
 
--- /dev/null
+++ b/soak/touch.go
@@ -0,0 +1,35 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// stableWindow is the time without a disturbance after which a host is in touch.
+	stableWindow = 3 * time.Second
+	// drainTime is drainMs in the settings of the hosts: the time within which they act on
+	// a change of an endpoint's entry.
+	drainTime = 2 * time.Second
+	// heartbeat is heartbeatMs in the settings of the hosts.
+	heartbeat = time.Second
+)
+
+// wasInterrupted reports whether a process was started, killed, paused or continued
+// between two times.
+func (h *hostProcess) wasInterrupted(from, to time.Time) bool {
+	return h.hadInterruption(from, to, interruption.isDisturbance)
+}
+
+// wasPaused reports whether a pause of a process began or ended between two times.
+func (h *hostProcess) wasPaused(from, to time.Time) bool {
+	return h.hadInterruption(from, to, interruption.isPause)
+}
+
+func (h *hostProcess) hadInterruption(from, to time.Time, isMeant func(interruption) bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.interruptions, func(i interruption) bool {
+		return isMeant(i) && i.at.After(from) && i.at.Before(to)
+	})
+}
