Change the store's reader in its grace period in the soak

Change: the fault "reader" pauses the host that reads the entries for more than two heartbeats, lets an endpoint leave when that host reads again, by a removal or a report, and kills, stops or pauses the host within 2 s, or cuts it off from the store. The endpoint serves for 3 to 6 s and returns under another id. A host in touch must not send it a request that arrives over drainMs after its leaving. A host is in touch if its process ran undisturbed, and reached the store, for 3 s, and reached it from 3 s before the leaving on; a request that the endpoint's link may have held counts for nothing. The report counts the hosts that could be judged.

--- a/soak/cold.go
+++ b/soak/cold.go
@@ -45,10 +45,10 @@
 			end = time.Now().Add(coldTimeStated)
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetColdUntil(end) })
 		}
-		b.writeEntry(index)
+		b.writeEntry(index, "ready")
 		b.sleep(heartbeat)
 	}
-	b.writeEntry(index)
+	b.writeEntry(index, "ready")
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.coldTimes = append(b.coldTimes, coldTime{endpoint: index, id: b.endpoints[index].ID(), from: from, to: end})
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -103,7 +103,7 @@
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
 			b.sleep(duration)
 			b.setEndpoint(index, (*fake.Endpoint).Restart)
-			b.writeEntry(index)
+			b.writeEntry(index, "ready")
 		}},
 		{"spared", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
@@ -123,6 +123,11 @@
 		{"cold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.becomeColdTwice(targetIndex%len(b.endpoints), random)
 		}},
+		{"reader", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			if err := b.changeReader(b.hosts[targetIndex%len(b.hosts)], targetIndex%len(b.endpoints), random, duration); err != nil {
+				b.recordViolation("%v", err)
+			}
+		}},
 	}
 }
 
@@ -210,7 +215,7 @@
 	if err := b.processes[index].start(); err != nil {
 		return err
 	}
-	b.writeEntry(index)
+	b.writeEntry(index, "ready")
 	if newID != oldID && !isRemovedFirst {
 		b.store.Remove(platform.EndpointTable, oldID)
 	}
@@ -237,6 +242,9 @@
 		kindIndex := random.IntN(len(kinds))
 		targetIndex, duration := random.IntN(1000), randomBetween(random, 100*time.Millisecond, 2500*time.Millisecond)
 		seed := random.Uint64()
+		if kinds[kindIndex].name == "reader" {
+			targetIndex = b.aimAtReader(targetIndex)
+		}
 		names := b.lockNames(kinds[kindIndex].name, targetIndex)
 		if !locks.tryLock(names) {
 			continue
@@ -257,7 +265,7 @@
 		switch kind.name {
 		case "endpoint":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause", "early", "cold":
+		case "hold", "endpointPause", "early", "cold", "reader":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -275,6 +283,9 @@
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
 	case "endpoint", "leaving", "spared", "early":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
+	case "reader":
+		// The excuses of the store's other faults would hide what this one finds.
+		return []string{faultName, "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint), b.hosts[targetIndex%len(b.hosts)].settings.Name}
 	case "endpointPause", "endpointKill", "cold":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
 	case "endpointLink", "hold":
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -90,9 +90,10 @@
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
-	// coldTimes are those that the endpoints' entries stated.
-	coldTimes []coldTime
-	report    Report
+	// departures and coldTimes are those that the endpoints' entries stated.
+	departures []departure
+	coldTimes  []coldTime
+	report     Report
 }
 
 // Run runs a soak until its duration has passed. The report lists violated
@@ -132,6 +133,7 @@
 	callers.checkExecutions()
 	callers.checkNotices()
 	callers.checkRetries()
+	callers.checkDepartures()
 	callers.checkColdTimes()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -196,7 +198,7 @@
 	b.endpoints, b.endpointProxies = append(b.endpoints, endpoint), append(b.endpointProxies, proxy)
 	index := len(b.endpoints) - 1
 	b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLatency(endpointLatency) })
-	b.writeEntry(index)
+	b.writeEntry(index, "ready")
 	return nil
 }
 
@@ -224,11 +226,11 @@
 }
 
 // writeEntry writes the entry of an endpoint with the address of its proxy.
-func (b *testbed) writeEntry(index int) {
+func (b *testbed) writeEntry(index int, state string) {
 	endpoint := b.endpoints[index]
 	// The milliseconds of an incarnation increase with each entry.
 	sequence := 1 + max(0, time.Now().UnixMilli()-endpoint.Plan().Incarnation)
-	entry := strings.Replace(endpoint.Entry("s", "za", "ready", int(sequence)), endpoint.Address(), b.endpointProxies[index].address(), 1)
+	entry := strings.Replace(endpoint.Entry("s", "za", state, int(sequence)), endpoint.Address(), b.endpointProxies[index].address(), 1)
 	b.store.Put(platform.EndpointTable, endpoint.ID(), entry)
 }
 
--- a/soak/touch.go
+++ b/soak/touch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +27,17 @@
 	return h.hadInterruption(from, to, interruption.isPause)
 }
 
+// isInTouch reports whether a host was in touch at a time: its process ran undisturbed for
+// stableWindow, and it reached the store for that time and since another one before.
+func (h *hostProcess) isInTouch(at, storeSince time.Time) bool {
+	from := at.Add(-stableWindow)
+	if storeSince.After(from) {
+		storeSince = from
+	}
+	isOther := func(i interruption) bool { return i.signal != syscall.SIGHUP }
+	return !h.hadInterruption(from, at, isOther) && !h.storeProxy.hadFault(storeSince, at)
+}
+
 func (h *hostProcess) hadInterruption(from, to time.Time, isMeant func(interruption) bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
