Start no request before the one in front of it is handled

Cause: net/http watches a connection for the caller's leaving before it calls the handler. If that watch came first, it started the requests behind one that had not begun, and the first of them was taken for the one that was handled. All were given up and run again on their turn, and the ended context of the connection then cancelled every later request that was started early on it.

Change: from the head of a request that is passed to net/http until the handler begins with it, none is started. The handler starts those behind when it begins, as it did before.

--- a/early/handler.go
+++ b/early/handler.go
@@ -118,7 +118,7 @@
 func (c *conn) begin(handler *Handler, request *http.Request) (*exchange, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handler = handler
+	c.handler, c.isAwaited = handler, false
 	current := c.takeStarted(request)
 	if c.framing.isAtHead() {
 		c.startPending()
--- a/early/listener.go
+++ b/early/listener.go
@@ -72,6 +72,10 @@
 	// handler, in their order. They are in the first scanned bytes of pending.
 	started []*exchange
 	scanned int
+	// isAwaited is true if the head of a request was passed to the reader, and the handler has
+	// not begun with it. None is started meanwhile: it would come before the one that is
+	// awaited.
+	isAwaited bool
 	// isBlocked is true if the next request in pending cannot be started early.
 	isBlocked bool
 	// limit bounds the heads of requests, and reserved is what this connection has
@@ -196,6 +200,7 @@
 // take passes up to count pending bytes to the reader.
 func (c *conn) take(buffer []byte, count int) int {
 	count = copy(buffer, c.pending[:count])
+	c.isAwaited = c.isAwaited || c.framing.isAtHead()
 	c.framing.advance(c.pending[:count])
 	c.pending = c.pending[count:]
 	c.scanned = max(0, c.scanned-count)
@@ -222,7 +227,7 @@
 
 // startPending starts the pending requests that may be started early. c.mu is held.
 func (c *conn) startPending() {
-	for c.handler != nil && !c.handler.isClosing() && !c.isClosed && !c.isBlocked && len(c.started) < maxStarted {
+	for c.canStart() {
 		head := c.pending[c.scanned:]
 		head = head[:headLength(head)]
 		if len(head) == 0 {
@@ -237,3 +242,8 @@
 		c.scanned += len(head)
 	}
 }
+
+// canStart reports whether a request may be started now. c.mu is held.
+func (c *conn) canStart() bool {
+	return c.handler != nil && !c.handler.isClosing() && !c.isClosed && !c.isAwaited && !c.isBlocked && len(c.started) < maxStarted
+}
