Start no request early on a connection that is out of step

A connection whose early requests had been given up, because they were not those that net/http read, went on to start others. Their context had ended, so each was sent to an endpoint, cancelled at once and answered 502 as if its caller had left.

Cause: the context of the connection's early requests ends once and for all, and only the requests that were already started were dropped.

Evidence: TestNothingStartsEarlyBehindRequestsOutOfStep fails on the code before (5 requests started where 4 are expected).

Change: on such a connection requests wait for their turn.

--- a/early/listener.go
+++ b/early/listener.go
@@ -245,5 +245,7 @@
 
 // canStart reports whether a request may be started now. c.mu is held.
 func (c *conn) canStart() bool {
-	return c.handler != nil && !c.handler.isClosing() && !c.isClosed && !c.isAwaited && !c.isBlocked && len(c.started) < maxStarted
+	// Requests that are out of step end the context: a further one would be cancelled at once.
+	isUsable := c.handler != nil && !c.handler.isClosing() && !c.isClosed && c.ctx.Err() == nil
+	return isUsable && !c.isAwaited && !c.isBlocked && len(c.started) < maxStarted
 }
--- a/early/step_test.go
+++ b/early/step_test.go
@@ -1,11 +1,14 @@
 package early
 
 import (
+	"net"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"filberthold/memory"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -37,3 +40,41 @@
 	assert.Equal(t, len(s.left), 0, "%v", s.left)
 	assert.Assert(t, s.handler.Started() >= 2)
 }
+
+// readRequest reads the head of the next request as net/http does.
+func readRequest(t *testing.T, connection *conn, path string) *http.Request {
+	t.Helper()
+	count, err := connection.Read(make([]byte, readBytes))
+	assert.NilError(t, err)
+	assert.Equal(t, count, len(get(path)))
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, path, http.NoBody)
+	assert.NilError(t, err)
+	request.RequestURI, request.Host = path, "a"
+	return request
+}
+
+// Guards against requests that are started on a connection whose early requests were given
+// up: they are cancelled at once, and answered as if their caller had left.
+func TestNothingStartsEarlyBehindRequestsOutOfStep(t *testing.T) {
+	limit := memory.NewLimit(16 << 20)
+	handler := NewHandler(http.NotFoundHandler(), func(*http.Request) bool { return true }, func() bool { return false }, limit)
+	sender, receiver := net.Pipe()
+	connection := newConn(receiver, limit)
+	t.Cleanup(func() { assert.Check(t, connection.Close()) })
+	sent := make(chan error, 1)
+	go func() {
+		_, err := sender.Write([]byte(get("/1") + get("/2") + get("/3") + get("/4") + get("/5") + get("/6")))
+		sent <- err
+	}()
+	request := readRequest(t, connection, "/1")
+	assert.NilError(t, <-sent)
+	current, _ := connection.begin(handler, request)
+	assert.Assert(t, current == nil && handler.Started() == maxStarted)
+	request = readRequest(t, connection, "/2")
+	request.RequestURI = "/other"
+	current, _ = connection.begin(handler, request)
+	assert.Assert(t, current == nil)
+	current, _ = connection.begin(handler, readRequest(t, connection, "/3"))
+	assert.Assert(t, current == nil)
+	assert.Equal(t, handler.Started(), uint64(maxStarted))
+}
