See requests of the soak that arrive after they were given up

Change: no request may arrive at an endpoint over half a second (the time of rule GONE) after its deadline and its response. It counts for nothing if its host or the endpoint was paused meanwhile: a paused host gives nothing up, and a paused endpoint keeps what its system has received.

--- a/soak/endpoint.go
+++ b/soak/endpoint.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"sync"
 	"syscall"
+	"time"
 
 	"filberthold/platform/fake"
 )
@@ -73,6 +74,8 @@
 	ended chan struct{}
 	// endErr tells how the last process ended.
 	endErr error
+	// interruptions holds the signals to the processes.
+	interruptions []interruption
 }
 
 func newEndpointProcess(options Options, record *fake.Endpoint, address string) *endpointProcess {
@@ -144,6 +147,7 @@
 func (p *endpointProcess) signal(signal syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.interruptions = append(p.interruptions, interruption{at: time.Now(), signal: signal})
 	if err := signalProcess(p.command.Process, signal); err != nil {
 		return fmt.Errorf("signal endpoint on %s: %w", p.address, errors.Join(err, p.endErr))
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -134,6 +134,7 @@
 	callers.checkNotices()
 	callers.checkRetries()
 	callers.checkDepartures()
+	callers.checkGivenUp()
 	callers.checkColdTimes()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/soak/touch.go
+++ b/soak/touch.go
@@ -41,7 +41,12 @@
 func (h *hostProcess) hadInterruption(from, to time.Time, isMeant func(interruption) bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.ContainsFunc(h.interruptions, func(i interruption) bool {
+	return hasInterruption(h.interruptions, from, to, isMeant)
+}
+
+// hasInterruption reports whether some of the interruptions between two times are meant.
+func hasInterruption(all []interruption, from, to time.Time, isMeant func(interruption) bool) bool {
+	return slices.ContainsFunc(all, func(i interruption) bool {
 		return isMeant(i) && i.at.After(from) && i.at.Before(to)
 	})
 }
