--- a/soak/faults.go
+++ b/soak/faults.go
@@ -55,13 +55,18 @@
 		})},
 		{"reload", onHost(func(_ *testbed, host *hostProcess, _ time.Duration) error { return host.signal(syscall.SIGHUP) })},
 		{"refusedByStore", onHost(func(b *testbed, host *hostProcess, duration time.Duration) error {
+			defer host.storeProxy.recordFault(time.Now())
 			b.store.SetRefused(host.settings.IP, true)
 			b.sleep(duration)
 			b.store.SetRefused(host.settings.IP, false)
 			return nil
 		})},
 		{"storeLink", func(b *testbed, random *rand.Rand, _ int, duration time.Duration) {
-			b.injectProxyFault(b.storeProxy, random, duration)
+			var proxies []*faultProxy
+			for _, host := range b.hosts {
+				proxies = append(proxies, host.storeProxy)
+			}
+			b.injectProxyFault(proxies, random, duration)
 		}},
 		{"storeHistory", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) { b.store.DropHistory() }},
 		{"configuration", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) {
@@ -71,7 +76,7 @@
 			b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(version))
 		}},
 		{"endpointLink", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
-			b.injectProxyFault(b.endpointProxies[targetIndex%len(b.endpointProxies)], random, duration)
+			b.injectProxyFault([]*faultProxy{b.endpointProxies[targetIndex%len(b.endpointProxies)]}, random, duration)
 		}},
 		{"hold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.injectHold(b.endpointProxies[targetIndex%len(b.endpointProxies)], random)
@@ -98,7 +103,7 @@
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
 			b.sleep(duration)
 			b.setEndpoint(index, (*fake.Endpoint).Restart)
-			b.writeEntry(index, 1)
+			b.writeEntry(index, "ready")
 		}},
 		{"spared", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
@@ -112,6 +117,17 @@
 				endpoint.SetRetryAfter("")
 			})
 		}},
+		{"early", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			b.answerEarly(targetIndex%len(b.endpoints), random, duration)
+		}},
+		{"cold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			b.becomeColdTwice(targetIndex%len(b.endpoints), random)
+		}},
+		{"reader", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			if err := b.changeReader(b.hosts[targetIndex%len(b.hosts)], targetIndex%len(b.endpoints), random, duration); err != nil {
+				b.recordViolation("%v", err)
+			}
+		}},
 	}
 }
 
@@ -126,9 +142,10 @@
 	maxHold = 60 * time.Second
 )
 
-func (b *testbed) injectProxyFault(proxy *faultProxy, random *rand.Rand, duration time.Duration) {
+// injectProxyFault injects the same fault into some proxies.
+func (b *testbed) injectProxyFault(proxies []*faultProxy, random *rand.Rand, duration time.Duration) {
 	modes := []mode{slow, blackhole, dropResponses, reset, resetResponse, byteByByte, late, resetAfter}
-	b.injectCondition(proxy, condition{
+	b.injectCondition(proxies, condition{
 		mode:  modes[random.IntN(len(modes))],
 		delay: randomBetween(random, minHold, duration+minHold),
 		bytes: 1 + random.IntN(maxBytesBeforeReset),
@@ -143,7 +160,7 @@
 func (b *testbed) injectHold(proxy *faultProxy, random *rand.Rand) {
 	modes := []mode{holdRequests, holdResponses, holdAll}
 	next := condition{mode: modes[random.IntN(len(modes))]}
-	b.injectCondition(proxy, next, randomHold(random, b.options.Duration/2))
+	b.injectCondition([]*faultProxy{proxy}, next, randomHold(random, b.options.Duration/2))
 }
 
 // randomHold draws a time so that all orders of magnitude are equally frequent. It is at
@@ -153,12 +170,16 @@
 	return time.Duration(float64(minHold) * math.Pow(float64(longest)/float64(minHold), random.Float64()))
 }
 
-func (b *testbed) injectCondition(proxy *faultProxy, next condition, duration time.Duration) {
+func (b *testbed) injectCondition(proxies []*faultProxy, next condition, duration time.Duration) {
 	startedAt := time.Now()
-	proxy.setCondition(next)
+	for _, proxy := range proxies {
+		proxy.setCondition(next)
+	}
 	b.sleep(duration)
-	proxy.setMode(pass)
-	proxy.recordFault(startedAt)
+	for _, proxy := range proxies {
+		proxy.setMode(pass)
+		proxy.recordFault(startedAt)
+	}
 }
 
 // pauseEndpoint stops the process of an endpoint for a time. The system accepts connections
@@ -194,7 +215,7 @@
 	if err := b.processes[index].start(); err != nil {
 		return err
 	}
-	b.writeEntry(index, 1)
+	b.writeEntry(index, "ready")
 	if newID != oldID && !isRemovedFirst {
 		b.store.Remove(platform.EndpointTable, oldID)
 	}
@@ -221,6 +242,9 @@
 		kindIndex := random.IntN(len(kinds))
 		targetIndex, duration := random.IntN(1000), randomBetween(random, 100*time.Millisecond, 2500*time.Millisecond)
 		seed := random.Uint64()
+		if kinds[kindIndex].name == "reader" {
+			targetIndex = b.aimAtReader(targetIndex)
+		}
 		names := b.lockNames(kinds[kindIndex].name, targetIndex)
 		if !locks.tryLock(names) {
 			continue
@@ -241,7 +265,7 @@
 		switch kind.name {
 		case "endpoint":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause":
+		case "hold", "endpointPause", "early", "cold", "reader":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -257,9 +281,12 @@
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpoint", "leaving", "spared":
+	case "endpoint", "leaving", "spared", "early":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
-	case "endpointPause", "endpointKill":
+	case "reader":
+		// The excuses of the store's other faults would hide what this one finds.
+		return []string{faultName, "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint), b.hosts[targetIndex%len(b.hosts)].settings.Name}
+	case "endpointPause", "endpointKill", "cold":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
 	case "endpointLink", "hold":
 		return []string{faultName, fmt.Sprint("link ", endpoint)}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,6 +65,8 @@
 	Seed     uint64         `json:"seed"`
 	Outcomes map[string]int `json:"outcomes"`
 	Faults   map[string]int `json:"faults"`
+	// Checked counts the cases by name that a check with many excuses could judge.
+	Checked map[string]int `json:"checked"`
 	// Violations lists the violated guarantees, at most maxViolations.
 	Violations []string `json:"broken"`
 }
@@ -76,9 +78,7 @@
 	// subnet has the addresses of the hosts, from 1, and of the endpoints and proxies.
 	subnet *subnet.Subnet
 	store  *fake.Store
-	// storeProxy and endpointProxies forward connections to the store and the
-	// endpoints.
-	storeProxy      *faultProxy
+	// endpointProxies forward connections to the endpoints.
 	endpointProxies []*faultProxy
 	// endpoints hold the plans and the records of the endpoints.
 	endpoints []*fake.Endpoint
@@ -90,7 +90,10 @@
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
-	report       Report
+	// departures and coldTimes are those that the endpoints' entries stated.
+	departures []departure
+	coldTimes  []coldTime
+	report     Report
 }
 
 // Run runs a soak until its duration has passed. The report lists violated
@@ -100,7 +103,7 @@
 		options.EndpointProgram = options.Program
 	}
 	b := &testbed{options: options, interrupted: ctx.Done(), store: fake.NewStore(), report: Report{
-		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int),
+		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int), Checked: make(map[string]int),
 	}}
 	server := httptest.NewServer(b.store)
 	defer server.Close()
@@ -130,6 +133,9 @@
 	callers.checkExecutions()
 	callers.checkNotices()
 	callers.checkRetries()
+	callers.checkDepartures()
+	callers.checkGivenUp()
+	callers.checkColdTimes()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.report, nil
@@ -139,12 +145,6 @@
 	if err := b.reserveSubnet(); err != nil {
 		return err
 	}
-	proxy, err := startProxy(b.subnet.Address(proxyNumber), store)
-	if err != nil {
-		return err
-	}
-	b.storeProxy = proxy
-	go proxy.run()
 	b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(1))
 	for i := range endpointCount {
 		if err := b.addEndpoint(fmt.Sprint("i-", i)); err != nil {
@@ -156,20 +156,36 @@
 		seeds = append(seeds, b.subnet.Address(i+1))
 	}
 	for i, ip := range seeds {
-		host, err := newHostProcess(b.options, fake.HostSettings{
-			Name: fmt.Sprint("host-", i), IP: ip, Zone: "za", Region: "north", Seeds: seeds, Store: proxy.address(), StopGrace: stopGrace,
-		})
-		if err != nil {
+		settings := fake.HostSettings{Name: fmt.Sprint("host-", i), IP: ip, Zone: "za", Region: "north", Seeds: seeds, StopGrace: stopGrace}
+		if err := b.addHost(settings, store); err != nil {
 			return err
 		}
-		if err := host.start(); err != nil {
-			return err
-		}
-		b.hosts = append(b.hosts, host)
 	}
 	return nil
 }
 
+// addHost starts a host with a proxy of its own for the store, which identifies hosts by
+// their IP addresses.
+func (b *testbed) addHost(settings fake.HostSettings, store string) error {
+	proxy, err := startProxy(b.subnet.Address(proxyNumber), store)
+	if err != nil {
+		return err
+	}
+	proxy.source = settings.IP
+	settings.Store = proxy.address()
+	host, err := newHostProcess(b.options, settings)
+	if err != nil {
+		return err
+	}
+	host.storeProxy = proxy
+	go proxy.run()
+	if err := host.start(); err != nil {
+		return err
+	}
+	b.hosts = append(b.hosts, host)
+	return nil
+}
+
 func (b *testbed) addEndpoint(name string) error {
 	endpoint, err := b.startEndpoint(name, b.subnet.Address(endpointNumber)+":0")
 	if err != nil {
@@ -183,7 +199,7 @@
 	b.endpoints, b.endpointProxies = append(b.endpoints, endpoint), append(b.endpointProxies, proxy)
 	index := len(b.endpoints) - 1
 	b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLatency(endpointLatency) })
-	b.writeEntry(index, 1)
+	b.writeEntry(index, "ready")
 	return nil
 }
 
@@ -211,9 +227,11 @@
 }
 
 // writeEntry writes the entry of an endpoint with the address of its proxy.
-func (b *testbed) writeEntry(index, sequence int) {
+func (b *testbed) writeEntry(index int, state string) {
 	endpoint := b.endpoints[index]
-	entry := strings.Replace(endpoint.Entry("s", "za", "ready", sequence), endpoint.Address(), b.endpointProxies[index].address(), 1)
+	// The milliseconds of an incarnation increase with each entry.
+	sequence := 1 + max(0, time.Now().UnixMilli()-endpoint.Plan().Incarnation)
+	entry := strings.Replace(endpoint.Entry("s", "za", state, int(sequence)), endpoint.Address(), b.endpointProxies[index].address(), 1)
 	b.store.Put(platform.EndpointTable, endpoint.ID(), entry)
 }
 
@@ -226,6 +244,7 @@
 			_ = host.signal(syscall.SIGCONT)
 			_ = host.kill()
 		}
+		host.storeProxy.close()
 	}
 	for _, process := range b.processes {
 		process.close()
@@ -234,9 +253,6 @@
 		_ = endpoint.Close()
 		b.endpointProxies[i].close()
 	}
-	if b.storeProxy != nil {
-		b.storeProxy.close()
-	}
 	if b.subnet != nil {
 		_ = b.subnet.Release()
 	}
--- /dev/null
+++ b/soak/touch.go
@@ -0,0 +1,52 @@
+package soak
+
+import (
+	"slices"
+	"syscall"
+	"time"
+)
+
+const (
+	// stableWindow is the time without a disturbance after which a host is in touch.
+	stableWindow = 3 * time.Second
+	// drainTime is drainMs in the settings of the hosts: the time within which they act on
+	// a change of an endpoint's entry.
+	drainTime = 2 * time.Second
+	// heartbeat is heartbeatMs in the settings of the hosts.
+	heartbeat = time.Second
+)
+
+// wasInterrupted reports whether a process was started, killed, paused or continued
+// between two times.
+func (h *hostProcess) wasInterrupted(from, to time.Time) bool {
+	return h.hadInterruption(from, to, interruption.isDisturbance)
+}
+
+// wasPaused reports whether a pause of a process began or ended between two times.
+func (h *hostProcess) wasPaused(from, to time.Time) bool {
+	return h.hadInterruption(from, to, interruption.isPause)
+}
+
+// isInTouch reports whether a host was in touch at a time: its process ran undisturbed for
+// stableWindow, and it reached the store for that time and since another one before.
+func (h *hostProcess) isInTouch(at, storeSince time.Time) bool {
+	from := at.Add(-stableWindow)
+	if storeSince.After(from) {
+		storeSince = from
+	}
+	isOther := func(i interruption) bool { return i.signal != syscall.SIGHUP }
+	return !h.hadInterruption(from, at, isOther) && !h.storeProxy.hadFault(storeSince, at)
+}
+
+func (h *hostProcess) hadInterruption(from, to time.Time, isMeant func(interruption) bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return hasInterruption(h.interruptions, from, to, isMeant)
+}
+
+// hasInterruption reports whether some of the interruptions between two times are meant.
+func hasInterruption(all []interruption, from, to time.Time, isMeant func(interruption) bool) bool {
+	return slices.ContainsFunc(all, func(i interruption) bool {
+		return isMeant(i) && i.at.After(from) && i.at.Before(to)
+	})
+}
