Start the hosts of the soak with SIGHUP ignored

What was seen: a SIGHUP in the first milliseconds of a process ends it, so that a soak whose reload follows a start loses the host: "a host does not serve 8s after the last fault", "os: process already finished".

Cause: the program handles SIGHUP first thing in its command, but the Go runtime and the packages start before.

The program stays as it is.

--- a/soak/host.go
+++ b/soak/host.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -68,6 +69,9 @@
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+h.path)
 	command.Stdout, command.Stderr = h.output, h.output
 	command.SysProcAttr = ownGroup()
+	// The host inherits that SIGHUP is ignored until it handles the signal, which would end
+	// it in the first milliseconds.
+	signal.Ignore(syscall.SIGHUP)
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", h.settings.Name, err)
 	}
