Let the hosts share the retries that they may accumulate

What callers would see: on the product's own wire, when all requests of a service fail after a quiet time, more retries at once than the users' platform allows (0.2 of the requests of ten seconds and a slack of 60, shared by all hosts).

Cause: each host accumulated credit for ten retries of a service, whatever the number of hosts, and kept it without a time limit.

Evidence: TestHostsShareTheEarnedRetries was seen to fail: 12 hosts, which served 150 requests each and then had 6 failing ones each, made 120 retries where 74.4 are allowed; 60 hosts 240 of 84, 61 hosts 122 of 72.2, 200 hosts 400 of 100, 680 hosts 1,360 of 196.

Change: as on the users' platform, a host may accumulate its part of the slack (Budget.LimitBurst); the hosts are those of the configuration. Where there are more hosts than the slack allows retries, credit for one retry is kept for 10 s, and there is no reserve at a first start. One and seven hosts keep the ten retries that they had.

After: 1, 7, 12, 60, 61, 200 and 680 hosts keep the limit (680 was left out of the test afterwards: it takes 2.4 s, with the race detector longer). TestEarnedRetryCanBeMade shows that a host may still make the retry that it has just earned, with 1, 12 and 680 hosts.

--- a/place/core.go
+++ b/place/core.go
@@ -33,6 +33,8 @@
 	// serviceNames holds the keys of services, sorted. A service stays after a
 	// revision has removed it, because requests may still be queued for it.
 	serviceNames []model.ServiceName
+	// retryCreditEndsAt is when the credit of retries is bounded to the burst again.
+	retryCreditEndsAt time.Time
 	// requests holds the requests that have neither been delivered nor
 	// refused.
 	requests map[RequestID]*openRequest
@@ -100,10 +102,6 @@
 	// It is higher than maxAttempts, because an attempt of an export resumes where
 	// the previous one ended.
 	maxExportAttempts = 8
-	// retryReserve is the initial retry budget of a service, in retries, which the
-	// hosts of the configuration share; each of them has at least one. Without it a
-	// service with few requests could not retry.
-	retryReserve = 10
 	// reportMargin is how long after its deadline the end of an attempt may be
 	// reported. After that the upstream has ended the request by its own clock. A
 	// missing report must not keep the slot for ever.
@@ -156,6 +154,7 @@
 func (c *Core) Apply(event Event, now time.Time) []Decision {
 	var decisions []Decision
 	c.ledger.Expire(now)
+	c.expireRetryCredit(now)
 	if !now.Before(c.recheckAt) {
 		c.recheckAt = time.Time{}
 	}
@@ -217,11 +216,7 @@
 	for _, service := range event.Deployment.Services() {
 		c.adoptService(service, isFirst, reserve)
 	}
-}
-
-// retryShare returns the share of retryReserve that this host has.
-func (c *Core) retryShare() int {
-	return max(1, retryReserve/max(1, len(c.deployment.Hosts())))
+	c.limitRetries(now)
 }
 
 // assign computes the slot assignment of a revision.
