Let the tests of early responses share their endpoint

Two tests in conns/given_up_test.go each had an endpoint of twelve equal lines that answers before it reads the body. What they check is the same.

--- a/conns/given_up_test.go
+++ b/conns/given_up_test.go
@@ -85,6 +85,48 @@
 // Read implements io.Reader.
 func (zeroReader) Read(buffer []byte) (int, error) { return len(buffer), nil }
 
+// earlyEndpoint answers one request before it reads its body.
+type earlyEndpoint struct {
+	listener net.Listener
+	response string
+	// closed is closed when the endpoint may read the body.
+	closed chan struct{}
+	// received gets the number of bytes of the body.
+	received chan int64
+}
+
+func startEarlyEndpoint(t *testing.T, response string) *earlyEndpoint {
+	t.Helper()
+	endpoint := &earlyEndpoint{listener: listenSlowly(t), response: response, closed: make(chan struct{}), received: make(chan int64, 1)}
+	go endpoint.run()
+	return endpoint
+}
+
+func (e *earlyEndpoint) run() {
+	conn, err := e.listener.Accept()
+	if err != nil {
+		return
+	}
+	request, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, e.response)
+	<-e.closed
+	count, _ := io.Copy(io.Discard, request.Body)
+	e.received <- count
+}
+
+func (e *earlyEndpoint) address() netip.AddrPort {
+	return netip.MustParseAddrPort(e.listener.Addr().String())
+}
+
+// readBody lets the endpoint read the body, and returns the number of its bytes.
+func (e *earlyEndpoint) readBody() int64 {
+	close(e.closed)
+	return <-e.received
+}
+
 // Guards against a body that is cut by the reset of its connection although the endpoint
 // has answered: it may answer early and read on later.
 func TestBodyArrivesAfterEarlyResponse(t *testing.T) {
@@ -93,30 +135,12 @@
 		"kept":   "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			listener := listenSlowly(t)
-			target := netip.MustParseAddrPort(listener.Addr().String())
-			received := make(chan int64, 1)
-			closed := make(chan struct{})
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				request, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, response)
-				<-closed
-				count, _ := io.Copy(io.Discard, request.Body)
-				received <- count
-			}()
+			endpoint := startEarlyEndpoint(t, response)
 			pool := NewPool(nil)
-			_, err := pool.Exchange(t.Context(), target, slowRequest(5*time.Second))
+			_, err := pool.Exchange(t.Context(), endpoint.address(), slowRequest(5*time.Second))
 			assert.NilError(t, err)
-			pool.CloseIdle(target)
-			close(closed)
-			assert.Equal(t, <-received, int64(givenUpBody))
+			pool.CloseIdle(endpoint.address())
+			assert.Equal(t, endpoint.readBody(), int64(givenUpBody))
 		})
 	}
 }
@@ -125,29 +149,10 @@
 // closed: the endpoint sent the whole response before it read the body.
 func TestBodyArrivesAfterLongEarlyResponse(t *testing.T) {
 	const responseBytes = 2 * maxBufferedBody
-	listener := listenSlowly(t)
-	target := netip.MustParseAddrPort(listener.Addr().String())
-	received := make(chan int64, 1)
-	closed := make(chan struct{})
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		request, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
-		if err != nil {
-			return
-		}
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", responseBytes)
-		_, _ = conn.Write(make([]byte, responseBytes))
-		<-closed
-		count, _ := io.Copy(io.Discard, request.Body)
-		received <- count
-	}()
-	response, err := NewPool(nil).Exchange(t.Context(), target, slowRequest(5*time.Second))
+	endpoint := startEarlyEndpoint(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", responseBytes, make([]byte, responseBytes)))
+	response, err := NewPool(nil).Exchange(t.Context(), endpoint.address(), slowRequest(5*time.Second))
 	assert.NilError(t, err)
 	assert.NilError(t, response.CopyTo(io.Discard))
 	assert.NilError(t, response.Close())
-	close(closed)
-	assert.Equal(t, <-received, int64(givenUpBody))
+	assert.Equal(t, endpoint.readBody(), int64(givenUpBody))
 }
