Let the tests of a returned store share their beginning

Four tests in node/era_test.go began with the same three lines, and two of them went on with the same return of the store. What they check is the same.

--- a/node/era_test.go
+++ b/node/era_test.go
@@ -25,13 +25,31 @@
 	}
 }
 
+// startReplicaTest returns a test whose reader reaches the store.
+func startReplicaTest(t *testing.T) *replicaTest {
+	rt := newReplicaTest(t)
+	rt.transport.SetLatency(callLatency)
+	rt.startReader(func(platform.Table) bool { return true })
+	return rt
+}
+
+// returnOlderStore lets the store return from a copy without the configurations 2 to 5,
+// which are in force. It returns the version of the rows before the return.
+func (rt *replicaTest) returnOlderStore() platform.Version {
+	older := rt.store.Copy()
+	rt.putConfigs(2, 5)
+	time.Sleep(applyTime)
+	known := rt.replica.operator.Version()
+	rt.store.Restore(older)
+	time.Sleep(applyTime)
+	return known
+}
+
 // Guards against a configuration that is never in force because the store returned
 // from an older copy and gives out versions that the replica has already seen.
 func TestConfigurationAfterReturnOfStoreIsInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rt := newReplicaTest(t)
-		rt.transport.SetLatency(callLatency)
-		rt.startReader(func(platform.Table) bool { return true })
+		rt := startReplicaTest(t)
 		older := rt.store.Copy()
 		rt.putConfigs(2, 5)
 		time.Sleep(applyTime)
@@ -85,9 +103,7 @@
 // never ends because nobody writes it again.
 func TestEvacuationThatReturnedStoreLostHasGracePeriod(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rt := newReplicaTest(t)
-		rt.transport.SetLatency(callLatency)
-		rt.startReader(func(platform.Table) bool { return true })
+		rt := startReplicaTest(t)
 		older := rt.store.Copy()
 		for _, zone := range []string{"za", "zb"} {
 			rt.store.Put(platform.OperatorTable, "evacuate/"+zone, "{}")
@@ -112,14 +128,8 @@
 // force.
 func TestConfigurationInForceIsRelayedAfterReturnOfStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rt := newReplicaTest(t)
-		rt.transport.SetLatency(callLatency)
-		rt.startReader(func(platform.Table) bool { return true })
-		older := rt.store.Copy()
-		rt.putConfigs(2, 5)
-		time.Sleep(applyTime)
-		rt.store.Restore(older)
-		time.Sleep(applyTime)
+		rt := startReplicaTest(t)
+		rt.returnOlderStore()
 		changes, _ := rt.replica.operator.Since(platform.Version{})
 		started := newReplicaTest(t)
 		started.replica.applyUpdate(relay.Update{Operator: changes, ReceivedAt: time.Now()}, "h2")
@@ -194,15 +204,8 @@
 // they have it, because the store returned from an older copy.
 func TestUnchangedConfigurationIsNotRelayedAgainAfterReturnOfStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		rt := newReplicaTest(t)
-		rt.transport.SetLatency(callLatency)
-		rt.startReader(func(platform.Table) bool { return true })
-		older := rt.store.Copy()
-		rt.putConfigs(2, 5)
-		time.Sleep(applyTime)
-		known := rt.replica.operator.Version()
-		rt.store.Restore(older)
-		time.Sleep(applyTime)
+		rt := startReplicaTest(t)
+		known := rt.returnOlderStore()
 		rt.putConfigs(5, 5)
 		time.Sleep(applyTime)
 		changes, _ := rt.replica.operator.Since(known)
