--- a/place/retry_limit_test.go
+++ b/place/retry_limit_test.go
@@ -12,10 +12,7 @@
 
 // serve applies the arrival of a request and ends its only attempt as complete.
 func serve(core *place.Core, id string, now time.Time) {
-	arrived := place.Arrived{Request: place.Request{
-		ID: place.RequestID(id), Service: "view", Home: "north", Deadline: now.Add(time.Second),
-	}}
-	for _, decision := range core.Apply(arrived, now) {
+	for _, decision := range core.Apply(arrival(id, now), now) {
 		if send, isSend := decision.(place.Send); isSend {
 			core.Apply(place.Finished{Attempt: send.Attempt, Result: place.Succeeded}, now)
 		}
@@ -33,13 +30,7 @@
 		serve(core, fmt.Sprint("served-", number), now)
 	}
 	now = now.Add(20 * time.Second)
-	retries := 0
-	for number := range requests {
-		retries += failAll(core, place.Arrived{Request: place.Request{
-			ID: place.RequestID(fmt.Sprint(number)), Service: "view", Home: "north", Deadline: now.Add(time.Second),
-		}}, now)
-	}
-	return retries
+	return failRequests(core, requests, now)
 }
 
 // Guards against hosts that together send more retries at once than the limit allows,
@@ -75,8 +66,7 @@
 			for number := range 10 {
 				serve(core, fmt.Sprint("served-", number), now)
 			}
-			retries := failAll(core, place.Arrived{Request: place.Request{ID: "r", Service: "view", Home: "north", Deadline: now.Add(time.Second)}}, now)
-			assert.Equal(t, retries, 1)
+			assert.Equal(t, failRequests(core, 1, now), 1)
 		})
 	}
 }
--- a/place/retry_test.go
+++ b/place/retry_test.go
@@ -29,6 +29,23 @@
 	return retries
 }
 
+// arrival returns the arrival of a read that may take a second.
+func arrival(id string, now time.Time) place.Arrived {
+	return place.Arrived{Request: place.Request{
+		ID: place.RequestID(id), Service: "view", Home: "north", Deadline: now.Add(time.Second),
+	}}
+}
+
+// failRequests lets a number of requests arrive and all their attempts fail. It returns
+// the number of retries.
+func failRequests(core *place.Core, requests int, now time.Time) int {
+	retries := 0
+	for number := range requests {
+		retries += failAll(core, arrival(fmt.Sprint(number), now), now)
+	}
+	return retries
+}
+
 // deployFleet returns a configuration with a read service, of which each host has a slot
 // of each of four endpoints.
 func deployFleet(t *testing.T, hosts int) *model.Deployment {
@@ -55,13 +72,7 @@
 	now := time.Unix(1_000_000, 0)
 	core := place.New(host)
 	core.Apply(adopted, now)
-	retries := 0
-	for number := range requests {
-		retries += failAll(core, place.Arrived{Request: place.Request{
-			ID: place.RequestID(fmt.Sprint(number)), Service: "view", Home: "north", Deadline: now.Add(time.Second),
-		}}, now)
-	}
-	return retries
+	return failRequests(core, requests, now)
 }
 
 // Guards against hosts that together exceed the retry budget, because each of them may
@@ -110,7 +121,7 @@
 			core := place.New("host-0")
 			core.Apply(place.Adopted{Deployment: deployment}, now)
 			sendFirst := func() place.Finished {
-				decisions := core.Apply(place.Arrived{Request: place.Request{ID: "r", Service: "view", Home: "north", Deadline: now.Add(time.Second)}}, now)
+				decisions := core.Apply(arrival("r", now), now)
 				return place.Finished{Attempt: decisions[0].(place.Send).Attempt, Result: place.Failed}
 			}
 			for round := range 12 {
