Judge deadlines, attempts and spare times in files of their own

What callers saw: nothing.

Change: soak/deadlines.go checks that each arrival names a deadline, that it is at most 0.5 s longer than the caller's, and that a repeat over 0.5 s later ends at most 0.5 s after the first one's and the caller's, unless the host was interrupted or the link was at fault. A new fault lets an endpoint fail after 0.55 to 0.9 s, so that there are such repeats. soak/attempts.go and soak/spared.go hold the other two checks, which allow no more than before: no request too many at all, where the rule allows three, or two. Tables test each check at its bound and beyond it.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,8 +26,6 @@
 	// leavingRatio is the share of requests whose callers leave early, within maxStay.
 	leavingRatio = 0.02
 	maxStay      = 200 * time.Millisecond
-	// maxArrivals is the maxAttempts of the routes.
-	maxArrivals = 2
 	// lateRunTime is how long after the end of all hosts a request may still run that was
 	// on its way to an endpoint.
 	lateRunTime = 2 * time.Second
@@ -156,12 +154,11 @@
 
 // checkExecutions checks the guarantees that can be checked only when no request
 // is on its way: a submit runs at most once, a refused request never runs, a success has
-// run, and no more endpoints than the route allows get a request, as its caller sent it.
+// run, and a request arrives as its caller sent it.
 // Faults have ended and hosts have stopped before, so that nothing is held any more.
 func (c *callers) checkExecutions() {
 	time.Sleep(lateRunTime)
 	digests := make(map[string]string, len(c.ended))
-	arrivals := make(map[string]int, len(c.ended))
 	for _, request := range c.ended {
 		digests[request.attempt] = request.digest
 		if violation := request.executionViolation(c.testbed.runs(request.attempt)); violation != "" {
@@ -171,10 +168,6 @@
 	}
 	for _, endpoint := range c.testbed.endpoints {
 		for _, exchange := range endpoint.Exchanges() {
-			arrivals[exchange.Attempt]++
-			if arrivals[exchange.Attempt] == maxArrivals+1 && exchange.Attempt != "" {
-				c.testbed.recordViolation("%s: arrived more than %d times", exchange.Attempt, maxArrivals)
-			}
 			if digest, isSent := digests[exchange.Attempt]; isSent && exchange.Digest != "" && digest != exchange.Digest {
 				c.testbed.recordViolation("%s: arrived at %s with another method, target or body", exchange.Attempt, exchange.ID)
 			}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -93,6 +93,7 @@
 			b.sleep(duration)
 			b.setEndpoint(index, misbehaviour{behaviours: []fake.Behaviour{fake.Serve}}.apply)
 		}},
+		{"slowFailure", (*testbed).failSlowly},
 		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
@@ -257,7 +258,7 @@
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpoint", "leaving", "spared":
+	case "endpoint", "slowFailure", "leaving", "spared":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
 	case "endpointPause", "endpointKill":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -2,15 +2,10 @@
 
 import (
 	"net/http"
-	"time"
 
 	"filberthold/platform/fake"
 )
 
-// noticeTime is the time within which a host must act on the refusal of an endpoint
-// that asked to be spared.
-const noticeTime = 500 * time.Millisecond
-
 // sentRequest is a request of a caller that arrived at an endpoint.
 type sentRequest struct {
 	endedRequest
@@ -64,10 +59,3 @@
 func (r sentRequest) isLeavingPassedOn() bool {
 	return r.exchange.IsLeaving && r.status == http.StatusOK && r.body == r.exchange.ID
 }
-
-// isSpareTime reports whether a time is one at which the host must have spared the
-// endpoint after this request.
-func (r sentRequest) isSpareTime(at time.Time) bool {
-	retryAfter, err := time.ParseDuration(r.exchange.RetryAfter + "s")
-	return err == nil && at.After(r.exchange.AnsweredAt.Add(noticeTime)) && at.Before(r.exchange.AnsweredAt.Add(retryAfter))
-}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -128,6 +128,8 @@
 		}
 	}
 	callers.checkExecutions()
+	callers.checkAttempts()
+	callers.checkDeadlines()
 	callers.checkNotices()
 	callers.checkRetries()
 	b.mu.Lock()
