Play Retry-After, deadlines and attempts under pressure

What callers saw: nothing new.

Change: two tests with hosts and endpoints as processes. Many callers of each host send at once while up to half of the endpoints refuse with Retry-After; permits, entries, links, paused, killed and renamed endpoints, and slow and paused hosts disturb them. In the other one endpoints fail, reset or refuse after 600 ms, and callers upload bodies over 0.7 s, some with Expect. FILBERTHOLD_SOAK_PLAY sets the length of a play.

--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -28,6 +28,12 @@
 	if program := os.Getenv(programVariable); program != "" {
 		return program
 	}
+	return buildTree(t)
+}
+
+// buildTree returns the path of an executable of this tree.
+func buildTree(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "filberthold")
 	output, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
@@ -37,10 +43,17 @@
 // startTestbed starts hosts as processes, with endpoints for a number of requests at once.
 func startTestbed(t *testing.T, hosts, endpoints int) *testbed {
 	t.Helper()
-	program := buildProgram(t)
+	return startTestbedWith(t, Options{Program: buildProgram(t), Hosts: hosts}, endpoints)
+}
+
+// startTestbedWith does so with options. With an EndpointProgram, the endpoints are
+// processes too.
+func startTestbedWith(t *testing.T, options Options, endpoints int) *testbed {
+	t.Helper()
+	options.Directory, options.Log = t.TempDir(), io.Discard
 	b := &testbed{
-		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Log: io.Discard},
-		store:   fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
+		options: options, interrupted: t.Context().Done(),
+		store: fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
 	}
 	server := httptest.NewServer(b.store)
 	t.Cleanup(server.Close)
