Give the soak an outage in which the slack of the retry limit matters

What callers saw: nothing.

Change: beside the random faults, three hosts of their own with a slack of six save up credit, get three requests a second for 20 s, lose all answers but status 500 for 6 s and are then killed and started seven times each, with two requests a start. The limit is checked there as before, with the slack of these hosts' settings.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -210,6 +210,15 @@
 	}
 }
 
+func (b *testbed) isInterrupted() bool {
+	select {
+	case <-b.interrupted:
+		return true
+	default:
+		return false
+	}
+}
+
 // injectFaults starts random faults at random times until the duration of the
 // soak has passed.
 func (b *testbed) injectFaults(ctx context.Context) {
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http/httptest"
@@ -51,10 +50,7 @@
 func startTestbedWith(t *testing.T, options Options, endpoints int) *testbed {
 	t.Helper()
 	options.Directory, options.Log = t.TempDir(), io.Discard
-	b := &testbed{
-		options: options, interrupted: t.Context().Done(),
-		store: fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
-	}
+	b := newTestbed(t.Context(), options)
 	server := httptest.NewServer(b.store)
 	t.Cleanup(server.Close)
 	t.Cleanup(b.close)
@@ -66,20 +62,6 @@
 	return b
 }
 
-// sendEvenly sends reads to all hosts in turn, for a time. It uses POST, because net/http
-// repeats a GET by itself if its connection breaks.
-func (c *callers) sendEvenly(group *sync.WaitGroup, phase string, perSecond int, duration time.Duration) {
-	for number := range perSecond * int(duration/time.Second) {
-		host := c.testbed.hosts[number%len(c.testbed.hosts)]
-		attempt := fmt.Sprintf("%s-%d", phase, number)
-		c.mu.Lock()
-		c.ended = append(c.ended, endedRequest{attempt: attempt, sentAt: time.Now()})
-		c.mu.Unlock()
-		group.Go(func() { send(context.Background(), host, "POST", fmt.Sprint("/read/", number%40), attempt) })
-		time.Sleep(time.Second / time.Duration(perSecond))
-	}
-}
-
 // keepFirstSettings makes the settings of all hosts say at each later start that it is the
 // first one.
 func (b *testbed) keepFirstSettings(t *testing.T) {
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -1,16 +1,18 @@
 package soak
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"filberthold/platform/fake"
 )
 
 const (
-	// retryRatio, retrySlack and retryWindow are the retry limit of the hosts' settings:
-	// in each window, endpoints may get retryRatio times the requests and retrySlack more
-	// arrivals beyond the first of each request.
+	// retryRatio and retryWindow are of the retry limit of the hosts' settings: in each
+	// window, endpoints may get retryRatio times the requests and a slack more arrivals
+	// beyond the first of each request.
 	retryRatio  = 0.2
-	retrySlack  = 60
 	retryWindow = 10 * time.Second
 )
 
@@ -24,14 +26,14 @@
 		isSent[request.attempt] = true
 	}
 	slices.SortFunc(sent, time.Time.Compare)
-	if retries, requests := retriesBeyondLimit(sent, c.repeats(isSent)); retries > 0 {
+	if retries, requests := retriesBeyondLimit(sent, c.repeats(isSent), cmp.Or(c.testbed.retrySlack, fake.DefaultRetrySlack)); retries > 0 {
 		c.testbed.recordViolation("%d retries for %d requests arrived within %s", retries, requests, retryWindow)
 	}
 }
 
 // retriesBeyondLimit returns the retries in the first window with more than the limit, and
 // the requests that count there, or 0 if there is no such window. All times are sorted.
-func retriesBeyondLimit(sent, repeats []time.Time) (retries, requests int) {
+func retriesBeyondLimit(sent, repeats []time.Time, slack int) (retries, requests int) {
 	for i, end := range repeats {
 		start := end.Add(-retryWindow)
 		retries = countBetween(repeats[:i+1], start, end)
@@ -40,7 +42,7 @@
 		for _, shift := range []time.Duration{0, retryWindow / 2, retryWindow} {
 			requests = max(requests, countBetween(sent, start.Add(-shift), end.Add(-shift)))
 		}
-		if float64(retries) > retryRatio*float64(requests)+retrySlack {
+		if float64(retries) > retryRatio*float64(requests)+float64(slack) {
 			return retries, requests
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -85,6 +85,8 @@
 	// processes run the endpoints. It is empty if they run in this process.
 	processes []*endpointProcess
 	hosts     []*hostProcess
+	// retrySlack is the slack of the hosts' retry limit. If it is 0, they have the default.
+	retrySlack int
 	// interrupted is closed when the soak must end before its time.
 	interrupted <-chan struct{}
 	// activeFaults counts the faults that have not ended.
@@ -99,9 +101,7 @@
 	if options.EndpointProgram == "" {
 		options.EndpointProgram = options.Program
 	}
-	b := &testbed{options: options, interrupted: ctx.Done(), store: fake.NewStore(), report: Report{
-		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int),
-	}}
+	b := newTestbed(ctx, options)
 	server := httptest.NewServer(b.store)
 	defer server.Close()
 	defer b.close()
@@ -115,6 +115,8 @@
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	var callerGroup sync.WaitGroup
 	callerGroup.Go(func() { callers.run(callerCtx) })
+	var outageGroup sync.WaitGroup
+	outageGroup.Go(func() { b.playOutage(ctx) })
 	b.injectFaults(ctx)
 	b.activeFaults.Wait()
 	if !b.waitUntilServing(ctx) {
@@ -132,11 +134,19 @@
 	callers.checkDeadlines()
 	callers.checkNotices()
 	callers.checkRetries()
+	outageGroup.Wait()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.report, nil
 }
 
+// newTestbed returns a testbed on which nothing runs.
+func newTestbed(ctx context.Context, options Options) *testbed {
+	return &testbed{options: options, interrupted: ctx.Done(), store: fake.NewStore(), report: Report{
+		Seed: options.Seed, Outcomes: make(map[string]int), Faults: make(map[string]int),
+	}}
+}
+
 func (b *testbed) start(store string) error {
 	if err := b.reserveSubnet(); err != nil {
 		return err
@@ -160,6 +170,7 @@
 	for i, ip := range seeds {
 		host, err := newHostProcess(b.options, fake.HostSettings{
 			Name: fmt.Sprint("host-", i), IP: ip, Zone: "za", Region: "north", Seeds: seeds, Store: proxy.address(), StopGrace: stopGrace,
+			RetrySlack: b.retrySlack,
 		})
 		if err != nil {
 			return err
