--- a/soak/faults.go
+++ b/soak/faults.go
@@ -98,6 +98,7 @@
 			b.sleep(duration)
 			b.setEndpoint(index, misbehaviour{behaviours: []fake.Behaviour{fake.Serve}}.apply)
 		}},
+		{"slowFailure", (*testbed).failSlowly},
 		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
@@ -230,6 +231,15 @@
 	}
 }
 
+func (b *testbed) isInterrupted() bool {
+	select {
+	case <-b.interrupted:
+		return true
+	default:
+		return false
+	}
+}
+
 // injectFaults starts random faults at random times until the duration of the
 // soak has passed.
 func (b *testbed) injectFaults(ctx context.Context) {
@@ -281,7 +291,7 @@
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpoint", "leaving", "spared", "early":
+	case "endpoint", "slowFailure", "leaving", "spared", "early":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
 	case "reader":
 		// The excuses of the store's other faults would hide what this one finds.
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http/httptest"
@@ -28,6 +27,12 @@
 	if program := os.Getenv(programVariable); program != "" {
 		return program
 	}
+	return buildTree(t)
+}
+
+// buildTree returns the path of an executable of this tree.
+func buildTree(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "filberthold")
 	output, err := exec.Command("go", "build", "-o", program, "..").CombinedOutput()
 	assert.NilError(t, err, "%s", output)
@@ -37,11 +42,15 @@
 // startTestbed starts hosts as processes, with endpoints for a number of requests at once.
 func startTestbed(t *testing.T, hosts, endpoints int) *testbed {
 	t.Helper()
-	program := buildProgram(t)
-	b := &testbed{
-		options: Options{Program: program, Directory: t.TempDir(), Hosts: hosts, Log: io.Discard},
-		store:   fake.NewStore(), report: Report{Outcomes: make(map[string]int), Faults: make(map[string]int)},
-	}
+	return startTestbedWith(t, Options{Program: buildProgram(t), Hosts: hosts}, endpoints)
+}
+
+// startTestbedWith does so with options. With an EndpointProgram, the endpoints are
+// processes too.
+func startTestbedWith(t *testing.T, options Options, endpoints int) *testbed {
+	t.Helper()
+	options.Directory, options.Log = t.TempDir(), io.Discard
+	b := newTestbed(t.Context(), options)
 	server := httptest.NewServer(b.store)
 	t.Cleanup(server.Close)
 	t.Cleanup(b.close)
@@ -53,20 +62,6 @@
 	return b
 }
 
-// sendEvenly sends reads to all hosts in turn, for a time. It uses POST, because net/http
-// repeats a GET by itself if its connection breaks.
-func (c *callers) sendEvenly(group *sync.WaitGroup, phase string, perSecond int, duration time.Duration) {
-	for number := range perSecond * int(duration/time.Second) {
-		host := c.testbed.hosts[number%len(c.testbed.hosts)]
-		attempt := fmt.Sprintf("%s-%d", phase, number)
-		c.mu.Lock()
-		c.ended = append(c.ended, endedRequest{attempt: attempt, sentAt: time.Now()})
-		c.mu.Unlock()
-		group.Go(func() { send(context.Background(), host, "POST", fmt.Sprint("/read/", number%40), attempt) })
-		time.Sleep(time.Second / time.Duration(perSecond))
-	}
-}
-
 // keepFirstSettings makes the settings of all hosts say at each later start that it is the
 // first one.
 func (b *testbed) keepFirstSettings(t *testing.T) {
