Count a first attempt on a broken connection once its retry has arrived

Callers see nothing; the endpoints of a service get more retries at once than the limit allows.

Cause: only retries counted as outstanding. If the connection of a first attempt is reset while the system of a stopped endpoint has its bytes, another endpoint answers the retry at once and it counts no more. The first attempt is the extra arrival when the endpoint continues, up to a minute later.

Change: the first attempt of a request takes the place of its retry if the connection of the first broke and the retry has arrived.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -60,6 +60,9 @@
 	tried []model.EndpointName
 	// triedAddresses holds the addresses of these endpoints.
 	triedAddresses []netip.AddrPort
+	// brokenFirst is the first attempt if its connection broke and it is not yet counted as
+	// one that may still arrive.
+	brokenFirst *attemptEnd
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastSend is the selection of the latest attempt, for the log.
@@ -265,7 +268,7 @@
 		HasLoad: responseHeader.HasLoad, Busy: responseHeader.Load.Running + responseHeader.Load.Waiting,
 		Limit: steer.RateLimit{IsSet: responseHeader.HasLimit, PerSecond: responseHeader.RateLimit},
 	}, outcome.isEndpointGone)
-	e.server.core.recordRetries(e.service, attemptEnd{
+	e.recordEnd(attemptEnd{
 		endpoint: decision.Endpoint.Name, result: outcome.result, isRetry: len(e.tried) > 1, isSent: outcome.isSent(), sentAt: startedAt,
 	})
 	if limitChanged {
@@ -280,6 +283,18 @@
 	return outcome
 }
 
+// recordEnd records which attempts of the request may still arrive after the end of one.
+func (e *exchange) recordEnd(attempt attemptEnd) {
+	attempt.brokenFirst = e.brokenFirst
+	e.server.core.recordRetries(e.service, attempt)
+	switch {
+	case !attempt.isRetry && attempt.mayArrive():
+		e.brokenFirst = &attempt
+	case attempt.outstanding() == e.brokenFirst:
+		e.brokenFirst = nil
+	}
+}
+
 // handleOutcome delivers, retries or fails the request after an attempt. It
 // reports whether the exchange has ended.
 func (e *exchange) handleOutcome(outcome attemptOutcome) bool {
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -8,12 +8,13 @@
 	"filberthold/steer"
 )
 
-// unansweredRetry is a retry that has ended without an answer. It may still arrive, at the
-// same time as others, so it takes the place of the credit of one.
+// unansweredRetry is a retry that has ended without an answer, or a first attempt on a broken
+// connection whose retry has arrived. It may still arrive, at the same time as others, so it
+// takes the place of the credit of one.
 type unansweredRetry struct {
 	endpoint model.EndpointName
 	sentAt   time.Time
-	// until is the time from which the retry can no longer arrive.
+	// until is the time from which it can no longer arrive.
 	until time.Time
 }
 
@@ -25,6 +26,9 @@
 	// isSent is true unless it is known that no part of the request was sent.
 	isSent bool
 	sentAt time.Time
+	// brokenFirst is the first attempt of the request if its connection broke and it is not
+	// counted as outstanding, or nil.
+	brokenFirst *attemptEnd
 }
 
 // isAnswered reports whether the endpoint answered, and so has read what was sent before.
@@ -32,11 +36,23 @@
 	return a.result == steer.Answered || a.result == steer.Failed || a.result == steer.Overloaded
 }
 
-// isHeldRetry reports whether the attempt is a retry that may arrive after its end.
-func (a attemptEnd) isHeldRetry() bool {
+// mayArrive reports whether the attempt may arrive after its end.
+func (a attemptEnd) mayArrive() bool {
 	// A connection that breaks takes nothing back that the endpoint's system has read.
 	isUnanswered := a.result == steer.TimedOut || a.result == steer.Abandoned || a.result == steer.Unreachable
-	return a.isRetry && a.isSent && isUnanswered
+	return a.isSent && isUnanswered
+}
+
+// outstanding returns the attempt that may still arrive beyond the request after the end of
+// a retry, or nil. If the retry has arrived, that is the first attempt on a broken connection.
+func (a attemptEnd) outstanding() *attemptEnd {
+	switch {
+	case !a.isRetry || !a.isSent:
+		return nil
+	case a.mayArrive():
+		return &a
+	}
+	return a.brokenFirst
 }
 
 // earnRetry counts a request in the retry budget of its service.
@@ -95,8 +111,8 @@
 		hasArrived := attempt.isAnswered() && retry.endpoint == attempt.endpoint && retry.sentAt.Before(attempt.sentAt)
 		return hasArrived || !now.Before(retry.until)
 	})
-	if attempt.isHeldRetry() {
-		unanswered = append(unanswered, unansweredRetry{endpoint: attempt.endpoint, sentAt: attempt.sentAt, until: now.Add(steer.MaxHoldTime)})
+	if outstanding := attempt.outstanding(); outstanding != nil {
+		unanswered = append(unanswered, unansweredRetry{endpoint: outstanding.endpoint, sentAt: outstanding.sentAt, until: now.Add(steer.MaxHoldTime)})
 	}
 	c.unanswered[service] = unanswered
 	c.limitChangedBurst(service, before, now)
--- a/proxy/unsent_retry_test.go
+++ b/proxy/unsent_retry_test.go
@@ -17,5 +17,5 @@
 	outcome := classify(nil, platform.ResponseHeader{}, fmt.Errorf("send: %w", new(conns.NotSentError)), true)
 	var notSent *conns.NotSentError
 	assert.Assert(t, errors.As(outcome.err, &notSent))
-	assert.Assert(t, !attemptEnd{endpoint: "i-1", result: outcome.result, isRetry: true, isSent: outcome.isSent()}.isHeldRetry())
+	assert.Assert(t, !attemptEnd{endpoint: "i-1", result: outcome.result, isRetry: true, isSent: outcome.isSent()}.mayArrive())
 }
