Give the credit of a retry back that could not connect

Callers see retries refused that the limit allows: each retry that reaches no connection, to an endpoint that has just ended, costs the credit of one.

Cause: the credit was given back only to a retry without a permit, though it is to be given back to each that is not sent.

Evidence: TestRetryWithoutConnectionGetsItsCreditBack was seen to fail, with a credit of 1.1 before the request and 0.2 after it.

Change: the credit of a retry of which nothing was sent is given back when it ends, and counted as refunded.

--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -116,6 +116,10 @@
 	}
 	c.unanswered[service] = unanswered
 	c.limitChangedBurst(service, before, now)
+	if attempt.isRetry && !attempt.isSent {
+		c.budgets[service].Refund()
+		c.retryUse(service).refunded++
+	}
 }
 
 // limitChangedBurst limits the burst of a service if its free part is not what it was
