Take a retry for arrived once the head of its response is read

Callers see retries refused that the limit allows, while earlier ones wait for the rest of a long body, and for two minutes after a body broke off.

Cause: a retry counted as outstanding until its response was complete, and as one that may still arrive if the body broke off. The head of its own response shows that it has arrived.

Evidence: TestRetryWithBrokenAnswerHasArrived and TestRetryWithHeadOfAnswerHasArrived were seen to fail: 1 retry was outstanding after the head of its response.

Change: the end of an attempt is recorded when the head of its response is read, and only without a head when the attempt ends. A retry whose endpoint sends no head until it has run the request counts until then, as before: hosts cannot tell it from one that is held.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -268,9 +268,9 @@
 		HasLoad: responseHeader.HasLoad, Busy: responseHeader.Load.Running + responseHeader.Load.Waiting,
 		Limit: steer.RateLimit{IsSet: responseHeader.HasLimit, PerSecond: responseHeader.RateLimit},
 	}, outcome.isEndpointGone)
-	e.recordEnd(attemptEnd{
-		endpoint: decision.Endpoint.Name, result: outcome.result, isRetry: len(e.tried) > 1, isSent: outcome.isSent(), sentAt: startedAt,
-	})
+	if !trace.HasHead() {
+		e.recordEnd(outcome.result, outcome.isSent())
+	}
 	if limitChanged {
 		e.server.log.Info("endpoint limit changed", "endpoint", decision.Endpoint.Name, "service", e.service, "request", e.header.AttemptID,
 			"isLimited", responseHeader.HasLimit, "perSecond", responseHeader.RateLimit)
@@ -283,9 +283,22 @@
 	return outcome
 }
 
-// recordEnd records which attempts of the request may still arrive after the end of one.
-func (e *exchange) recordEnd(attempt attemptEnd) {
-	attempt.brokenFirst = e.brokenFirst
+// recordArrival records that the latest attempt has arrived, once the head of its response
+// shows that. The body may take long or break off.
+func (e *exchange) recordArrival(header platform.ResponseHeader) {
+	if header.IsMisdirected {
+		e.recordEnd(steer.Undelivered, true)
+		return
+	}
+	e.recordEnd(steer.Answered, true)
+}
+
+// recordEnd records which attempts of the request may still arrive after the latest one has
+// arrived or has ended. It is called once for each attempt.
+func (e *exchange) recordEnd(result steer.Result, isSent bool) {
+	attempt := attemptEnd{
+		endpoint: e.lastSend.Endpoint.Name, result: result, isRetry: len(e.tried) > 1, isSent: isSent, sentAt: e.sentAt, brokenFirst: e.brokenFirst,
+	}
 	e.server.core.recordRetries(e.service, attempt)
 	switch {
 	case !attempt.isRetry && attempt.mayArrive():
--- a/proxy/match.go
+++ b/proxy/match.go
@@ -37,13 +37,15 @@
 }
 
 // matchesResponse reports whether a response with the given headers belongs to
-// this request, and applies what the endpoint says of itself in one that does.
+// this request, and applies what the endpoint says of itself in one that does. Such a
+// response proves that the attempt has arrived.
 func (e *exchange) matchesResponse(status int, header http.Header, isFirst bool) bool {
 	responseHeader := platform.ParseResponseHeader(status, header)
 	if !e.isOwnResponse(responseHeader, isFirst) {
 		return false
 	}
 	e.hear(responseHeader)
+	e.recordArrival(responseHeader)
 	return true
 }
 
