Drop the outstanding retries of an endpoint that has ended

Callers see their retries refused for two minutes after one retry at an endpoint that crashed, at hosts that have no part of the slack and few requests.

Cause: an outstanding retry was dropped only when its endpoint answered a later request, which one that has ended never does.

Change: the retries are dropped when the endpoint starts again under its name, another endpoint answers at its address, or its address refuses a connection that was opened after them.

--- a/proxy/answered_retry_test.go
+++ b/proxy/answered_retry_test.go
@@ -104,9 +104,7 @@
 	conn := ts.dialRaw("GET /read/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a2\r\nAffinity-Key: 7\r\nDeadline-Ms: 1500\r\n\r\n")
 	<-slow.started
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		ts.core.mu.Lock()
-		defer ts.core.mu.Unlock()
-		if count := ts.core.outstandingRetries("s"); count > 0 {
+		if count := ts.core.outstandingNow(); count > 0 {
 			return poll.Continue("%d retries may still arrive", count)
 		}
 		return poll.Success()
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -121,7 +121,12 @@
 func (c *Core) ApplyEntry(entry roster.Entry) roster.Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.roster.Apply(entry, time.Now())
+	now := time.Now()
+	change := c.roster.Apply(entry, now)
+	if change == roster.Added || change == roster.Left {
+		c.dropEndedRetries(entry.Endpoint, entry.Incarnation, now)
+	}
+	return change
 }
 
 // RemoveEntry applies the removal of an entry. The endpoint stays usable until
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -269,7 +269,7 @@
 		Limit: steer.RateLimit{IsSet: responseHeader.HasLimit, PerSecond: responseHeader.RateLimit},
 	}, outcome.isEndpointGone)
 	if !trace.HasHead() {
-		e.recordEnd(outcome.result, outcome.isSent())
+		e.recordEnd(attemptEnd{result: outcome.result, isSent: outcome.isSent(), isEndpointGone: outcome.isConnectionRefused()})
 	}
 	if limitChanged {
 		e.server.log.Info("endpoint limit changed", "endpoint", decision.Endpoint.Name, "service", e.service, "request", e.header.AttemptID,
@@ -287,18 +287,17 @@
 // shows that. The body may take long or break off.
 func (e *exchange) recordArrival(header platform.ResponseHeader) {
 	if header.IsMisdirected {
-		e.recordEnd(steer.Undelivered, true)
+		e.recordEnd(attemptEnd{result: steer.Undelivered, isSent: true, isEndpointGone: true})
 		return
 	}
-	e.recordEnd(steer.Answered, true)
+	e.recordEnd(attemptEnd{result: steer.Answered, isSent: true})
 }
 
 // recordEnd records which attempts of the request may still arrive after the latest one has
 // arrived or has ended. It is called once for each attempt.
-func (e *exchange) recordEnd(result steer.Result, isSent bool) {
-	attempt := attemptEnd{
-		endpoint: e.lastSend.Endpoint.Name, result: result, isRetry: len(e.tried) > 1, isSent: isSent, sentAt: e.sentAt, brokenFirst: e.brokenFirst,
-	}
+func (e *exchange) recordEnd(attempt attemptEnd) {
+	attempt.endpoint, attempt.incarnation = e.lastSend.Endpoint.Name, e.lastSend.Endpoint.Incarnation
+	attempt.isRetry, attempt.sentAt, attempt.brokenFirst = len(e.tried) > 1, e.sentAt, e.brokenFirst
 	e.server.core.recordRetries(e.service, attempt)
 	switch {
 	case !attempt.isRetry && attempt.mayArrive():
--- a/proxy/next_action.go
+++ b/proxy/next_action.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"filberthold/conns"
@@ -52,6 +53,12 @@
 	return !errors.As(o.err, &notSent)
 }
 
+// isConnectionRefused reports whether nobody accepts connections at the endpoint's address.
+// An endpoint that is stopped still has its listener.
+func (o attemptOutcome) isConnectionRefused() bool {
+	return !o.isSent() && errors.Is(o.err, syscall.ECONNREFUSED)
+}
+
 // isDeliverable reports whether there is a valid response of the endpoint,
 // other than a refusal, that may be sent to the caller.
 func (o attemptOutcome) isDeliverable() bool {
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -13,16 +13,22 @@
 // takes the place of the credit of one.
 type unansweredRetry struct {
 	endpoint model.EndpointName
-	sentAt   time.Time
+	// incarnation is that of the endpoint.
+	incarnation int64
+	sentAt      time.Time
 	// until is the time from which it can no longer arrive.
 	until time.Time
 }
 
 // attemptEnd is the end of an attempt.
 type attemptEnd struct {
-	endpoint model.EndpointName
-	result   steer.Result
-	isRetry  bool
+	endpoint    model.EndpointName
+	incarnation int64
+	result      steer.Result
+	isRetry     bool
+	// isEndpointGone is true if the endpoint is known to have ended: another one answered at
+	// its address, or nobody accepts connections there.
+	isEndpointGone bool
 	// isSent is true unless it is known that no part of the request was sent.
 	isSent bool
 	sentAt time.Time
@@ -36,6 +42,11 @@
 	return a.result == steer.Answered || a.result == steer.Failed || a.result == steer.Overloaded
 }
 
+// settles reports whether the attempt shows that an earlier retry has arrived or never will.
+func (a attemptEnd) settles(retry unansweredRetry) bool {
+	return (a.isAnswered() || a.isEndpointGone) && retry.endpoint == a.endpoint && retry.sentAt.Before(a.sentAt)
+}
+
 // mayArrive reports whether the attempt may arrive after its end.
 func (a attemptEnd) mayArrive() bool {
 	// A connection that breaks takes nothing back that the endpoint's system has read.
@@ -108,11 +119,12 @@
 		c.retriesInFlight[service]--
 	}
 	unanswered := slices.DeleteFunc(c.unanswered[service], func(retry unansweredRetry) bool {
-		hasArrived := attempt.isAnswered() && retry.endpoint == attempt.endpoint && retry.sentAt.Before(attempt.sentAt)
-		return hasArrived || !now.Before(retry.until)
+		return attempt.settles(retry) || !now.Before(retry.until)
 	})
 	if outstanding := attempt.outstanding(); outstanding != nil {
-		unanswered = append(unanswered, unansweredRetry{endpoint: outstanding.endpoint, sentAt: outstanding.sentAt, until: now.Add(steer.MaxHoldTime)})
+		unanswered = append(unanswered, unansweredRetry{
+			endpoint: outstanding.endpoint, incarnation: outstanding.incarnation, sentAt: outstanding.sentAt, until: now.Add(steer.MaxHoldTime),
+		})
 	}
 	c.unanswered[service] = unanswered
 	c.limitChangedBurst(service, before, now)
@@ -122,6 +134,19 @@
 	}
 }
 
+// dropEndedRetries drops the retries to earlier incarnations of an endpoint, which cannot
+// arrive any more. The removal of an entry does not show that: the store removes that of an
+// endpoint that is stopped, too.
+func (c *Core) dropEndedRetries(endpoint model.EndpointName, incarnation int64, now time.Time) {
+	for service, unanswered := range c.unanswered {
+		before := c.freeBurst(service, now)
+		c.unanswered[service] = slices.DeleteFunc(unanswered, func(retry unansweredRetry) bool {
+			return retry.endpoint == endpoint && retry.incarnation < incarnation
+		})
+		c.limitChangedBurst(service, before, now)
+	}
+}
+
 // limitChangedBurst limits the burst of a service if its free part is not what it was
 // before. Without a burst, limiting it again would drop the credit of requests since.
 func (c *Core) limitChangedBurst(service model.ServiceName, before int, now time.Time) {
