Take a complete response for one if the caller has left just then

Callers see an endpoint passed over by their retries for two minutes, though it answers.

Cause: an attempt whose caller had left counted as abandoned also if its response was complete, and its endpoint as silent.

Evidence: TestAnswerIsNotAbandonedByCallerThatLeftAfterIt was seen to fail.

Change: an attempt is abandoned only without a complete response.

--- a/proxy/next_action.go
+++ b/proxy/next_action.go
@@ -82,7 +82,7 @@
 	switch {
 	case isCancelled && errors.As(err, &notSent):
 		outcome.result = steer.Undelivered
-	case isCancelled:
+	case isCancelled && err != nil:
 		outcome.result = steer.Abandoned
 	case errors.As(err, &incomplete) && incomplete.IsTimeout():
 		outcome.result = steer.TimedOut
