Drop outstanding retries after their time without requests too

Callers see nothing; filberthold_retries_outstanding shows retries that can no longer arrive, for as long as the service gets no request.

Cause: retries were dropped after their time only when an attempt ended.

Evidence: TestOutstandingRetriesExpireWithoutRequests was seen to fail: 1 retry was outstanding after ten minutes.

Change: they are also dropped with each count of the hosts.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -182,6 +182,7 @@
 	}
 	now := time.Now()
 	before := c.retryState(now)
+	c.dropExpiredRetries(now)
 	if c.retryHosts.observe(count, now) {
 		c.limitBursts(now)
 	}
--- a/proxy/retry_report_test.go
+++ b/proxy/retry_report_test.go
@@ -126,3 +126,16 @@
 		assert.Assert(t, !core.SetHosts(hosts).IsChange())
 	})
 }
+
+// Guards against a gauge that shows retries that can no longer arrive, for as long as no
+// request comes.
+func TestOutstandingRetriesExpireWithoutRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := newRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60})[0]
+		fillBudgets([]*Core{core})
+		assert.Assert(t, core.request())
+		core.recordRetries("s", attemptEnd{endpoint: "i", result: steer.TimedOut, isRetry: true, isSent: true, sentAt: time.Now()})
+		setAlive([]*Core{core}, 1, 10*time.Minute)
+		assert.Equal(t, core.outstandingRetries("s"), 0)
+	})
+}
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -138,11 +138,19 @@
 // arrive any more. The removal of an entry does not show that: the store removes that of an
 // endpoint that is stopped, too.
 func (c *Core) dropEndedRetries(endpoint model.EndpointName, incarnation int64, now time.Time) {
+	c.dropRetries(now, func(retry unansweredRetry) bool { return retry.endpoint == endpoint && retry.incarnation < incarnation })
+}
+
+// dropExpiredRetries drops the retries whose time to arrive has passed.
+func (c *Core) dropExpiredRetries(now time.Time) {
+	c.dropRetries(now, func(retry unansweredRetry) bool { return !now.Before(retry.until) })
+}
+
+// dropRetries drops retries that cannot arrive any more, and limits the bursts to the rest.
+func (c *Core) dropRetries(now time.Time, isOver func(retry unansweredRetry) bool) {
 	for service, unanswered := range c.unanswered {
 		before := c.freeBurst(service, now)
-		c.unanswered[service] = slices.DeleteFunc(unanswered, func(retry unansweredRetry) bool {
-			return retry.endpoint == endpoint && retry.incarnation < incarnation
-		})
+		c.unanswered[service] = slices.DeleteFunc(unanswered, isOver)
 		c.limitChangedBurst(service, before, now)
 	}
 }
