Test that a host counts the hosts that the store names in its retry limit

TestHostReportsItsPartOfRetryLimit waits for a burst of 0, which holds before the store is read, so that no test of the node noticed if the count of named hosts was not passed on. TestHostCountsNamedHostsInRetryLimit plays rows of three hosts that are not alive; it was seen to fail (no count of 4 within 20 s) without the call of SetNamedHosts in discoverHosts.

--- a/node/report_test.go
+++ b/node/report_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -45,13 +47,38 @@
 		assert.Assert(t, strings.Contains(limitChanges(lines, host)[0], `"hostsBefore":0,`), lines)
 		assert.Assert(t, strings.Contains(limitChanges(lines, host)[0], `"burstBefore":0,`), lines)
 	}
-	response, err := http.Get("http://" + hostIP(t, 141) + ":9464/metrics")
-	assert.NilError(t, err)
+	content := c.metrics(141)
+	assert.Assert(t, strings.Contains(content, "filberthold_retry_hosts 2\n"), content)
+	assert.Assert(t, strings.Contains(content, `filberthold_retries_total{decision="chosen",service="s"} 0`), content)
+}
+
+// Guards against a host that divides the slack of the retry limit by the hosts that are
+// alive only: others that the store names may be cut off from it.
+func TestHostCountsNamedHostsInRetryLimit(t *testing.T) {
+	c := startCluster(t)
+	for _, number := range []int{146, 147, 148} {
+		value, err := json.Marshal(hostRow{IP: netip.MustParseAddr(hostIP(t, number)), Incarnation: 1})
+		assert.NilError(t, err)
+		c.store.Put(platform.HostTable, fmt.Sprintf("h%d", number), string(value))
+	}
+	c.start(145)
+	c.waitFor("the host counts itself and three others", func() bool {
+		return strings.Contains(c.metrics(145), "filberthold_retry_hosts 4\n")
+	})
+}
+
+// metrics returns the metrics of the host with a number.
+func (c *cluster) metrics(number int) string {
+	response, err := http.Get("http://" + hostIP(c.t, number) + ":9464/metrics")
+	if err != nil {
+		return err.Error()
+	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
-	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(content), "filberthold_retry_hosts 2\n"), string(content))
-	assert.Assert(t, strings.Contains(string(content), `filberthold_retries_total{decision="chosen",service="s"} 0`), string(content))
+	if err != nil {
+		return err.Error()
+	}
+	return string(content)
 }
 
 // limitChanges returns the lines in which a host reports changes of the retry limit.
