Count retries that were rejected because of outstanding ones apart

Operators saw filberthold_retries_total count a retry as rejected for lack of credit, and filberthold_retry_credit show retries that may be sent, while the bound of outstanding retries refused them.

Change: the decision "outstanding" of filberthold_retries_total; filberthold_retry_credit and the log field are called credit.

TestRetryRejectedBecauseOfOutstandingOnesIsCountedApart was seen to fail without the count.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -263,7 +263,7 @@
 	defer c.mu.Unlock()
 	c.updateSelector()
 	if reason, isAllowed := c.canRetry(query); !isAllowed {
-		c.retryUse(query.Service).rejected++
+		c.retryUse(query.Service).countRejected(reason)
 		return steer.Reject{Reason: reason, RetryAfter: max(budgetRetryAfter, c.selector.MinRetryAfter(query, time.Now()))}
 	}
 	decision := c.selector.Choose(query, time.Now())
@@ -285,19 +285,25 @@
 }
 
 // budgetRetryAfter is the Retry-After of a request that needs a retry while the
-// budget is used up.
+// budget is used up or too many retries may still arrive.
 const budgetRetryAfter = 500 * time.Millisecond
 
+// The reasons for which a retry is rejected.
+const (
+	noRetryCredit      = "the retry budget is used up"
+	tooManyOutstanding = "too many retries may still arrive"
+)
+
 // canRetry reports whether a query may be sent, if it is a retry, or why not.
 func (c *Core) canRetry(query steer.Query) (string, bool) {
 	if len(query.Tried) == 0 {
 		return "", true
 	}
 	if budget := c.budgets[query.Service]; budget == nil || !budget.CanSpend() {
-		return "the retry budget is used up", false
+		return noRetryCredit, false
 	}
 	if c.hasTooManyOutstanding(query.Service, time.Now()) {
-		return "too many retries may still arrive", false
+		return tooManyOutstanding, false
 	}
 	return "", true
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -74,8 +74,8 @@
 	proof     refusalProof
 	// hasAttemptLine is true if the latest attempt has a log line of its own.
 	hasAttemptLine bool
-	// isRetryChosen is true once a further attempt was chosen, or rejected for lack of
-	// credit. retryCredit is the service's credit of retries just after that.
+	// isRetryChosen is true once a further attempt was chosen, or rejected by the retry
+	// limit. retryCredit is the service's credit of retries just after that.
 	isRetryChosen bool
 	retryCredit   float64
 	// refusedPermits counts the permits for limited endpoints that were not granted.
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -15,12 +15,22 @@
 	// earned counts the requests that earned credit.
 	earned uint64
 	// chosen counts the retries that spent credit, refunded those of them that were not
-	// sent and got it back, and rejected those for which there was none.
-	chosen, refunded, rejected uint64
+	// sent and got it back, rejected those for which there was none, and outstanding those
+	// that were rejected because too many others may still arrive.
+	chosen, refunded, rejected, outstanding uint64
 	// requests counts the recent requests.
 	requests requestRate
 }
 
+// countRejected counts a retry that was rejected for a reason.
+func (u *retryUse) countRejected(reason string) {
+	if reason == tooManyOutstanding {
+		u.outstanding++
+		return
+	}
+	u.rejected++
+}
+
 // retryUse returns the counts of a service.
 func (c *Core) retryUse(service model.ServiceName) *retryUse {
 	use := c.retryUses[service]
@@ -118,10 +128,10 @@
 		core:        core,
 		hosts:       describe("filberthold_retry_hosts", "Hosts that share the retry limit, including this one."),
 		burst:       describe("filberthold_retry_burst", "This host's part of the slack of the retry limit, in retries to a service."),
-		credit:      describe("filberthold_retry_credit", "Retries to a service that this host may send now.", "service"),
+		credit:      describe("filberthold_retry_credit", "Credit of a service for retries. Too many outstanding retries may prevent its use.", "service"),
 		outstanding: describe("filberthold_retries_outstanding", "Retries to a service that were sent and may still arrive: in flight, or without an answer.", "service"),
 		earned:      describe("filberthold_retry_requests_total", "Requests that earned credit for retries.", "service"),
-		decision:    describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, or rejected for lack of credit.", "service", "decision"),
+		decision:    describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, rejected for lack of credit, or rejected because of outstanding ones.", "service", "decision"),
 	})
 }
 
@@ -162,6 +172,7 @@
 		counter(r.decision, use.chosen, string(service), "chosen")
 		counter(r.decision, use.refunded, string(service), "refunded")
 		counter(r.decision, use.rejected, string(service), "rejected")
+		counter(r.decision, use.outstanding, string(service), "outstanding")
 	}
 	return metrics
 }
--- a/proxy/retry_report_test.go
+++ b/proxy/retry_report_test.go
@@ -54,9 +54,30 @@
 		"filberthold_retry_hosts": 10, "filberthold_retry_burst": 6, "filberthold_retry_credit s": 0.3, "filberthold_retries_outstanding s": 0,
 		"filberthold_retry_requests_total s": 3, "filberthold_retries_total chosen s": 1,
 		"filberthold_retries_total refunded s": 0, "filberthold_retries_total rejected s": 2,
+		"filberthold_retries_total outstanding s": 0,
 	})
 }
 
+// Guards against a retry that counts as rejected for lack of credit, although there is some:
+// too many others may still arrive.
+func TestRetryRejectedBecauseOfOutstandingOnesIsCountedApart(t *testing.T) {
+	ts := startTestServer(t, 2)
+	ts.core.mu.Lock()
+	ts.core.setRetriesInFlight("s", 1)
+	ts.core.mu.Unlock()
+	ts.core.SetHosts(map[model.RegionName][]model.HostName{"north": make([]model.HostName, 680)})
+	ts.core.mu.Lock()
+	for !ts.core.budgets["s"].CanSpend() {
+		ts.core.budgets["s"].Earn()
+	}
+	ts.core.mu.Unlock()
+	ts.setBehaviour(fake.Fail)
+	ts.send(http.MethodGet, "/read/1", "a1", "")
+	values := readRetryMetrics(t, ts.core)
+	assert.Equal(t, values["filberthold_retries_total outstanding s"], 1.0)
+	assert.Equal(t, values["filberthold_retries_total rejected s"], 0.0)
+}
+
 // Guards against a retry that counts as sent although it got no permit.
 func TestRetryWithoutPermitCountsAsRefunded(t *testing.T) {
 	ts := startLimitedServer(t, 2, &fakePermits{})
