Name the time of retries from before a start, and keep request rates apart

forgottenTime, mayHaveForgotten and the like become earlierRetryTime and mayHaveEarlierRetries, and cancelChoice becomes refundUnsentRetry, which says that it needs the lock. The recent requests of a service bound its retries, so they are no longer among the counts for metrics.

--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -45,15 +45,15 @@
 func newRetryCores(hosts int, limit RetryLimit) []*Core {
 	cores := startRetryCores(hosts, limit)
 	for _, core := range cores {
-		skipForgottenTime(core)
+		skipEarlierRetryTime(core)
 	}
 	return cores
 }
 
-// skipForgottenTime gives a core its part of the slack at once, as if it had sent no retry
+// skipEarlierRetryTime gives a core its part of the slack at once, as if it had sent no retry
 // before its start.
-func skipForgottenTime(core *Core) {
-	core.retryHosts.forgottenUntil, core.retryHosts.mayHaveForgotten = time.Time{}, false
+func skipEarlierRetryTime(core *Core) {
+	core.retryHosts.earlierRetriesUntil, core.retryHosts.mayHaveEarlierRetries = time.Time{}, false
 	core.limitBursts(time.Now())
 }
 
@@ -135,7 +135,7 @@
 				for range hosts {
 					core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, limit)
 					core.SetConfig(retryConfig(1, "s"))
-					skipForgottenTime(core)
+					skipEarlierRetryTime(core)
 					if named > 0 {
 						core.SetNamedHosts(named)
 					}
@@ -193,7 +193,7 @@
 	core := NewCore("h", "za", map[model.ZoneName]model.RegionName{"za": "north"}, RetryLimit{Ratio: 0.02, Slack: 2})
 	core.SetConfig(route.NewConfig(1, []route.Route{{Name: "r", Shares: []route.Share{{Service: "s", Weight: 1}}}},
 		[]route.Service{{Name: "s"}}, route.Limits{}))
-	skipForgottenTime(core)
+	skipEarlierRetryTime(core)
 	core.SetHosts(map[model.RegionName][]model.HostName{"north": {"h", "i"}})
 	core.SetNamedHosts(2)
 	budget := core.budgets["s"]
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -28,6 +28,8 @@
 	retryHosts sharingHosts
 	// retryUses counts what was done with the credit of each service.
 	retryUses map[model.ServiceName]*retryUse
+	// requestRates counts the recent requests to each service.
+	requestRates map[model.ServiceName]*requestRate
 	// retriesInFlight counts the retries to each service whose attempts have not ended.
 	retriesInFlight map[model.ServiceName]int
 	// unanswered holds the retries to each service that have ended and may still arrive.
@@ -61,7 +63,7 @@
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
 		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
-		retryUses: make(map[model.ServiceName]*retryUse), retriesInFlight: make(map[model.ServiceName]int),
+		retryUses: make(map[model.ServiceName]*retryUse), requestRates: make(map[model.ServiceName]*requestRate), retriesInFlight: make(map[model.ServiceName]int),
 		unanswered: make(map[model.ServiceName][]unansweredRetry),
 	}
 }
@@ -276,8 +278,9 @@
 	return decision
 }
 
-// cancelChoice takes the choice of an endpoint back, to which the request is not sent.
-func (c *Core) cancelChoice(query steer.Query) {
+// refundUnsentRetry gives the credit of a retry back that was chosen and is not sent, and
+// counts that. First attempts cost none. c.mu is held.
+func (c *Core) refundUnsentRetry(query steer.Query) {
 	if len(query.Tried) > 0 {
 		c.refundRetry(query.Service)
 		c.retryUse(query.Service).refunded++
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -283,30 +283,6 @@
 	return outcome
 }
 
-// recordArrival records that the latest attempt has arrived, once the head of its response
-// shows that. The body may take long or break off.
-func (e *exchange) recordArrival(header platform.ResponseHeader) {
-	if header.IsMisdirected {
-		e.recordEnd(attemptEnd{result: steer.Undelivered, isSent: true, isEndpointGone: true})
-		return
-	}
-	e.recordEnd(attemptEnd{result: steer.Answered, isSent: true})
-}
-
-// recordEnd records which attempts of the request may still arrive after the latest one has
-// arrived or has ended. It is called once for each attempt.
-func (e *exchange) recordEnd(attempt attemptEnd) {
-	attempt.endpoint, attempt.incarnation = e.lastSend.Endpoint.Name, e.lastSend.Endpoint.Incarnation
-	attempt.isRetry, attempt.sentAt, attempt.brokenFirst = len(e.tried) > 1, e.sentAt, e.brokenFirst
-	e.server.core.recordRetries(e.service, attempt)
-	switch {
-	case !attempt.isRetry && attempt.mayArrive():
-		e.brokenFirst = &attempt
-	case attempt.outstanding() == e.brokenFirst:
-		e.brokenFirst = nil
-	}
-}
-
 // handleOutcome delivers, retries or fails the request after an attempt. It
 // reports whether the exchange has ended.
 func (e *exchange) handleOutcome(outcome attemptOutcome) bool {
--- a/proxy/permit.go
+++ b/proxy/permit.go
@@ -74,7 +74,7 @@
 	if c.selector.ApplyPermit(send, permit, time.Now()) {
 		return permit, err
 	}
-	c.cancelChoice(query)
+	c.refundUnsentRetry(query)
 	if permit.IsGranted {
 		return send.Permit.Refusal(), errNotUsable
 	}
--- a/proxy/request_rate.go
+++ b/proxy/request_rate.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"filberthold/model"
+)
 
 // ratePart is the length of the parts of time in which requestRate counts.
 const ratePart = 5 * time.Second
@@ -19,7 +23,7 @@
 	r.current++
 }
 
-// recent returns the number of requests of a recent time of ratePart.
+// recent returns the most requests of the current and the previous part.
 func (r *requestRate) recent(now time.Time) int {
 	r.advance(now)
 	return max(r.current, r.previous)
@@ -37,3 +41,13 @@
 	}
 	r.current, r.endsAt = 0, now.Add(ratePart)
 }
+
+// requestRate returns the recent requests to a service.
+func (c *Core) requestRate(service model.ServiceName) *requestRate {
+	rate := c.requestRates[service]
+	if rate == nil {
+		rate = new(requestRate)
+		c.requestRates[service] = rate
+	}
+	return rate
+}
--- a/proxy/restart_held_test.go
+++ b/proxy/restart_held_test.go
@@ -32,7 +32,7 @@
 		fillBudgets(cores)
 		count := held + retries(cores, busyRequests)
 		assert.Assert(t, float64(count) <= limit.Ratio*hosts*busyRequests+limit.Slack, "%d retries arrive, %d of which were held", count, held)
-		setAlive(cores, hosts, forgottenTime)
+		setAlive(cores, hosts, earlierRetryTime)
 		fillBudgets(cores)
 		assert.Assert(t, retries(cores, busyRequests) >= int(limit.Slack), "the slack is lost for good")
 	})
--- a/proxy/retry_limit.go
+++ b/proxy/retry_limit.go
@@ -27,8 +27,7 @@
 func (l RetryLimit) percent() int { return max(1, int(l.Ratio*ownFraction*100)) }
 
 // burst returns the number of retries that each of a number of hosts may
-// accumulate. It is 0 if there are more hosts than the slack allows retries, or for no
-// hosts.
+// accumulate. It is 0 for no hosts, and for more hosts than Slack.
 func (l RetryLimit) burst(hosts int) int {
 	if hosts == 0 {
 		return 0
@@ -40,9 +39,9 @@
 	// hostPeakTime is how long a host counts the others that it no longer hears. They may
 	// only be cut off from it, and go on to spend their part of the retry limit.
 	hostPeakTime = 10 * time.Minute
-	// forgottenTime is how long after a host's start retries may still arrive that it sent
+	// earlierRetryTime is how long after a host's start retries may still arrive that it sent
 	// before. It has forgotten them, and may have used its whole part of the slack.
-	forgottenTime = steer.MaxHoldTime
+	earlierRetryTime = steer.MaxHoldTime
 	// creditTime is how long a host may keep the credit of retries if there are too many
 	// hosts for a burst. The retries in such a time are then those earned in it and in the
 	// time before, which is within the limit without its slack.
@@ -60,28 +59,28 @@
 	// namedUntil is the time until which the hosts that the store names are counted. The
 	// store also names those that are gone for good.
 	namedUntil time.Time
-	// forgottenUntil is the time until which the slack is left to retries of before the
-	// start of this host. mayHaveForgotten is true until the first count after it.
-	forgottenUntil   time.Time
-	mayHaveForgotten bool
+	// earlierRetriesUntil is the time until which the slack is left to retries of before the
+	// start of this host. mayHaveEarlierRetries is true until the first count after it.
+	earlierRetriesUntil   time.Time
+	mayHaveEarlierRetries bool
 	// until is when a smaller number counts.
 	until time.Time
 	// expiresAt is when the credit that was accumulated without a burst is lost.
 	expiresAt time.Time
 }
 
-// newSharingHosts returns the hosts of a host that starts now and knows no other.
+// newSharingHosts returns the state of a host that has just started and knows no other.
 func newSharingHosts(now time.Time) sharingHosts {
 	return sharingHosts{
 		knownAt: now.Add(hostPeakTime), namedUntil: now.Add(hostPeakTime),
-		forgottenUntil: now.Add(forgottenTime), mayHaveForgotten: true,
+		earlierRetriesUntil: now.Add(earlierRetryTime), mayHaveEarlierRetries: true,
 	}
 }
 
 // number returns the number of hosts that divide the slack, or 0 while this host takes no
 // part of it.
 func (s *sharingHosts) number(now time.Time) int {
-	if now.Before(s.knownAt) || s.mayHaveForgotten {
+	if now.Before(s.knownAt) || s.mayHaveEarlierRetries {
 		return 0
 	}
 	return s.count
@@ -103,12 +102,12 @@
 // observe records the number of hosts that are alive, including this one. It reports
 // whether the bursts must be limited anew: the count has changed, or credit expires.
 func (s *sharingHosts) observe(count int, now time.Time) bool {
-	before, mayHaveForgotten := s.count, s.mayHaveForgotten
-	s.mayHaveForgotten = now.Before(s.forgottenUntil)
+	before, mayHaveEarlierRetries := s.count, s.mayHaveEarlierRetries
+	s.mayHaveEarlierRetries = now.Before(s.earlierRetriesUntil)
 	if count >= s.count || !now.Before(s.until) {
 		s.count, s.until = count, now.Add(hostPeakTime)
 	}
-	if s.count == before && s.mayHaveForgotten == mayHaveForgotten && now.Before(s.expiresAt) {
+	if s.count == before && s.mayHaveEarlierRetries == mayHaveEarlierRetries && now.Before(s.expiresAt) {
 		return false
 	}
 	s.expiresAt = now.Add(creditTime)
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -18,8 +18,6 @@
 	// sent and got it back, rejected those for which there was none, and outstanding those
 	// that were rejected because too many others may still arrive.
 	chosen, refunded, rejected, outstanding uint64
-	// requests counts the recent requests.
-	requests requestRate
 }
 
 // countRejected counts a retry that was rejected for a reason.
@@ -63,13 +61,13 @@
 	burst int
 	// credit is the credit of all services together, in retries.
 	credit float64
-	// mayHaveForgotten is true while retries may arrive that were sent before the start.
-	mayHaveForgotten bool
+	// mayHaveEarlierRetries is true while retries may arrive that were sent before the start.
+	mayHaveEarlierRetries bool
 }
 
 // retryState returns this host's part of the retry limit.
 func (c *Core) retryState(now time.Time) retryState {
-	state := retryState{hosts: c.retryHosts.count, burst: c.retryBurst(now), mayHaveForgotten: c.retryHosts.mayHaveForgotten}
+	state := retryState{hosts: c.retryHosts.count, burst: c.retryBurst(now), mayHaveEarlierRetries: c.retryHosts.mayHaveEarlierRetries}
 	for _, budget := range c.budgets {
 		state.credit += budget.Credit()
 	}
@@ -99,7 +97,7 @@
 		return "the store names more hosts than are alive"
 	case c.after.hosts > c.before.hosts:
 		return "more hosts are alive"
-	case c.before.mayHaveForgotten && !c.after.mayHaveForgotten:
+	case c.before.mayHaveEarlierRetries && !c.after.mayHaveEarlierRetries:
 		return "no retry from before the start can arrive any more"
 	case c.after.hosts == c.before.hosts:
 		return "all hosts are known"
--- a/proxy/retry_report_test.go
+++ b/proxy/retry_report_test.go
@@ -111,7 +111,7 @@
 		}
 		assertChange(setHosts(1), "reason", "first count of the hosts", "hosts", 1, "hostsBefore", 0,
 			"burst", 0, "burstBefore", 0, "credit", 0.0, "creditBefore", 0.0)
-		skipForgottenTime(core)
+		skipEarlierRetryTime(core)
 		assertChange(core.SetNamedHosts(1), "reason", "all hosts are known", "hosts", 1, "hostsBefore", 1,
 			"burst", 60, "burstBefore", 0, "credit", 0.0, "creditBefore", 0.0)
 		fillBudgets([]*Core{core})
@@ -132,12 +132,12 @@
 
 // Guards against a host that takes its part of the slack some time after its start without
 // a line that says so.
-func TestEndOfForgottenTimeIsReported(t *testing.T) {
+func TestEndOfEarlierRetryTimeIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core := startRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60})[0]
 		hosts := map[model.RegionName][]model.HostName{"north": make([]model.HostName, 2)}
 		assert.Equal(t, core.SetHosts(hosts).after.burst, 0)
-		time.Sleep(forgottenTime - time.Nanosecond)
+		time.Sleep(earlierRetryTime - time.Nanosecond)
 		assert.Assert(t, !core.SetHosts(hosts).IsChange())
 		time.Sleep(time.Nanosecond)
 		change := core.SetHosts(hosts)
--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -54,7 +54,7 @@
 	ts.core.SetConfig(route.NewConfig(1, []route.Route{
 		ts.route("/read/", model.Read), ts.route("/submit/", model.Submit), ts.route("/export/", model.Export),
 	}, []route.Service{{Name: "s", ColdRate: 2}}, route.Limits{MaxBodyBytes: 1 << 20}))
-	skipForgottenTime(ts.core)
+	skipEarlierRetryTime(ts.core)
 	ts.core.SetNamedHosts(1)
 	// The first request may be retried.
 	for !ts.core.budgets["s"].CanSpend() {
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -70,9 +70,8 @@
 func (c *Core) earnRetry(service model.ServiceName) {
 	if budget := c.budgets[service]; budget != nil {
 		budget.Earn()
-		use := c.retryUse(service)
-		use.earned++
-		use.requests.add(time.Now())
+		c.retryUse(service).earned++
+		c.requestRate(service).add(time.Now())
 	}
 }
 
@@ -80,7 +79,7 @@
 // no other one may be sent. If endpoints hold them, they arrive at once, however long the
 // time was in which they were earned.
 func (c *Core) hasTooManyOutstanding(service model.ServiceName, now time.Time) bool {
-	earned := c.retryLimit.percent() * c.retryUse(service).requests.recent(now) / 100
+	earned := c.retryLimit.percent() * c.requestRate(service).recent(now) / 100
 	return c.outstandingRetries(service) >= max(1, c.retryBurst(now)+earned)
 }
 
