--- a/proxy/core.go
+++ b/proxy/core.go
@@ -28,6 +28,8 @@
 	retryHosts sharingHosts
 	// retryUses counts what was done with the credit of each service.
 	retryUses map[model.ServiceName]*retryUse
+	// requestRates counts the recent requests to each service.
+	requestRates map[model.ServiceName]*requestRate
 	// retriesInFlight counts the retries to each service whose attempts have not ended.
 	retriesInFlight map[model.ServiceName]int
 	// unanswered holds the retries to each service that have ended and may still arrive.
@@ -61,7 +63,7 @@
 		waitlist: steer.NewWaitlist(selector, maxWaiting), waiters: make(map[steer.Ticket]chan steer.Decision),
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
 		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
-		retryUses: make(map[model.ServiceName]*retryUse), retriesInFlight: make(map[model.ServiceName]int),
+		retryUses: make(map[model.ServiceName]*retryUse), requestRates: make(map[model.ServiceName]*requestRate), retriesInFlight: make(map[model.ServiceName]int),
 		unanswered: make(map[model.ServiceName][]unansweredRetry),
 	}
 }
@@ -121,7 +123,12 @@
 func (c *Core) ApplyEntry(entry roster.Entry) roster.Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.roster.Apply(entry, time.Now())
+	now := time.Now()
+	change := c.roster.Apply(entry, now)
+	if change == roster.Added || change == roster.Left {
+		c.dropEndedRetries(entry.Endpoint, entry.Incarnation, now)
+	}
+	return change
 }
 
 // RemoveEntry applies the removal of an entry. The endpoint stays usable until
@@ -177,6 +184,7 @@
 	}
 	now := time.Now()
 	before := c.retryState(now)
+	c.dropExpiredRetries(now)
 	if c.retryHosts.observe(count, now) {
 		c.limitBursts(now)
 	}
@@ -257,7 +265,7 @@
 	defer c.mu.Unlock()
 	c.updateSelector()
 	if reason, isAllowed := c.canRetry(query); !isAllowed {
-		c.retryUse(query.Service).rejected++
+		c.retryUse(query.Service).countRejected(reason)
 		return steer.Reject{Reason: reason, RetryAfter: max(budgetRetryAfter, c.selector.MinRetryAfter(query, time.Now()))}
 	}
 	decision := c.selector.Choose(query, time.Now())
@@ -270,8 +278,9 @@
 	return decision
 }
 
-// cancelChoice takes the choice of an endpoint back, to which the request is not sent.
-func (c *Core) cancelChoice(query steer.Query) {
+// refundUnsentRetry gives the credit of a retry back that was chosen and is not sent, and
+// counts that. First attempts cost none. c.mu is held.
+func (c *Core) refundUnsentRetry(query steer.Query) {
 	if len(query.Tried) > 0 {
 		c.refundRetry(query.Service)
 		c.retryUse(query.Service).refunded++
@@ -279,19 +288,25 @@
 }
 
 // budgetRetryAfter is the Retry-After of a request that needs a retry while the
-// budget is used up.
+// budget is used up or too many retries may still arrive.
 const budgetRetryAfter = 500 * time.Millisecond
 
+// The reasons for which a retry is rejected.
+const (
+	noRetryCredit      = "the retry budget is used up"
+	tooManyOutstanding = "too many retries may still arrive"
+)
+
 // canRetry reports whether a query may be sent, if it is a retry, or why not.
 func (c *Core) canRetry(query steer.Query) (string, bool) {
 	if len(query.Tried) == 0 {
 		return "", true
 	}
 	if budget := c.budgets[query.Service]; budget == nil || !budget.CanSpend() {
-		return "the retry budget is used up", false
+		return noRetryCredit, false
 	}
 	if c.hasTooManyOutstanding(query.Service, time.Now()) {
-		return "too many retries may still arrive", false
+		return tooManyOutstanding, false
 	}
 	return "", true
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -60,6 +60,9 @@
 	tried []model.EndpointName
 	// triedAddresses holds the addresses of these endpoints.
 	triedAddresses []netip.AddrPort
+	// brokenFirst is the first attempt if its connection broke and it is not yet counted as
+	// one that may still arrive.
+	brokenFirst *attemptEnd
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastSend is the selection of the latest attempt, for the log.
@@ -71,8 +74,8 @@
 	proof     refusalProof
 	// hasAttemptLine is true if the latest attempt has a log line of its own.
 	hasAttemptLine bool
-	// isRetryChosen is true once a further attempt was chosen, or rejected for lack of
-	// credit. retryCredit is the service's credit of retries just after that.
+	// isRetryChosen is true once a further attempt was chosen, or rejected by the retry
+	// limit. retryCredit is the service's credit of retries just after that.
 	isRetryChosen bool
 	retryCredit   float64
 	// refusedPermits counts the permits for limited endpoints that were not granted.
@@ -265,9 +268,9 @@
 		HasLoad: responseHeader.HasLoad, Busy: responseHeader.Load.Running + responseHeader.Load.Waiting,
 		Limit: steer.RateLimit{IsSet: responseHeader.HasLimit, PerSecond: responseHeader.RateLimit},
 	}, outcome.isEndpointGone)
-	e.server.core.recordRetries(e.service, attemptEnd{
-		endpoint: decision.Endpoint.Name, result: outcome.result, isRetry: len(e.tried) > 1, isSent: outcome.isSent(), sentAt: startedAt,
-	})
+	if !trace.HasHead() {
+		e.recordEnd(attemptEnd{result: outcome.result, isSent: outcome.isSent(), isEndpointGone: outcome.isConnectionRefused()})
+	}
 	if limitChanged {
 		e.server.log.Info("endpoint limit changed", "endpoint", decision.Endpoint.Name, "service", e.service, "request", e.header.AttemptID,
 			"isLimited", responseHeader.HasLimit, "perSecond", responseHeader.RateLimit)
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -15,10 +15,18 @@
 	// earned counts the requests that earned credit.
 	earned uint64
 	// chosen counts the retries that spent credit, refunded those of them that were not
-	// sent and got it back, and rejected those for which there was none.
-	chosen, refunded, rejected uint64
-	// requests counts the recent requests.
-	requests requestRate
+	// sent and got it back, rejected those for which there was none, and outstanding those
+	// that were rejected because too many others may still arrive.
+	chosen, refunded, rejected, outstanding uint64
+}
+
+// countRejected counts a retry that was rejected for a reason.
+func (u *retryUse) countRejected(reason string) {
+	if reason == tooManyOutstanding {
+		u.outstanding++
+		return
+	}
+	u.rejected++
 }
 
 // retryUse returns the counts of a service.
@@ -53,13 +61,13 @@
 	burst int
 	// credit is the credit of all services together, in retries.
 	credit float64
-	// mayHaveForgotten is true while retries may arrive that were sent before the start.
-	mayHaveForgotten bool
+	// mayHaveEarlierRetries is true while retries may arrive that were sent before the start.
+	mayHaveEarlierRetries bool
 }
 
 // retryState returns this host's part of the retry limit.
 func (c *Core) retryState(now time.Time) retryState {
-	state := retryState{hosts: c.retryHosts.count, burst: c.retryBurst(now), mayHaveForgotten: c.retryHosts.mayHaveForgotten}
+	state := retryState{hosts: c.retryHosts.count, burst: c.retryBurst(now), mayHaveEarlierRetries: c.retryHosts.mayHaveEarlierRetries}
 	for _, budget := range c.budgets {
 		state.credit += budget.Credit()
 	}
@@ -89,7 +97,7 @@
 		return "the store names more hosts than are alive"
 	case c.after.hosts > c.before.hosts:
 		return "more hosts are alive"
-	case c.before.mayHaveForgotten && !c.after.mayHaveForgotten:
+	case c.before.mayHaveEarlierRetries && !c.after.mayHaveEarlierRetries:
 		return "no retry from before the start can arrive any more"
 	case c.after.hosts == c.before.hosts:
 		return "all hosts are known"
@@ -118,10 +126,10 @@
 		core:        core,
 		hosts:       describe("filberthold_retry_hosts", "Hosts that share the retry limit, including this one."),
 		burst:       describe("filberthold_retry_burst", "This host's part of the slack of the retry limit, in retries to a service."),
-		credit:      describe("filberthold_retry_credit", "Retries to a service that this host may send now.", "service"),
+		credit:      describe("filberthold_retry_credit", "Credit of a service for retries. Too many outstanding retries may prevent its use.", "service"),
 		outstanding: describe("filberthold_retries_outstanding", "Retries to a service that were sent and may still arrive: in flight, or without an answer.", "service"),
 		earned:      describe("filberthold_retry_requests_total", "Requests that earned credit for retries.", "service"),
-		decision:    describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, or rejected for lack of credit.", "service", "decision"),
+		decision:    describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, rejected for lack of credit, or rejected because of outstanding ones.", "service", "decision"),
 	})
 }
 
@@ -162,6 +170,7 @@
 		counter(r.decision, use.chosen, string(service), "chosen")
 		counter(r.decision, use.refunded, string(service), "refunded")
 		counter(r.decision, use.rejected, string(service), "rejected")
+		counter(r.decision, use.outstanding, string(service), "outstanding")
 	}
 	return metrics
 }
--- a/proxy/retry_report_test.go
+++ b/proxy/retry_report_test.go
@@ -54,9 +54,30 @@
 		"filberthold_retry_hosts": 10, "filberthold_retry_burst": 6, "filberthold_retry_credit s": 0.3, "filberthold_retries_outstanding s": 0,
 		"filberthold_retry_requests_total s": 3, "filberthold_retries_total chosen s": 1,
 		"filberthold_retries_total refunded s": 0, "filberthold_retries_total rejected s": 2,
+		"filberthold_retries_total outstanding s": 0,
 	})
 }
 
+// Guards against a retry that counts as rejected for lack of credit, although there is some:
+// too many others may still arrive.
+func TestRetryRejectedBecauseOfOutstandingOnesIsCountedApart(t *testing.T) {
+	ts := startTestServer(t, 2)
+	ts.core.mu.Lock()
+	ts.core.setRetriesInFlight("s", 1)
+	ts.core.mu.Unlock()
+	ts.core.SetHosts(map[model.RegionName][]model.HostName{"north": make([]model.HostName, 680)})
+	ts.core.mu.Lock()
+	for !ts.core.budgets["s"].CanSpend() {
+		ts.core.budgets["s"].Earn()
+	}
+	ts.core.mu.Unlock()
+	ts.setBehaviour(fake.Fail)
+	ts.send(http.MethodGet, "/read/1", "a1", "")
+	values := readRetryMetrics(t, ts.core)
+	assert.Equal(t, values["filberthold_retries_total outstanding s"], 1.0)
+	assert.Equal(t, values["filberthold_retries_total rejected s"], 0.0)
+}
+
 // Guards against a retry that counts as sent although it got no permit.
 func TestRetryWithoutPermitCountsAsRefunded(t *testing.T) {
 	ts := startLimitedServer(t, 2, &fakePermits{})
@@ -90,7 +111,7 @@
 		}
 		assertChange(setHosts(1), "reason", "first count of the hosts", "hosts", 1, "hostsBefore", 0,
 			"burst", 0, "burstBefore", 0, "credit", 0.0, "creditBefore", 0.0)
-		skipForgottenTime(core)
+		skipEarlierRetryTime(core)
 		assertChange(core.SetNamedHosts(1), "reason", "all hosts are known", "hosts", 1, "hostsBefore", 1,
 			"burst", 60, "burstBefore", 0, "credit", 0.0, "creditBefore", 0.0)
 		fillBudgets([]*Core{core})
@@ -111,12 +132,12 @@
 
 // Guards against a host that takes its part of the slack some time after its start without
 // a line that says so.
-func TestEndOfForgottenTimeIsReported(t *testing.T) {
+func TestEndOfEarlierRetryTimeIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		core := startRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60})[0]
 		hosts := map[model.RegionName][]model.HostName{"north": make([]model.HostName, 2)}
 		assert.Equal(t, core.SetHosts(hosts).after.burst, 0)
-		time.Sleep(forgottenTime - time.Nanosecond)
+		time.Sleep(earlierRetryTime - time.Nanosecond)
 		assert.Assert(t, !core.SetHosts(hosts).IsChange())
 		time.Sleep(time.Nanosecond)
 		change := core.SetHosts(hosts)
@@ -126,3 +147,16 @@
 		assert.Assert(t, !core.SetHosts(hosts).IsChange())
 	})
 }
+
+// Guards against a gauge that shows retries that can no longer arrive, for as long as no
+// request comes.
+func TestOutstandingRetriesExpireWithoutRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := newRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60})[0]
+		fillBudgets([]*Core{core})
+		assert.Assert(t, core.request())
+		core.recordRetries("s", attemptEnd{endpoint: "i", result: steer.TimedOut, isRetry: true, isSent: true, sentAt: time.Now()})
+		setAlive([]*Core{core}, 1, 10*time.Minute)
+		assert.Equal(t, core.outstandingRetries("s"), 0)
+	})
+}
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -8,23 +8,33 @@
 	"filberthold/steer"
 )
 
-// unansweredRetry is a retry that has ended without an answer. It may still arrive, at the
-// same time as others, so it takes the place of the credit of one.
+// unansweredRetry is a retry that has ended without an answer, or a first attempt on a broken
+// connection whose retry has arrived. It may still arrive, at the same time as others, so it
+// takes the place of the credit of one.
 type unansweredRetry struct {
 	endpoint model.EndpointName
-	sentAt   time.Time
-	// until is the time from which the retry can no longer arrive.
+	// incarnation is that of the endpoint.
+	incarnation int64
+	sentAt      time.Time
+	// until is the time from which it can no longer arrive.
 	until time.Time
 }
 
 // attemptEnd is the end of an attempt.
 type attemptEnd struct {
-	endpoint model.EndpointName
-	result   steer.Result
-	isRetry  bool
+	endpoint    model.EndpointName
+	incarnation int64
+	result      steer.Result
+	isRetry     bool
+	// isEndpointGone is true if the endpoint is known to have ended: another one answered at
+	// its address, or nobody accepts connections there.
+	isEndpointGone bool
 	// isSent is true unless it is known that no part of the request was sent.
 	isSent bool
 	sentAt time.Time
+	// brokenFirst is the first attempt of the request if its connection broke and it is not
+	// counted as outstanding, or nil.
+	brokenFirst *attemptEnd
 }
 
 // isAnswered reports whether the endpoint answered, and so has read what was sent before.
@@ -32,20 +42,36 @@
 	return a.result == steer.Answered || a.result == steer.Failed || a.result == steer.Overloaded
 }
 
-// isHeldRetry reports whether the attempt is a retry that may arrive after its end.
-func (a attemptEnd) isHeldRetry() bool {
+// settles reports whether the attempt shows that an earlier retry has arrived or never will.
+func (a attemptEnd) settles(retry unansweredRetry) bool {
+	return (a.isAnswered() || a.isEndpointGone) && retry.endpoint == a.endpoint && retry.sentAt.Before(a.sentAt)
+}
+
+// mayArrive reports whether the attempt may arrive after its end.
+func (a attemptEnd) mayArrive() bool {
 	// A connection that breaks takes nothing back that the endpoint's system has read.
 	isUnanswered := a.result == steer.TimedOut || a.result == steer.Abandoned || a.result == steer.Unreachable
-	return a.isRetry && a.isSent && isUnanswered
+	return a.isSent && isUnanswered
+}
+
+// outstanding returns the attempt that may still arrive beyond the request after the end of
+// a retry, or nil. If the retry has arrived, that is the first attempt on a broken connection.
+func (a attemptEnd) outstanding() *attemptEnd {
+	switch {
+	case !a.isRetry || !a.isSent:
+		return nil
+	case a.mayArrive():
+		return &a
+	}
+	return a.brokenFirst
 }
 
 // earnRetry counts a request in the retry budget of its service.
 func (c *Core) earnRetry(service model.ServiceName) {
 	if budget := c.budgets[service]; budget != nil {
 		budget.Earn()
-		use := c.retryUse(service)
-		use.earned++
-		use.requests.add(time.Now())
+		c.retryUse(service).earned++
+		c.requestRate(service).add(time.Now())
 	}
 }
 
@@ -53,7 +79,7 @@
 // no other one may be sent. If endpoints hold them, they arrive at once, however long the
 // time was in which they were earned.
 func (c *Core) hasTooManyOutstanding(service model.ServiceName, now time.Time) bool {
-	earned := c.retryLimit.percent() * c.retryUse(service).requests.recent(now) / 100
+	earned := c.retryLimit.percent() * c.requestRate(service).recent(now) / 100
 	return c.outstandingRetries(service) >= max(1, c.retryBurst(now)+earned)
 }
 
@@ -92,14 +118,40 @@
 		c.retriesInFlight[service]--
 	}
 	unanswered := slices.DeleteFunc(c.unanswered[service], func(retry unansweredRetry) bool {
-		hasArrived := attempt.isAnswered() && retry.endpoint == attempt.endpoint && retry.sentAt.Before(attempt.sentAt)
-		return hasArrived || !now.Before(retry.until)
+		return attempt.settles(retry) || !now.Before(retry.until)
 	})
-	if attempt.isHeldRetry() {
-		unanswered = append(unanswered, unansweredRetry{endpoint: attempt.endpoint, sentAt: attempt.sentAt, until: now.Add(steer.MaxHoldTime)})
+	if outstanding := attempt.outstanding(); outstanding != nil {
+		unanswered = append(unanswered, unansweredRetry{
+			endpoint: outstanding.endpoint, incarnation: outstanding.incarnation, sentAt: outstanding.sentAt, until: now.Add(steer.MaxHoldTime),
+		})
 	}
 	c.unanswered[service] = unanswered
 	c.limitChangedBurst(service, before, now)
+	if attempt.isRetry && !attempt.isSent {
+		c.budgets[service].Refund()
+		c.retryUse(service).refunded++
+	}
+}
+
+// dropEndedRetries drops the retries to earlier incarnations of an endpoint, which cannot
+// arrive any more. The removal of an entry does not show that: the store removes that of an
+// endpoint that is stopped, too.
+func (c *Core) dropEndedRetries(endpoint model.EndpointName, incarnation int64, now time.Time) {
+	c.dropRetries(now, func(retry unansweredRetry) bool { return retry.endpoint == endpoint && retry.incarnation < incarnation })
+}
+
+// dropExpiredRetries drops the retries whose time to arrive has passed.
+func (c *Core) dropExpiredRetries(now time.Time) {
+	c.dropRetries(now, func(retry unansweredRetry) bool { return !now.Before(retry.until) })
+}
+
+// dropRetries drops retries that cannot arrive any more, and limits the bursts to the rest.
+func (c *Core) dropRetries(now time.Time, isOver func(retry unansweredRetry) bool) {
+	for service, unanswered := range c.unanswered {
+		before := c.freeBurst(service, now)
+		c.unanswered[service] = slices.DeleteFunc(unanswered, isOver)
+		c.limitChangedBurst(service, before, now)
+	}
 }
 
 // limitChangedBurst limits the burst of a service if its free part is not what it was
