--- a/soak/hangup_test.go
+++ b/soak/hangup_test.go
@@ -13,8 +13,8 @@
 )
 
 // Guards against a soak that ends a host, and does not start it again, because it sends
-// SIGHUP before the program handles it (seed 21), and against a host that never handles the signal
-// because it was ignored at its start.
+// SIGHUP before the program handles it (seed 21), and against a host that never handles
+// the signal because it was ignored at its start.
 func TestHangupAfterStartEndsNoHost(t *testing.T) {
 	const lastDelay = 20 * time.Millisecond
 	b := startTestbed(t, 1, 1)
