Name the soak's settings by what they mean

Comments in the soak named fields of the users' configuration and settings; they say what the values are. No code changes.

--- a/soak/cold.go
+++ b/soak/cold.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// coldTimeStated is coldStartS in the configuration: the cold time after a start.
+	// coldTimeStated is the cold time after a start that the configuration states.
 	coldTimeStated = 3 * time.Second
-	// coldPerSecond is coldPerS in the configuration. coldRatio and coldSlack belong to the
-	// bound of rule FAILBACK.
+	// coldPerSecond is the rate of a cold endpoint that the configuration states. An endpoint
+	// tolerates coldRatio times that rate, and coldSlack requests more.
 	coldPerSecond, coldRatio, coldSlack = 2.6, 1.5, 5
 	// coldWindow is the window of that bound.
 	coldWindow = time.Second
--- a/soak/touch.go
+++ b/soak/touch.go
@@ -9,10 +9,10 @@
 const (
 	// stableWindow is the time without a disturbance after which a host is in touch.
 	stableWindow = 3 * time.Second
-	// drainTime is drainMs in the settings of the hosts: the time within which they act on
-	// a change of an endpoint's entry.
+	// drainTime is the time within which hosts act on a change of an endpoint's entry, as
+	// their settings state it.
 	drainTime = 2 * time.Second
-	// heartbeat is heartbeatMs in the settings of the hosts.
+	// heartbeat is the interval of heartbeats that the settings of the hosts state.
 	heartbeat = time.Second
 )
 
