--- a/caller/submits_test.go
+++ b/caller/submits_test.go
@@ -156,12 +156,15 @@
 func TestResponseIsStoredAfterCallerDisconnects(t *testing.T) {
 	c := startCluster(t, 2, 8, 0)
 	ctx, disconnect := context.WithCancel(t.Context())
+	disconnected := make(chan struct{})
 	c.upstream.setFault(func(w http.ResponseWriter, r *http.Request) {
 		disconnect()
+		<-disconnected
 		c.upstream.handler.ServeHTTP(w, r)
 	})
 	until := time.Now().Add(20 * time.Second)
 	outcome, _ := c.submit(ctx, 0, "key", until)
+	close(disconnected)
 	assert.Equal(t, outcome, model.Outcome(""))
 	outcome, body := c.submit(t.Context(), 1, "key", until)
 	assert.Equal(t, outcome, model.Served, "%s", body)
