Count late retries for another window where hosts outnumber the slack

What callers saw: with 195 or 680 hosts and few requests each, endpoints that held retries for a minute got, when they went on, up to three retries of each host in 10 s: 585 where 528 are allowed, 2040 of 1692.

Cause: a host without a burst sends one retry and waits for it. When that one arrives, the host has the credit of another one that it earned meanwhile, sends it, and earns a third in the same window.

Change: without a burst, a retry that ended without an answer and arrives more than 10 s after it was sent stays outstanding for 10 s more. Its host keeps its credit and sends the next retry after that. Retries that arrive sooner, and hosts with a burst, are not concerned.

--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -16,10 +16,17 @@
 	// incarnation is that of the endpoint.
 	incarnation int64
 	sentAt      time.Time
-	// until is the time from which it can no longer arrive.
+	// until is the time from which it can no longer arrive, or no longer counts.
 	until time.Time
+	// hasArrived is true if it counts although it has arrived. It then came late, together
+	// with retries of requests after it.
+	hasArrived bool
 }
 
+// arrivesLate reports whether a retry that arrives now was held for so long that another one
+// was earned meanwhile.
+func (r unansweredRetry) arrivesLate(now time.Time) bool { return now.Sub(r.sentAt) > creditTime }
+
 // attemptEnd is the end of an attempt.
 type attemptEnd struct {
 	endpoint    model.EndpointName
@@ -44,7 +51,7 @@
 
 // settles reports whether the attempt shows that an earlier retry has arrived or never will.
 func (a attemptEnd) settles(retry unansweredRetry) bool {
-	return (a.isAnswered() || a.isEndpointGone) && retry.endpoint == a.endpoint && retry.sentAt.Before(a.sentAt)
+	return !retry.hasArrived && (a.isAnswered() || a.isEndpointGone) && retry.endpoint == a.endpoint && retry.sentAt.Before(a.sentAt)
 }
 
 // mayArrive reports whether the attempt may arrive after its end.
@@ -117,9 +124,7 @@
 	if attempt.isRetry {
 		c.retriesInFlight[service]--
 	}
-	unanswered := slices.DeleteFunc(c.unanswered[service], func(retry unansweredRetry) bool {
-		return attempt.settles(retry) || !now.Before(retry.until)
-	})
+	unanswered := c.withoutSettled(c.unanswered[service], attempt, now)
 	if outstanding := attempt.outstanding(); outstanding != nil {
 		unanswered = append(unanswered, unansweredRetry{
 			endpoint: outstanding.endpoint, incarnation: outstanding.incarnation, sentAt: outstanding.sentAt, until: now.Add(steer.MaxHoldTime),
@@ -133,6 +138,22 @@
 	}
 }
 
+// withoutSettled returns the retries that may still arrive after the end of an attempt, and
+// those that count although they have arrived. Without a burst, a host may have a late retry,
+// the credit of one that it earned meanwhile, and earn another, all in one window of the
+// limit. The late one takes the place of the next one then.
+func (c *Core) withoutSettled(retries []unansweredRetry, attempt attemptEnd, now time.Time) []unansweredRetry {
+	countsLate := attempt.isAnswered() && c.retryBurst(now) == 0
+	for i := range retries {
+		if countsLate && attempt.settles(retries[i]) && retries[i].arrivesLate(now) {
+			retries[i].hasArrived, retries[i].until = true, now.Add(creditTime)
+		}
+	}
+	return slices.DeleteFunc(retries, func(retry unansweredRetry) bool {
+		return attempt.settles(retry) || !now.Before(retry.until)
+	})
+}
+
 // dropEndedRetries drops the retries to earlier incarnations of an endpoint, which cannot
 // arrive any more. The removal of an entry does not show that: the store removes that of an
 // endpoint that is stopped, too.
