Send no retries while those of several earlier runs may arrive

What callers saw: all hosts were started again two to five times while endpoints held retries. When the endpoints went on, 90 retries arrived where 80 are allowed (1 request a second and host, two starts), and 860 of 460 (20 a second, five starts).

Cause: each run forgets what the runs before it have sent, and may send what it has earned. One earlier run leaves room for that, two do not.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
@@ -28,14 +27,6 @@
 	minRetryInterval = 500 * time.Millisecond
 )
 
-// hostRow is the value of a host's row in the store. Each host writes its own once
-// after its start, and once in each later era of the store.
-type hostRow struct {
-	IP netip.Addr `json:"ip"`
-	// Incarnation is the start time in Unix milliseconds. Other hosts do not use it.
-	Incarnation int64 `json:"incarnation"`
-}
-
 // heartbeat returns the current heartbeat of this host.
 func (n *Node) heartbeat() member.Heartbeat {
 	heartbeat := member.Heartbeat{
@@ -103,77 +94,6 @@
 	}
 }
 
-// registration is what a host knows of its row in the store.
-type registration struct {
-	isWritten bool
-	// era is the era of the store in which the row was last written, or tried to be.
-	era uint64
-}
-
-// registerLoop writes this host's row to the store and reads those of the other
-// hosts.
-func (n *Node) registerLoop(ctx context.Context) error {
-	var own registration
-	for ctx.Err() == nil {
-		n.updateRow(ctx, &own)
-		pause := hostListInterval
-		if len(n.transport.Alive()) == 0 {
-			pause = noPeerInterval
-		}
-		if !n.discoverHosts(ctx) || !own.isWritten {
-			pause = max(minRetryInterval, n.probeInterval())
-		}
-		n.keepRow(ctx, &own, time.Now().Add(pause))
-	}
-	return nil
-}
-
-// keepRow writes this host's row again in each new era of the store. It returns at
-// the given time, or after a write has failed.
-func (n *Node) keepRow(ctx context.Context, own *registration, until time.Time) {
-	for ctx.Err() == nil && time.Now().Before(until) {
-		sleep(ctx, min(eraCheckInterval, time.Until(until)))
-		if !own.isWritten {
-			continue
-		}
-		n.updateRow(ctx, own)
-		if !own.isWritten {
-			return
-		}
-	}
-}
-
-// updateRow writes this host's row unless it was written in the current era of the
-// store. A store that returned from an older copy may have lost the row.
-func (n *Node) updateRow(ctx context.Context, own *registration) {
-	era := n.knownEra()
-	if own.isWritten && era <= own.era {
-		return
-	}
-	own.isWritten = n.register(ctx)
-	own.era = cmp.Or(era, n.store.Era())
-}
-
-// knownEra returns the latest era of the store that this host has heard of, from the
-// store or from another host. It is 0 before the first one.
-func (n *Node) knownEra() uint64 {
-	return max(n.store.Era(), n.replica.operator.Version().Era, n.replica.endpoints.Version().Era)
-}
-
-func (n *Node) register(ctx context.Context) bool {
-	value, err := json.Marshal(hostRow{IP: n.settings.IP, Incarnation: n.incarnation})
-	if err != nil {
-		n.log.Error("row of this host not encoded", "error", err)
-		return false
-	}
-	if err := n.store.Put(ctx, platform.HostTable, string(n.settings.Host), value); err != nil {
-		n.log.Warn("row of this host not written", "error", err)
-		return false
-	}
-	n.starter.markEra(n.store.Era())
-	return true
-}
-
 func (n *Node) discoverHosts(ctx context.Context) bool {
 	rows, err := n.store.List(ctx, platform.HostTable)
 	if err != nil {
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -26,6 +26,9 @@
 	budgets    map[model.ServiceName]*score.Budget
 	retryLimit RetryLimit
 	retryHosts sharingHosts
+	// retriesFrom is the time from which retries may be sent, or zero. Those of several
+	// earlier runs of the host may arrive until then.
+	retriesFrom time.Time
 	// retryUses counts what was done with the credit of each service.
 	retryUses map[model.ServiceName]*retryUse
 	// requestRates counts the recent requests to each service.
@@ -305,7 +308,7 @@
 	if budget := c.budgets[query.Service]; budget == nil || !budget.CanSpend() {
 		return noRetryCredit, false
 	}
-	if c.hasTooManyOutstanding(query.Service, time.Now()) {
+	if now := time.Now(); now.Before(c.retriesFrom) || c.hasTooManyOutstanding(query.Service, now) {
 		return tooManyOutstanding, false
 	}
 	return "", true
--- /dev/null
+++ b/proxy/earlier_run.go
@@ -0,0 +1,37 @@
+package proxy
+
+import "time"
+
+// EarlierRun is what a host knows of the run of its process before the current one.
+type EarlierRun struct {
+	// StartedAt is when that run started, by the clock of the host.
+	StartedAt time.Time
+	// IsFirst is true if there was no run before that one.
+	IsFirst bool
+}
+
+// retriesFrom returns the time from which the current run may send retries, or the zero time
+// if it may send them at once. The retries of one earlier run leave room for those of the
+// current one; those of the run before it may still arrive until earlierRetryTime after the
+// earlier run started.
+func (r EarlierRun) retriesFrom(now time.Time) time.Time {
+	startedAt := r.StartedAt
+	if startedAt.After(now) {
+		// The clock was set back.
+		startedAt = now
+	}
+	until := startedAt.Add(earlierRetryTime)
+	if r.IsFirst || !now.Before(until) {
+		return time.Time{}
+	}
+	return until
+}
+
+// SetEarlierRun tells the core which run of the host was before the current one. It returns
+// the time until which the host sends no retries, or the zero time.
+func (c *Core) SetEarlierRun(run EarlierRun) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retriesFrom = run.retriesFrom(time.Now())
+	return c.retriesFrom
+}
--- a/proxy/held_again_test.go
+++ b/proxy/held_again_test.go
@@ -144,10 +144,13 @@
 			t.Run(fmt.Sprintf("%d a second, %d starts", rate, starts), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					p := newHeldPlay(hosts)
+					var earlier EarlierRun
 					for start := range starts + 1 {
 						if start > 0 {
 							p.cores = startRetryCores(hosts, p.limit)
+							setEarlierRun(p.cores, earlier)
 						}
+						earlier = EarlierRun{StartedAt: time.Now(), IsFirst: start == 0}
 						for range 20 {
 							p.second(p.cores, rate)
 						}
@@ -164,6 +167,13 @@
 	}
 }
 
+// setEarlierRun tells cores of the run of their hosts that has just ended.
+func setEarlierRun(cores []*Core, run EarlierRun) {
+	for _, core := range cores {
+		core.SetEarlierRun(run)
+	}
+}
+
 // Guards against hosts that exceed the retry limit together because the requests move from
 // some of them to others while endpoints hold what the first ones sent.
 func TestRetriesHeldWhileRequestsMoveBetweenHosts(t *testing.T) {
