Tell other hosts of retries that may arrive beyond the slack

What callers saw: requests moved to other hosts every 15 s while endpoints held retries. When the endpoints went on, 72 retries arrived where 68 are allowed (three groups of two hosts, 2 requests a second and host), and 202 of 140 (five groups, 20 a second).

Cause: a host may have as many retries outstanding as its part of the slack and its recent requests allow. Once its requests go to others, these may have as many for the same requests again, and do not know of the first.

Change: if more retries of a host ended without an answer than its part of the slack, its load reports contain their number for each service, and how many of them its recent requests allow. The others subtract the rest from what they may have outstanding themselves (at least one). Reports of a run that has ended count in full, until its retries can no longer arrive. In quiet times no byte is added. Fleets without load reports (over 60 hosts in other regions) do without, as before.

--- a/gossip/loads.go
+++ b/gossip/loads.go
@@ -43,11 +43,11 @@
 }
 
 func (t *Transport) sendLoadReport(heartbeat member.Heartbeat, addresses []netip.Addr, loads []steer.Load, isFull bool) {
-	limits := t.callbacks.LimitNews()
-	if len(loads) == 0 && len(limits) == 0 && !isFull {
+	limits, retries := t.callbacks.LimitNews(), t.callbacks.RetryNews()
+	if len(loads) == 0 && len(limits) == 0 && len(retries) == 0 && !isFull {
 		return
 	}
-	report := &loadReport{Host: heartbeat.Host, Incarnation: heartbeat.Incarnation, IsFull: isFull, Limits: limits}
+	report := &loadReport{Host: heartbeat.Host, Incarnation: heartbeat.Incarnation, IsFull: isFull, Limits: limits, Retries: retries}
 	for _, load := range loads {
 		report.Endpoints = append(report.Endpoints, load.Endpoint)
 		report.Counts = append(report.Counts, load.Count)
@@ -60,7 +60,8 @@
 
 func (t *Transport) applyLoads(report loadReport, from netip.Addr) {
 	t.mu.Lock()
-	sends := t.detector.Touch(member.Run{Host: report.Host, Incarnation: report.Incarnation}, from, t.own, time.Now())
+	run := member.Run{Host: report.Host, Incarnation: report.Incarnation}
+	sends := t.detector.Touch(run, from, t.own, time.Now())
 	t.mu.Unlock()
 	t.send(sends)
 	loads := make([]steer.Load, len(report.Endpoints))
@@ -71,4 +72,5 @@
 	for _, news := range report.Limits {
 		t.callbacks.ApplyLimitNews(news)
 	}
+	t.callbacks.ApplyRetryNews(run, report.Retries)
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -39,6 +39,27 @@
 	Counts    []byte             `cbor:"4,keyasint,omitempty"`
 	// Limits holds recent changes of the limits of endpoints that the host owns.
 	Limits []steer.LimitNews `cbor:"7,keyasint,omitempty"`
+	// Retries holds all retries of the host that the others must take into account. A
+	// report without them ends those of earlier reports.
+	Retries []steer.RetryNews `cbor:"8,keyasint,omitempty"`
+}
+
+// check returns an error if the report has a property that applyLoads does not handle.
+func (r loadReport) check() error {
+	if len(r.Endpoints) != len(r.Counts) {
+		return errors.New("endpoints and counts differ in number")
+	}
+	for _, news := range r.Limits {
+		if err := news.Check(); err != nil {
+			return fmt.Errorf("check limit: %w", err)
+		}
+	}
+	for _, news := range r.Retries {
+		if err := news.Check(); err != nil {
+			return fmt.Errorf("check retries: %w", err)
+		}
+	}
+	return nil
 }
 
 // newDatagram returns the datagram of a message of the failure detection.
@@ -89,14 +110,9 @@
 	if message.Suspicion != nil && message.Suspicion.From == "" {
 		return datagram{}, errors.New("decode suspicion: sender is missing")
 	}
-	if message.Loads != nil && len(message.Loads.Endpoints) != len(message.Loads.Counts) {
-		return datagram{}, errors.New("decode load report: endpoints and counts differ in number")
-	}
 	if message.Loads != nil {
-		for _, news := range message.Loads.Limits {
-			if err := news.Check(); err != nil {
-				return datagram{}, fmt.Errorf("decode limit in load report: %w", err)
-			}
+		if err := message.Loads.check(); err != nil {
+			return datagram{}, fmt.Errorf("decode load report: %w", err)
 		}
 	}
 	if message.PermitRequest != nil {
--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -47,6 +47,10 @@
 	ApplyLimitNews func(news steer.LimitNews)
 	// LimitNews returns the limits for this host's load reports.
 	LimitNews func() []steer.LimitNews
+	// RetryNews returns the retries for this host's load reports.
+	RetryNews func() []steer.RetryNews
+	// ApplyRetryNews applies what a run of another host tells of its retries.
+	ApplyRetryNews func(run member.Run, news []steer.RetryNews)
 }
 
 // Transport sends and receives heartbeats and load reports. It is safe for
--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,8 @@
 	// news holds what other hosts told of limits.
 	news  []steer.LimitNews
 	loads map[model.HostName][]steer.Load
+	// retries holds what runs of other hosts told of their retries.
+	retries map[member.Run][]steer.RetryNews
 }
 
 const peerPort = 17540
@@ -50,6 +53,7 @@
 	h := &testHost{
 		heartbeat: member.Heartbeat{Host: model.HostName(name), Zone: "za", Region: "north", Incarnation: 1, IP: netip.MustParseAddr(hostIP(t, number)), IsReady: true},
 		loads:     make(map[model.HostName][]steer.Load),
+		retries:   make(map[member.Run][]steer.RetryNews),
 	}
 	table := member.NewTable(h.heartbeat.Host)
 	for _, seed := range seeds {
@@ -75,6 +79,12 @@
 			defer h.mu.Unlock()
 			h.news = append(h.news, news)
 		},
+		RetryNews: func() []steer.RetryNews { return []steer.RetryNews{{Service: "s", Excess: 3, Earned: 1}} },
+		ApplyRetryNews: func(run member.Run, news []steer.RetryNews) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.retries[run] = news
+		},
 	})
 	assert.NilError(t, err)
 	h.transport = transport
@@ -106,7 +116,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	loads := h.loads[from]
-	return len(loads) == 1 && loads[0] == steer.Load{Endpoint: 7, Count: 2}
+	return len(loads) == 1 && loads[0] == steer.Load{Endpoint: 7, Count: 2} &&
+		slices.Equal(h.retries[member.Run{Host: from, Incarnation: 1}], []steer.RetryNews{{Service: "s", Excess: 3, Earned: 1}})
 }
 
 // Guards against messages with missing fields that reach the table of hosts: any
@@ -124,6 +135,9 @@
 		"beat without a host":           {Beat: &member.Beat{Interval: time.Second}},
 		"beat once a year":              {Beat: &member.Beat{Host: "h", Interval: 365 * 24 * time.Hour}},
 		"suspicion without a sender":    {Suspicion: &member.Suspicion{Hosts: []member.Run{{Host: "h"}}}},
+		"more retries earned than sent": {Loads: &loadReport{Host: "h", Retries: []steer.RetryNews{{Service: "s", Excess: 1, Earned: 2}}}},
+		"retries are negative":          {Loads: &loadReport{Host: "h", Retries: []steer.RetryNews{{Service: "s", Excess: -1, Earned: -1}}}},
+		"retries without a service":     {Loads: &loadReport{Host: "h", Retries: []steer.RetryNews{{Excess: 1}}}},
 		"counts are missing":            {Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}}},
 	}
 	for name, message := range messages {
--- a/node/node.go
+++ b/node/node.go
@@ -137,6 +137,7 @@
 	transport, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, gossip.Callbacks{
 		Heartbeat: n.heartbeat, HostsChanged: n.updateHosts, Loads: n.core.Loads, ApplyLoads: n.core.ApplyLoads,
 		IssuePermit: n.core.IssuePermit, ApplyLimitNews: n.core.ApplyLimitNews, LimitNews: n.core.LimitNews,
+		RetryNews: n.core.RetryNews, ApplyRetryNews: n.core.ApplyRetryNews,
 	})
 	if err != nil {
 		return fmt.Errorf("start host: %w", err)
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -37,7 +37,9 @@
 	retriesInFlight map[model.ServiceName]int
 	// unanswered holds the retries to each service that have ended and may still arrive.
 	unanswered map[model.ServiceName][]unansweredRetry
-	services   []model.ServiceName
+	// peerRetries are those of other hosts that may still arrive.
+	peerRetries peerRetries
+	services    []model.ServiceName
 	// selectorRevision is the roster revision that the selector was updated to.
 	selectorRevision uint64
 	// isSelectorOutdated is true if the selector was not yet updated to config or to
@@ -67,7 +69,7 @@
 		splitter: route.NewSplitter(), budgets: make(map[model.ServiceName]*score.Budget),
 		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
 		retryUses: make(map[model.ServiceName]*retryUse), requestRates: make(map[model.ServiceName]*requestRate), retriesInFlight: make(map[model.ServiceName]int),
-		unanswered: make(map[model.ServiceName][]unansweredRetry),
+		unanswered: make(map[model.ServiceName][]unansweredRetry), peerRetries: newPeerRetries(),
 	}
 }
 
--- a/proxy/held_again_test.go
+++ b/proxy/held_again_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"filberthold/member"
 	"filberthold/model"
 	"filberthold/steer"
 
@@ -44,9 +45,28 @@
 		}
 	}
 	setAlive(p.cores, len(p.cores), time.Second)
+	p.exchangeNews()
 	return sent
 }
 
+// exchangeNews tells each host what the load reports of the others contain. Hosts of larger
+// fleets send none.
+func (p *heldPlay) exchangeNews() {
+	const maxHosts = 60
+	if len(p.cores) > maxHosts {
+		return
+	}
+	for i, sender := range p.cores {
+		news := sender.RetryNews()
+		run := member.Run{Host: model.HostName(fmt.Sprint("h", i)), Incarnation: 1}
+		for j, receiver := range p.cores {
+			if i != j {
+				receiver.ApplyRetryNews(run, news)
+			}
+		}
+	}
+}
+
 // send sends a retry to an endpoint that holds it, or one that answers at once.
 func (p *heldPlay) send(core *Core) {
 	select {
--- a/proxy/retry_report.go
+++ b/proxy/retry_report.go
@@ -113,8 +113,8 @@
 
 // retryCollector reads the metrics of retries from a core.
 type retryCollector struct {
-	core                                                *Core
-	hosts, burst, credit, outstanding, earned, decision *prometheus.Desc
+	core                                                        *Core
+	hosts, burst, credit, outstanding, others, earned, decision *prometheus.Desc
 }
 
 // RegisterRetryMetrics registers the metrics of a core's retry limit.
@@ -128,6 +128,7 @@
 		burst:       describe("filberthold_retry_burst", "This host's part of the slack of the retry limit, in retries to a service."),
 		credit:      describe("filberthold_retry_credit", "Credit of a service for retries. Too many outstanding retries may prevent its use.", "service"),
 		outstanding: describe("filberthold_retries_outstanding", "Retries to a service that were sent and may still arrive: in flight, or without an answer.", "service"),
+		others:      describe("filberthold_retries_outstanding_elsewhere", "Retries to a service that other hosts have sent beyond their parts of the slack and their recent requests, and that may still arrive.", "service"),
 		earned:      describe("filberthold_retry_requests_total", "Requests that earned credit for retries.", "service"),
 		decision:    describe("filberthold_retries_total", "Retries by decision: chosen, chosen and refunded because they were not sent, rejected for lack of credit, or rejected because of outstanding ones.", "service", "decision"),
 	})
@@ -135,7 +136,7 @@
 
 // Describe implements prometheus.Collector.
 func (r *retryCollector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, description := range []*prometheus.Desc{r.hosts, r.burst, r.credit, r.outstanding, r.earned, r.decision} {
+	for _, description := range []*prometheus.Desc{r.hosts, r.burst, r.credit, r.outstanding, r.others, r.earned, r.decision} {
 		descriptions <- description
 	}
 }
@@ -159,13 +160,15 @@
 	counter := func(description *prometheus.Desc, value uint64, labels ...string) {
 		metrics = append(metrics, prometheus.MustNewConstMetric(description, prometheus.CounterValue, float64(value), labels...))
 	}
-	state := r.core.retryState(time.Now())
+	now := time.Now()
+	state := r.core.retryState(now)
 	gauge(r.hosts, float64(state.hosts))
 	gauge(r.burst, float64(state.burst))
 	for _, service := range slices.Sorted(maps.Keys(r.core.budgets)) {
 		use := r.core.retryUse(service)
 		gauge(r.credit, r.core.budgets[service].Credit(), string(service))
 		gauge(r.outstanding, float64(r.core.outstandingRetries(service)), string(service))
+		gauge(r.others, float64(r.core.peerRetries.uncovered(service, now)), string(service))
 		counter(r.earned, use.earned, string(service))
 		counter(r.decision, use.chosen, string(service), "chosen")
 		counter(r.decision, use.refunded, string(service), "refunded")
--- a/proxy/retry_report_test.go
+++ b/proxy/retry_report_test.go
@@ -51,7 +51,7 @@
 		ts.send(http.MethodGet, "/read/1", attempt, "")
 	}
 	assert.DeepEqual(t, readRetryMetrics(t, ts.core), map[string]float64{
-		"filberthold_retry_hosts": 10, "filberthold_retry_burst": 6, "filberthold_retry_credit s": 0.3, "filberthold_retries_outstanding s": 0,
+		"filberthold_retry_hosts": 10, "filberthold_retry_burst": 6, "filberthold_retry_credit s": 0.3, "filberthold_retries_outstanding s": 0, "filberthold_retries_outstanding_elsewhere s": 0,
 		"filberthold_retry_requests_total s": 3, "filberthold_retries_total chosen s": 1,
 		"filberthold_retries_total refunded s": 0, "filberthold_retries_total rejected s": 2,
 		"filberthold_retries_total outstanding s": 0,
--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -86,8 +86,14 @@
 // no other one may be sent. If endpoints hold them, they arrive at once, however long the
 // time was in which they were earned.
 func (c *Core) hasTooManyOutstanding(service model.ServiceName, now time.Time) bool {
-	earned := c.retryLimit.percent() * c.requestRate(service).recent(now) / 100
-	return c.outstandingRetries(service) >= max(1, c.retryBurst(now)+earned)
+	allowed := c.retryBurst(now) + c.earnedRetries(service, now) - c.peerRetries.uncovered(service, now)
+	return c.outstandingRetries(service) >= max(1, allowed)
+}
+
+// earnedRetries returns the number of outstanding retries that the recent requests to a
+// service allow.
+func (c *Core) earnedRetries(service model.ServiceName, now time.Time) int {
+	return c.retryLimit.percent() * c.requestRate(service).recent(now) / 100
 }
 
 // sendRetry spends the credit of a retry to a service, which may arrive from now on.
@@ -163,6 +169,7 @@
 
 // dropExpiredRetries drops the retries whose time to arrive has passed.
 func (c *Core) dropExpiredRetries(now time.Time) {
+	c.peerRetries.expire(now)
 	c.dropRetries(now, func(retry unansweredRetry) bool { return !now.Before(retry.until) })
 }
 
