--- a/proxy/server_test.go
+++ b/proxy/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -90,9 +91,14 @@
 
 // applyReady applies the entry of an endpoint that is ready.
 func (s *testServer) applyReady(name model.EndpointName, address string) {
+	s.applyAddress(name, address, 1)
+}
+
+// applyAddress applies an entry with an address, which replaces those with smaller sequences.
+func (s *testServer) applyAddress(name model.EndpointName, address string, sequence uint64) {
 	s.core.ApplyEntry(roster.Entry{
 		Endpoint: name, Service: "s", Address: netip.MustParseAddrPort(address),
-		Zone: "za", Slots: 3, State: roster.Ready, Sequence: 1, Incarnation: 1,
+		Zone: "za", Slots: 3, State: roster.Ready, Sequence: sequence, Incarnation: 1,
 	})
 }
 
@@ -104,13 +110,19 @@
 
 // send sends a request and returns its status, body and headers.
 func (s *testServer) send(method, path, attempt, body string) (int, string, http.Header) {
+	s.t.Helper()
+	return s.sendWithin(1500*time.Millisecond, method, path, attempt, body)
+}
+
+// sendWithin does so for a caller that waits for some time.
+func (s *testServer) sendWithin(timeout time.Duration, method, path, attempt, body string) (int, string, http.Header) {
 	s.t.Helper()
 	request, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+s.address+path, strings.NewReader(body))
 	assert.NilError(s.t, err)
 	request.Host = "a.example"
 	request.Header.Set("Attempt-Id", attempt)
 	request.Header.Set("Affinity-Key", "7")
-	request.Header.Set("Deadline-Ms", "1500")
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
 	response, err := http.DefaultTransport.RoundTrip(request)
 	assert.NilError(s.t, err)
 	defer func() { _ = response.Body.Close() }()
