Take the head of a response as an answer of its endpoint

What callers saw: after one response whose body did not arrive in time, or whose caller left during the body, no request was retried at that endpoint for two minutes or until it completed another response. With few endpoints such requests were refused with 503.

Cause: the selector heard of an answer at the end of an attempt only. An attempt that timed out in the body counted as one without an answer, although its head showed that the endpoint runs.

Evidence: TestEndpointWithHeadOfAnswerIsNotSilent in steer failed with "no retry at an endpoint that answered", for a time-out and for a caller that left. TestEndpointWithSlowBodyIsRetried in proxy, with a real connection, failed with "every endpoint is full or not reachable".

Change: proxy reports the head to the selector at the time at which it arrives.

--- a/proxy/arrival.go
+++ b/proxy/arrival.go
@@ -1,6 +1,9 @@
 package proxy
 
 import (
+	"time"
+
+	"filberthold/model"
 	"filberthold/platform"
 	"filberthold/steer"
 )
@@ -12,9 +15,18 @@
 		e.recordEnd(attemptEnd{result: steer.Undelivered, isSent: true, isEndpointGone: true})
 		return
 	}
+	e.server.core.recordAnswer(e.lastSend.Endpoint.Name)
 	e.recordEnd(attemptEnd{result: steer.Answered, isSent: true})
 }
 
+// recordAnswer records that an endpoint sent the head of a response, so that it does not
+// count as silent if the body takes too long.
+func (c *Core) recordAnswer(endpoint model.EndpointName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.selector.RecordAnswer(endpoint, time.Now())
+}
+
 // recordEnd records which attempts of the request may still arrive after the latest one has
 // arrived or has ended. It is called once for each attempt.
 func (e *exchange) recordEnd(attempt attemptEnd) {
--- a/steer/result.go
+++ b/steer/result.go
@@ -66,6 +66,14 @@
 	Limit RateLimit
 }
 
+// RecordAnswer records that the head of a response of an endpoint arrived. Whatever becomes
+// of the body, the endpoint ran at that time.
+func (s *Selector) RecordAnswer(name model.EndpointName, now time.Time) {
+	if target := s.endpoints[name]; target != nil {
+		target.recordAnswer(now)
+	}
+}
+
 // Done records the end of a request that Choose decided to send. It reports whether
 // the endpoint's limit changed.
 func (s *Selector) Done(outcome Outcome, now time.Time) bool {
