Leave a source that does not deliver what others have announced

What callers saw: a host without access to the store that followed a host whose rows counted as current, and were not, answered by an old configuration without end, while another source had the new one.

Cause: a follower left a source after an error, for missing endpoints and for ages that the source itself stated. Nothing compared its rows with the versions that other hosts have.

Change: after each poll the host is asked whether it has lacked an announced version of a table for longer than the table may be old. If so, the source is not polled for a second, and the next one is. The version of the configuration does not count: it may be one that the store lost and that no source has.

--- a/member/lag.go
+++ b/member/lag.go
@@ -128,3 +128,9 @@
 	}
 	return now.Sub(l.since)
 }
+
+// IsBehind reports whether a host that has a version by now has been behind for longer than
+// a time.
+func (l *Lag) IsBehind(own platform.Version, longerThan time.Duration, now time.Time) bool {
+	return l.isMissing(own) && l.Behind(now) > longerThan
+}
--- a/node/follower.go
+++ b/node/follower.go
@@ -15,8 +15,8 @@
 	// noSourcePause is the pause before the next attempt if there is no host to
 	// follow.
 	noSourcePause = 100 * time.Millisecond
-	// sourceBackoff is how long a host is not polled after a poll failed or
-	// returned outdated rows or no endpoints.
+	// sourceBackoff is how long a host is not polled after a poll failed, returned no
+	// endpoints or left this host behind.
 	sourceBackoff = time.Second
 )
 
@@ -33,14 +33,16 @@
 	// sources returns the hosts to follow in order of preference. It returns
 	// none if this host reads the store.
 	sources func() []member.Heartbeat
+	// isBehind reports whether this host has for too long lacked a version that others have.
+	isBehind func(now time.Time) bool
 	// retryAt holds the time before which a host is not polled again.
 	retryAt map[model.HostName]time.Time
 	// currentSource is the last host that was polled successfully.
 	currentSource model.HostName
 }
 
-func newFollower(log *slog.Logger, replica *storeReplica, intervals intervals, sources func() []member.Heartbeat, poll pollFunc) *follower {
-	return &follower{log: log, replica: replica, intervals: intervals, poll: poll, sources: sources, retryAt: make(map[model.HostName]time.Time)}
+func newFollower(log *slog.Logger, replica *storeReplica, intervals intervals, sources func() []member.Heartbeat, isBehind func(time.Time) bool, poll pollFunc) *follower {
+	return &follower{log: log, replica: replica, intervals: intervals, poll: poll, sources: sources, isBehind: isBehind, retryAt: make(map[model.HostName]time.Time)}
 }
 
 // loop polls other hosts until ctx ends.
@@ -83,7 +85,14 @@
 		return
 	}
 	f.replica.applyUpdate(update, source.Host)
-	if update.Operator.Age > f.intervals.operator.maxAge || update.Endpoints.Age > f.intervals.endpoints.maxAge {
+	if f.isUseless(update, now) {
 		f.retryAt[source.Host] = now.Add(sourceBackoff)
 	}
 }
+
+// isUseless reports whether an update, which was applied, leaves this host behind: its rows
+// are too old, or it lacks what others have had for long.
+func (f *follower) isUseless(update relay.Update, now time.Time) bool {
+	isOld := update.Operator.Age > f.intervals.operator.maxAge || update.Endpoints.Age > f.intervals.endpoints.maxAge
+	return isOld || f.isBehind(now)
+}
--- a/node/follower_test.go
+++ b/node/follower_test.go
@@ -15,6 +15,9 @@
 	"gotest.tools/v3/assert"
 )
 
+// neverBehind is the isBehind of a host that nobody tells of versions.
+func neverBehind(time.Time) bool { return false }
+
 // startFollower runs a follower that polls hosts a and b, in this order of
 // preference, until the test ends. updates holds their responses.
 func (rt *replicaTest) startFollower(updates map[string]relay.Update) {
@@ -28,7 +31,7 @@
 		update.ReceivedAt = time.Now()
 		return update, nil
 	}
-	rt.run(newFollower(slog.New(slog.DiscardHandler), rt.replica, rt.intervals, sources, poll).loop)
+	rt.run(newFollower(slog.New(slog.DiscardHandler), rt.replica, rt.intervals, sources, neverBehind, poll).loop)
 }
 
 func configChanges(version int, age time.Duration) relay.Changes {
--- a/node/lag.go
+++ b/node/lag.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,13 +28,17 @@
 	// hosts and the store.
 	own       func() platform.Version
 	announced func(hosts []member.Heartbeat) member.Announced
+	// maxAge is how long the table may lack a version before another host is polled for it,
+	// or 0: a configuration may be one that the store lost, and that no other host polled
+	// has.
+	maxAge time.Duration
 	// format returns a version as it is written in log lines.
 	format func(version platform.Version) any
 }
 
 // newLagWatch returns the watch of a host. The versions may take the times of the settings
 // to arrive.
-func newLagWatch(log *slog.Logger, settings platform.Settings, replica *storeReplica, store *platform.Store) *lagWatch {
+func newLagWatch(log *slog.Logger, settings platform.Settings, limits intervals, replica *storeReplica, store *platform.Store) *lagWatch {
 	operatorTime, endpointTime := operatorEffectTime(settings), shortest(settings.DrainTime)
 	withStore := func(newest member.Announced) member.Announced {
 		return newest.Later(member.Announced{By: storeSource, Version: store.Newest()})
@@ -49,14 +54,14 @@
 			announced: func(hosts []member.Heartbeat) member.Announced {
 				return withStore(member.Newest(hosts, func(host member.Heartbeat) platform.Version { return host.OperatorVersion }))
 			},
-			format: formatPair,
+			maxAge: limits.operator.maxAge, format: formatPair,
 		},
 		{
 			name: "endpoints", lag: member.NewLag(endpointTime), own: replica.endpoints.Version,
 			announced: func(hosts []member.Heartbeat) member.Announced {
 				return withStore(member.Newest(hosts, func(host member.Heartbeat) platform.Version { return host.EndpointsVersion }))
 			},
-			format: formatPair,
+			maxAge: limits.endpoints.maxAge, format: formatPair,
 		},
 	}}
 }
@@ -95,6 +100,16 @@
 	}
 }
 
+// isBehind reports whether this host has lacked a version of a table for so long that it
+// should poll another host.
+func (w *lagWatch) isBehind(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.tables, func(table *tableLag) bool {
+		return table.maxAge > 0 && table.lag.IsBehind(table.own(), table.maxAge, now)
+	})
+}
+
 // register registers the metric of each table.
 func (w *lagWatch) register(registry *prometheus.Registry) {
 	for _, table := range w.tables {
--- a/node/large_test.go
+++ b/node/large_test.go
@@ -40,7 +40,7 @@
 	rt.t.Helper()
 	sources := func() []member.Heartbeat { return []member.Heartbeat{{Host: "reader", ControlAddress: "reader:1"}} }
 	poll := relay.NewClientOver(rt.intervals.pollWait, link.DialContext).Poll
-	rt.run(newFollower(slog.New(slog.DiscardHandler), rt.replica, rt.intervals, sources, poll).loop)
+	rt.run(newFollower(slog.New(slog.DiscardHandler), rt.replica, rt.intervals, sources, neverBehind, poll).loop)
 }
 
 // Guards against routes that are answered with 404 although they were added in time:
--- a/node/node.go
+++ b/node/node.go
@@ -96,7 +96,7 @@
 	node.intervals = newIntervals(settings)
 	node.replica = newStoreReplica(log, core, settings.HeartbeatInterval)
 	node.relay = relay.NewHandler(log, node.replica.operator, node.replica.endpoints, core.Removals, node.intervals.pollWait)
-	node.lags = newLagWatch(log, settings, node.replica, store)
+	node.lags = newLagWatch(log, settings, node.intervals, node.replica, store)
 	node.registerMetrics()
 	node.server = proxy.NewServer(log, core, proxy.NewMetrics(registry), node.freshness(), node.buffers)
 	poll := relay.NewClient(node.intervals.pollWait).Poll
@@ -104,7 +104,7 @@
 		log: log, replica: node.replica, intervals: node.intervals, holders: node.startHolders, poll: poll, over: make(chan struct{}),
 	}
 	node.reader = newReader(log, store, node.replica, node.intervals, node.shouldReadStore, node.starter.await, node.probeInterval)
-	node.follower = newFollower(log, node.replica, node.intervals, node.sources, poll)
+	node.follower = newFollower(log, node.replica, node.intervals, node.sources, node.lags.isBehind, poll)
 	return node
 }
 
