Let the hosts share the hedges that they may accumulate

What callers saw: after a quiet time in which no endpoint was slow, 12 hosts could send 120 hedges of a service within seconds of a slow-down, which load endpoints that are slow already. With the retries of the same time the hosts exceed what the users' platform allows of repeats.

Cause: each host kept the credit of up to ten hedges of a service without a time limit, and only the credit of retries was divided by the number of hosts.

Change: hedges have a part of the slack, 12 of the 60, which the hosts divide like the 48 that are left for retries; credit without a burst expires after 10 s for both. A hedge that was earned just before can be sent in a fleet of any size (TestEarnedHedgeCanBeSent).

Left by reading, in docs/proofs.md: above 48 hosts, retries and hedges of nearly all requests at once.

--- a/place/core.go
+++ b/place/core.go
@@ -33,8 +33,8 @@
 	// serviceNames holds the keys of services, sorted. A service stays after a
 	// revision has removed it, because requests may still be queued for it.
 	serviceNames []model.ServiceName
-	// retryCreditEndsAt is when the credit of retries is bounded to the burst again.
-	retryCreditEndsAt time.Time
+	// creditEndsAt is when the credit of retries and hedges is bounded to the bursts again.
+	creditEndsAt time.Time
 	// requests holds the requests that have neither been delivered nor
 	// refused.
 	requests map[RequestID]*openRequest
@@ -154,7 +154,7 @@
 func (c *Core) Apply(event Event, now time.Time) []Decision {
 	var decisions []Decision
 	c.ledger.Expire(now)
-	c.expireRetryCredit(now)
+	c.expireCredit(now)
 	if !now.Before(c.recheckAt) {
 		c.recheckAt = time.Time{}
 	}
@@ -216,7 +216,7 @@
 	for _, service := range event.Deployment.Services() {
 		c.adoptService(service, isFirst, reserve)
 	}
-	c.limitRetries(now)
+	c.limitCredit(now)
 }
 
 // assign computes the slot assignment of a revision.
