Poll another host beside one that hardly sends

What callers saw: a host without access to the store that followed a host which sends two KB a second got no configuration at its start and no change later, while another host had all.

Cause: a poll ends only if the response stalls, so that a large configuration arrives over a small link. A follower polled one host at a time, and a response just above the least progress may take more than an hour (8 MB).

Change: if a poll takes a second longer than its wait and the rows are too old, the next host is polled beside it, one at a time so that a small link is divided by two at most. The first update counts; the other poll is cancelled, and its host is not polled for 4 s. A host whose poll delivers at last is not put back, and TestLongTransferIsNotGivenUp shows that three hosts whose transfers take 20 s deliver within 21 s.

--- a/node/follower.go
+++ b/node/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"filberthold/member"
@@ -37,6 +38,8 @@
 	isBehind func(now time.Time) bool
 	// retryAt holds the time before which a host is not polled again.
 	retryAt map[model.HostName]time.Time
+	// polls are those that run.
+	polls sync.WaitGroup
 	// currentSource is the last host that was polled successfully.
 	currentSource model.HostName
 }
@@ -67,27 +70,34 @@
 	return member.Heartbeat{}, false
 }
 
-func (f *follower) pollSource(ctx context.Context, source member.Heartbeat) {
-	startedAt := time.Now()
-	update, err := f.poll(ctx, source.ControlAddress, f.replica.operator.Version(), f.replica.endpoints.Version(), f.replica.revivedKeys(startedAt)...)
+// finishPoll applies the update of a poll and reports whether there was one.
+func (f *follower) finishPoll(poll *runningPoll) bool {
 	now := time.Now()
-	if err != nil {
-		f.retryAt[source.Host] = now.Add(sourceBackoff)
-		f.log.Warn("host not followed", "peer", source.Host, "elapsed", now.Sub(startedAt), "error", err)
-		return
+	poll.cancel()
+	host := poll.source.Host
+	if poll.err != nil {
+		f.retryAt[host] = now.Add(sourceBackoff)
+		f.logNotFollowed(poll, poll.err)
+		return false
 	}
-	if source.Host != f.currentSource {
-		f.currentSource = source.Host
-		f.log.Info("following a host", "peer", source.Host, "age", update.Endpoints.Age, "operatorAge", update.Operator.Age)
+	delete(f.retryAt, host)
+	if host != f.currentSource {
+		f.currentSource = host
+		f.log.Info("following a host", "peer", host, "age", poll.update.Endpoints.Age, "operatorAge", poll.update.Operator.Age)
 	}
-	if update.Endpoints.Version.IsZero() {
-		f.retryAt[source.Host] = now.Add(sourceBackoff)
-		return
+	if poll.update.Endpoints.Version.IsZero() {
+		f.retryAt[host] = now.Add(sourceBackoff)
+		return false
 	}
-	f.replica.applyUpdate(update, source.Host)
-	if f.isUseless(update, now) {
-		f.retryAt[source.Host] = now.Add(sourceBackoff)
+	f.replica.applyUpdate(poll.update, host)
+	if f.isUseless(poll.update, now) {
+		f.retryAt[host] = now.Add(sourceBackoff)
 	}
+	return true
+}
+
+func (f *follower) logNotFollowed(poll *runningPoll, err error) {
+	f.log.Warn("host not followed", "peer", poll.source.Host, "elapsed", time.Since(poll.startedAt), "error", err)
 }
 
 // isUseless reports whether an update, which was applied, leaves this host behind: its rows
--- a/node/slow_source_test.go
+++ b/node/slow_source_test.go
@@ -67,13 +67,26 @@
 	return relay.NewClientOver(rt.intervals.pollWait, link.DialContext)
 }
 
+// trickle responds with 2 KB a second, without end. It is just above the least progress of
+// a transfer.
+func trickle(writer http.ResponseWriter, request *http.Request) {
+	for request.Context().Err() == nil {
+		if _, err := writer.Write(make([]byte, 1<<10)); err != nil {
+			return
+		}
+		_ = http.NewResponseController(writer).Flush()
+		sleep(request.Context(), 500*time.Millisecond)
+	}
+}
+
 // silent never responds.
 func silent(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
 
 // uselessSources returns, by name, sources that are alive and deliver nothing.
 func uselessSources() map[string]func(rt *replicaTest) pollFunc {
 	return map[string]func(rt *replicaTest) pollFunc{
-		"silent": func(rt *replicaTest) pollFunc { return rt.serve(http.HandlerFunc(silent)).Poll },
+		"silent":   func(rt *replicaTest) pollFunc { return rt.serve(http.HandlerFunc(silent)).Poll },
+		"trickles": func(rt *replicaTest) pollFunc { return rt.serve(http.HandlerFunc(trickle)).Poll },
 		"outdated": func(rt *replicaTest) pollFunc {
 			source := rt.newCurrentSource(2)
 			return func(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version, watched ...string) (relay.Update, error) {
@@ -112,6 +125,26 @@
 	}
 }
 
+// Guards against a transfer over a small link that never ends, because other hosts are
+// polled in its place.
+func TestLongTransferIsNotGivenUp(t *testing.T) {
+	const transferTime = 20 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		rt := newReplicaTest(t)
+		current := rt.newCurrentSource(2)
+		slow := func(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version, watched ...string) (relay.Update, error) {
+			sleep(ctx, transferTime)
+			if err := ctx.Err(); err != nil {
+				return relay.Update{}, err
+			}
+			return current.poll(ctx, address, operatorAfter, endpointsAfter, watched...)
+		}
+		rt.followInOrder(map[string]pollFunc{"a": slow, "b": slow, "c": slow}, current, "a", "b", "c")
+		time.Sleep(transferTime + time.Second)
+		assert.Equal(t, rt.configVersion(), uint64(1))
+	})
+}
+
 // followInOrder runs a follower of hosts in order of preference until the test ends. One of
 // them announces its versions.
 func (rt *replicaTest) followInOrder(polls map[string]pollFunc, announcing *currentSource, order ...string) {
