Let an attempt after unsent ones go without retry credit

What callers saw: 503 "the retry budget is used up" for a request that no endpoint had got: its first attempt found no connection, another endpoint was free, and the host had no credit. So it was for each such request of a host that had just started, or whose credit was spent.

Cause: each attempt after the first one that was chosen counted as a retry.

Evidence: TestAttemptAfterUnsentOneNeedsNoCredit failed for a GET and a POST with 503 in place of 200. TestRepeatAfterUnsentAttemptNeedsCredit failed with no arrival in place of one, and TestUnsentAttemptsAreBounded with one attempt in place of two.

Change: an exchange notes when an attempt may have been sent in part (anything but a NotSentError). Until then its attempts are first ones: they need and spend no credit, may wait for a slot, do not count as retries in flight and do not pass over silent endpoints. They count towards maxAttempts, and the deadline holds. An attempt after one that an endpoint refused is a repeat as before.

Before: 503 in 2 of 2 cases. With all endpoints unreachable a request ends with 503 after the two attempts of its route.

--- a/proxy/arrival.go
+++ b/proxy/arrival.go
@@ -31,7 +31,7 @@
 // arrived or has ended. It is called once for each attempt.
 func (e *exchange) recordEnd(attempt attemptEnd) {
 	attempt.endpoint, attempt.incarnation = e.lastSend.Endpoint.Name, e.lastSend.Endpoint.Incarnation
-	attempt.isRetry, attempt.sentAt, attempt.brokenFirst = len(e.tried) > 1, e.sentAt, e.brokenFirst
+	attempt.isRetry, attempt.sentAt, attempt.brokenFirst = e.hasSent, e.sentAt, e.brokenFirst
 	e.server.core.recordRetries(e.service, attempt)
 	switch {
 	case !attempt.isRetry && attempt.mayArrive():
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -258,8 +258,8 @@
 	return service
 }
 
-// choose selects the endpoint of a request. A query with tried endpoints is a
-// retry, which needs and spends retry budget.
+// choose selects the endpoint of a request. A retry needs and spends retry budget, unless
+// nothing of the request was sent before.
 func (c *Core) choose(query steer.Query) steer.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -271,7 +271,7 @@
 	decision := c.selector.Choose(query, time.Now())
 	// Other retries may be chosen while this one waits for a permit, so its credit is
 	// spent now.
-	if _, isSend := decision.(steer.Send); isSend && len(query.Tried) > 0 {
+	if _, isSend := decision.(steer.Send); isSend && query.IsRepeat() {
 		c.sendRetry(query.Service)
 		c.retryUse(query.Service).chosen++
 	}
@@ -279,9 +279,9 @@
 }
 
 // refundUnsentRetry gives the credit of a retry back that was chosen and is not sent, and
-// counts that. First attempts cost none. c.mu is held.
+// counts that. First arrivals cost none. c.mu is held.
 func (c *Core) refundUnsentRetry(query steer.Query) {
-	if len(query.Tried) > 0 {
+	if query.IsRepeat() {
 		c.refundRetry(query.Service)
 		c.retryUse(query.Service).refunded++
 	}
@@ -299,7 +299,7 @@
 
 // canRetry reports whether a query may be sent, if it is a retry, or why not.
 func (c *Core) canRetry(query steer.Query) (string, bool) {
-	if len(query.Tried) == 0 {
+	if !query.IsRepeat() {
 		return "", true
 	}
 	if budget := c.budgets[query.Service]; budget == nil || !budget.CanSpend() {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -63,6 +63,9 @@
 	// brokenFirst is the first attempt if its connection broke and it is not yet counted as
 	// one that may still arrive.
 	brokenFirst *attemptEnd
+	// hasSent is true once an attempt may have been sent in part. The attempts after it are
+	// repeats at their service; earlier ones cost no retry credit, as nothing of them arrives.
+	hasSent bool
 	// mayHaveRun is true once an endpoint may have run the request.
 	mayHaveRun bool
 	// lastSend is the selection of the latest attempt, for the log.
@@ -193,7 +196,7 @@
 
 func (e *exchange) query() steer.Query {
 	return steer.Query{
-		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, HasWaited: e.refusedPermits > 0,
+		Service: e.service, Object: e.header.Object, AttemptID: e.header.AttemptID, Route: e.route, Tried: e.tried, IsUnsent: !e.hasSent, HasWaited: e.refusedPermits > 0,
 	}
 }
 
@@ -271,6 +274,7 @@
 	if !trace.HasHead() {
 		e.recordEnd(attemptEnd{result: outcome.result, isSent: outcome.isSent(), isEndpointGone: outcome.isConnectionRefused()})
 	}
+	e.hasSent = e.hasSent || outcome.isSent()
 	if limitChanged {
 		e.server.log.Info("endpoint limit changed", "endpoint", decision.Endpoint.Name, "service", e.service, "request", e.header.AttemptID,
 			"isLimited", responseHeader.HasLimit, "perSecond", responseHeader.RateLimit)
--- a/proxy/waiting.go
+++ b/proxy/waiting.go
@@ -22,7 +22,7 @@
 func (c *Core) chooseOrWait(ctx context.Context, query steer.Query, deadline time.Time) steer.Decision {
 	decision := c.choose(query)
 	reject, isReject := decision.(steer.Reject)
-	if !isReject || !reject.IsFull || len(query.Tried) > 0 || !time.Now().Before(deadline) {
+	if !isReject || !reject.IsFull || query.IsRepeat() || !time.Now().Before(deadline) {
 		return decision
 	}
 	query.HasWaited = true
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -168,7 +168,7 @@
 // before it arrives. Retries that are held would arrive at once, although the retry limit
 // allows them over a longer time.
 func (e *endpoint) mayHold(query Query, now time.Time) bool {
-	return len(query.Tried) > 0 && now.Before(e.silentUntil)
+	return query.IsRepeat() && now.Before(e.silentUntil)
 }
 
 func (e *endpoint) isCold(now time.Time) bool { return now.Before(e.coldUntil) }
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -61,13 +61,19 @@
 	Object    string
 	AttemptID string
 	Route     route.Route
-	// Tried holds the endpoints to which the request was sent before.
+	// Tried holds the endpoints that were chosen for the request before.
 	Tried []model.EndpointName
+	// IsUnsent is true if nothing of the request was sent to any of them, so that the next
+	// attempt is the first one that can arrive.
+	IsUnsent bool
 	// HasWaited is true if an earlier choice for the query found every endpoint
 	// full.
 	HasWaited bool
 }
 
+// IsRepeat reports whether an attempt would arrive beyond the first one of its request.
+func (q Query) IsRepeat() bool { return len(q.Tried) > 0 && !q.IsUnsent }
+
 // Decision is the result of Choose: a Send or a Reject.
 type Decision interface{ isDecision() }
 
