--- a/node/follower.go
+++ b/node/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"filberthold/member"
@@ -15,8 +16,8 @@
 	// noSourcePause is the pause before the next attempt if there is no host to
 	// follow.
 	noSourcePause = 100 * time.Millisecond
-	// sourceBackoff is how long a host is not polled after a poll failed or
-	// returned outdated rows or no endpoints.
+	// sourceBackoff is how long a host is not polled after a poll failed, returned no
+	// endpoints or left this host behind.
 	sourceBackoff = time.Second
 )
 
@@ -33,14 +34,18 @@
 	// sources returns the hosts to follow in order of preference. It returns
 	// none if this host reads the store.
 	sources func() []member.Heartbeat
+	// isBehind reports whether this host has for too long lacked a version that others have.
+	isBehind func(now time.Time) bool
 	// retryAt holds the time before which a host is not polled again.
 	retryAt map[model.HostName]time.Time
+	// polls are those that run.
+	polls sync.WaitGroup
 	// currentSource is the last host that was polled successfully.
 	currentSource model.HostName
 }
 
-func newFollower(log *slog.Logger, replica *storeReplica, intervals intervals, sources func() []member.Heartbeat, poll pollFunc) *follower {
-	return &follower{log: log, replica: replica, intervals: intervals, poll: poll, sources: sources, retryAt: make(map[model.HostName]time.Time)}
+func newFollower(log *slog.Logger, replica *storeReplica, intervals intervals, sources func() []member.Heartbeat, isBehind func(time.Time) bool, poll pollFunc) *follower {
+	return &follower{log: log, replica: replica, intervals: intervals, poll: poll, sources: sources, isBehind: isBehind, retryAt: make(map[model.HostName]time.Time)}
 }
 
 // loop polls other hosts until ctx ends.
@@ -65,25 +70,39 @@
 	return member.Heartbeat{}, false
 }
 
-func (f *follower) pollSource(ctx context.Context, source member.Heartbeat) {
-	startedAt := time.Now()
-	update, err := f.poll(ctx, source.ControlAddress, f.replica.operator.Version(), f.replica.endpoints.Version(), f.replica.revivedKeys(startedAt)...)
+// finishPoll applies the update of a poll and reports whether there was one.
+func (f *follower) finishPoll(poll *runningPoll) bool {
 	now := time.Now()
-	if err != nil {
-		f.retryAt[source.Host] = now.Add(sourceBackoff)
-		f.log.Warn("host not followed", "peer", source.Host, "elapsed", now.Sub(startedAt), "error", err)
-		return
+	poll.cancel()
+	host := poll.source.Host
+	if poll.err != nil {
+		f.retryAt[host] = now.Add(sourceBackoff)
+		f.logNotFollowed(poll, poll.err)
+		return false
 	}
-	if source.Host != f.currentSource {
-		f.currentSource = source.Host
-		f.log.Info("following a host", "peer", source.Host, "age", update.Endpoints.Age, "operatorAge", update.Operator.Age)
+	delete(f.retryAt, host)
+	if host != f.currentSource {
+		f.currentSource = host
+		f.log.Info("following a host", "peer", host, "age", poll.update.Endpoints.Age, "operatorAge", poll.update.Operator.Age)
 	}
-	if update.Endpoints.Version.IsZero() {
-		f.retryAt[source.Host] = now.Add(sourceBackoff)
-		return
+	if poll.update.Endpoints.Version.IsZero() {
+		f.retryAt[host] = now.Add(sourceBackoff)
+		return false
 	}
-	f.replica.applyUpdate(update, source.Host)
-	if update.Operator.Age > f.intervals.operator.maxAge || update.Endpoints.Age > f.intervals.endpoints.maxAge {
-		f.retryAt[source.Host] = now.Add(sourceBackoff)
+	f.replica.applyUpdate(poll.update, host)
+	if f.isUseless(poll.update, now) {
+		f.retryAt[host] = now.Add(sourceBackoff)
 	}
+	return true
+}
+
+func (f *follower) logNotFollowed(poll *runningPoll, err error) {
+	f.log.Warn("host not followed", "peer", poll.source.Host, "elapsed", time.Since(poll.startedAt), "error", err)
+}
+
+// isUseless reports whether an update, which was applied, leaves this host behind: its rows
+// are too old, or it lacks what others have had for long.
+func (f *follower) isUseless(update relay.Update, now time.Time) bool {
+	isOld := update.Operator.Age > f.intervals.operator.maxAge || update.Endpoints.Age > f.intervals.endpoints.maxAge
+	return isOld || f.isBehind(now)
 }
