Answer the requests that wait at a stopping host unread

Callers saw connections reset, or closed without a response, at a host that stops as planned, although they had sent whole requests.

Cause: http.Server.Shutdown closes the listener at once, and the kernel resets the connections that it has accepted and the process has not. It closes a kept connection whose next request has arrived and was not read, and ends every connection without a response whose head is read after the call.

Change: package drain. Before Shutdown, the host accepts until no connection has come for 0.1 s (1 s at most), closes the listener, and waits until all connections are closed. It ends one without a request by a deadline for its read, not by a close: a read that got bytes at the same moment still delivers them. The requests get 503 with Retry-After, as all that arrive from then on.

Ruled out: http.Server.Close or Shutdown after a wait (the heads that are read meanwhile are still lost), and a packet filter that drops new connections before the close, which would close the last gap but lets callers wait a second for a port that refuses them at once now.

--- a/early/handler.go
+++ b/early/handler.go
@@ -61,8 +61,13 @@
 type connKey struct{}
 
 // ConnContext is the function of that name of an http.Server: it lets the Handler find
-// the connection of a request.
+// the connection of a request. The connection may be wrapped by one with a method NetConn.
 func ConnContext(ctx context.Context, accepted net.Conn) context.Context {
+	if wrapper, isWrapper := accepted.(interface{ NetConn() net.Conn }); isWrapper {
+		if inner, isOurs := wrapper.NetConn().(*conn); isOurs {
+			accepted = inner
+		}
+	}
 	if accepted, isOurs := accepted.(*conn); isOurs {
 		return context.WithValue(ctx, connKey{}, accepted)
 	}
--- a/early/listener.go
+++ b/early/listener.go
@@ -15,6 +15,7 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 
 	"filberthold/memory"
 )
@@ -54,6 +55,20 @@
 	return newConn(accepted, l.limit), nil
 }
 
+// SetDeadline sets the end of calls of Accept, if the inner listener has deadlines.
+func (l *Listener) SetDeadline(deadline time.Time) error {
+	inner, hasDeadline := l.Listener.(interface {
+		SetDeadline(deadline time.Time) error
+	})
+	if !hasDeadline {
+		return errors.ErrUnsupported
+	}
+	if err := inner.SetDeadline(deadline); err != nil {
+		return fmt.Errorf("set deadline of listener: %w", err)
+	}
+	return nil
+}
+
 // conn is a connection of a caller. Reads end at the end of the head of a request, so
 // that the reader gets no byte of a request before it asks for that.
 type conn struct {
@@ -91,6 +106,16 @@
 	return &conn{Conn: accepted, ctx: ctx, cancel: cancel, limit: limit}
 }
 
+// NetConn returns the connection that conn wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+// Buffered returns the number of bytes that were received and not passed to the reader.
+func (c *conn) Buffered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.cancel()
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"filberthold/conns"
+	"filberthold/drain"
 	"filberthold/early"
 	"filberthold/memory"
 )
@@ -36,8 +37,10 @@
 	core *Core
 	pool *conns.Pool
 	// limit bounds the memory for requests and responses in flight.
-	limit     *memory.Limit
-	http      *http.Server
+	limit *memory.Limit
+	http  *http.Server
+	// listener accepts the connections of callers. It is nil before Run.
+	listener  atomic.Pointer[drain.Listener]
 	early     *early.Handler
 	metrics   *Metrics
 	freshness Freshness
@@ -63,7 +66,10 @@
 
 // Run serves callers until Stop has ended.
 func (s *Server) Run(listener net.Listener) error {
-	if err := s.http.Serve(early.NewListener(listener, s.limit)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	callers := drain.NewListener(early.NewListener(listener, s.limit))
+	s.http.ConnState = callers.TrackState
+	s.listener.Store(callers)
+	if err := s.http.Serve(callers); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -28,17 +28,29 @@
 // Refuse makes the server refuse new requests.
 func (s *Server) Refuse() { s.isRefusing.Store(true) }
 
-// Stop waits until the requests in flight or ctx end, and closes the listener. Requests
-// that were started early come first: net/http does not know them, and closes their
+// Stop accepts the connections that callers have opened, closes the listener, and waits
+// until the requests that have arrived are answered, or until ctx ends. Requests that
+// were started early come first: net/http does not know them, and closes their
 // connection behind the request before.
 func (s *Server) Stop(ctx context.Context) error {
-	waitErr := s.early.Wait(ctx)
+	waitErr := errors.Join(s.early.Wait(ctx), s.drain(ctx))
 	if err := s.http.Shutdown(ctx); err != nil {
 		return errors.Join(waitErr, fmt.Errorf("wait for requests in flight: %w", err))
 	}
 	return waitErr
 }
 
+func (s *Server) drain(ctx context.Context) error {
+	listener := s.listener.Load()
+	if listener == nil {
+		return nil
+	}
+	if err := listener.Drain(ctx); err != nil {
+		return fmt.Errorf("stop accepting requests: %w", err)
+	}
+	return nil
+}
+
 // fitsIntoStop reports whether the request can end before the host stops. A request
 // that is not idempotent needs all of its time, because it cannot be repeated if it
 // is cut. Another one needs its latency objective, and its deadline is moved to the
