Answer the requests that wait unread at a stop on the own wire

Seen to fail: TestShutdownAnswersQueuedConnections, 50 of 50 connections reset by http.Server.Shutdown alone.

Change: Shutdown drains the listener first (package drain). The requests are served, as all are until the end of a stop on this wire.

--- a/caller/server.go
+++ b/caller/server.go
@@ -11,9 +11,11 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filberthold/common"
+	"filberthold/drain"
 	"filberthold/model"
 	"filberthold/place"
 	"filberthold/upstrm"
@@ -51,6 +53,8 @@
 	directory  Directory
 	upstreams  *upstrm.Client
 	http       *http.Server
+	// listener accepts the connections of callers. It is nil before Run.
+	listener atomic.Pointer[drain.Listener]
 	// observe is called as described at ObserveRequests. It may be nil.
 	observe func(service model.Service, outcome model.Outcome, elapsed time.Duration)
 	// acceptsRequests reports whether new requests are accepted.
@@ -141,16 +145,25 @@
 
 // Run serves the listener until Shutdown is called.
 func (s *Server) Run(listener net.Listener) error {
-	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	callers := drain.NewListener(listener)
+	s.http.ConnState = callers.TrackState
+	s.listener.Store(callers)
+	if err := s.http.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
 }
 
-// Shutdown closes the listener and waits for all requests in flight, including
-// submits whose callers have disconnected, and for the rows of host-bound keys.
+// Shutdown accepts the connections that callers have opened, closes the listener, and
+// waits for all requests in flight, including submits whose callers have disconnected,
+// and for the rows of host-bound keys.
 // The end of ctx does not end the wait for the attempts of requests that have ended.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if listener := s.listener.Load(); listener != nil {
+		if err := listener.Drain(ctx); err != nil {
+			return fmt.Errorf("shut down caller server: %w", err)
+		}
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut down caller server: %w", err)
 	}
