Let a host stop while it reads its settings again

A host that was told to read its settings again (SIGHUP), from a file that does not answer, did not end after SIGTERM: it answered its requests and then waited for the read, until the platform killed it.

Cause: the loop that reads the settings is one of those for whose end Run waits, and a read of a file cannot be cancelled.

Seen to fail: TestHostStopsWhileItReadsSettings, with a pipe that nobody writes as the file, "the host has not stopped within the grace".

Change: the loop does not wait for the read once the host stops. The goroutine of the read ends with the process.

--- a/node/stop.go
+++ b/node/stop.go
@@ -38,18 +38,30 @@
 	return nil
 }
 
-// reloadLoop reads the settings again on SIGHUP.
+// reloadLoop reads the settings again on SIGHUP. A read that does not end, as from a disk
+// that does not answer, does not delay the end of the host.
 func (n *Node) reloadLoop(ctx context.Context) error {
 	for {
 		select {
 		case <-n.hangups:
-			n.reload()
+		case <-ctx.Done():
+			return nil
+		}
+		done := make(chan struct{})
+		go n.runReload(done)
+		select {
+		case <-done:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+func (n *Node) runReload(done chan struct{}) {
+	defer close(done)
+	n.reload()
+}
+
 // reload applies the seeds of the settings. Addresses and limits of a running
 // process do not change.
 func (n *Node) reload() {
