Spare endpoints that ask for it on the own wire

Requests and retries reached it as soon as it had a free slot.

Cause: upstrm read no Retry-After from a refusal with Upstream-Not-Started, and placement knew no such time.

Change: the time is part of the event Finished, so that a replay decides the same. Requests whose deadlines pass before the first endpoint is free are refused at once, the others wait; NextTick names the end. The parser of the users' path moves to package model, so that both wires accept the same values. Golden files and the recorded trace are unchanged.

Undoing the rule that a shorter time does not end a longer one fails no test: a host has one slot of each endpoint in these tests.

Not done: callers of this wire get no Retry-After, and there is no counter (docs/proofs.md, "Not proved").

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -279,7 +279,7 @@
 	case update.err == nil:
 	case errors.As(update.err, &notStarted):
 		finished.Result = place.NotStarted
-		finished.Leaving = notStarted.Leaving()
+		finished.Leaving, finished.SpareFor = notStarted.Leaving(), notStarted.SpareFor()
 	case e.service.Class() != model.Submit && upstrm.IsClosedByUpstream(update.err):
 		finished.Result = place.Failed
 	default:
--- a/caller/harness_test.go
+++ b/caller/harness_test.go
@@ -44,6 +44,8 @@
 	requestIDs map[place.AttemptID]place.RequestID
 	// results holds the results of the attempts in the order of their ends.
 	results []place.Result
+	// spareTimes holds the times that the upstreams asked to be spared, in the same order.
+	spareTimes []time.Duration
 	// progress holds whether the attempts made progress, in the same order.
 	progress []bool
 }
@@ -148,6 +150,7 @@
 	case place.Finished:
 		h.results = append(h.results, event.Result)
 		h.progress = append(h.progress, event.Progress)
+		h.spareTimes = append(h.spareTimes, event.SpareFor)
 		id := h.requestIDs[event.Attempt]
 		request := h.requests[id]
 		switch {
--- a/place/arrive.go
+++ b/place/arrive.go
@@ -66,7 +66,7 @@
 
 // waitReason describes what a queued request waits for.
 func (c *Core) waitReason(open *openRequest, now time.Time) string {
-	usable, leaving, busy, skipped := 0, 0, 0, 0
+	usable, leaving, spared, busy, skipped := 0, 0, 0, 0, 0
 	for _, endpoint := range c.inRegion(open) {
 		slots := c.ledger.Usable(endpoint.Name())
 		usable += slots
@@ -74,6 +74,8 @@
 		case slots == 0:
 		case c.leaving.has(endpoint.Name()):
 			leaving++
+		case c.spare.has(endpoint.Name(), now):
+			spared++
 		case c.ledger.Free(endpoint.Name(), open.request.Deadline, now) == 0:
 			busy++
 		default:
@@ -89,6 +91,8 @@
 		return "all slots of the host are taken"
 	case skipped > 0:
 		return "earlier requests of the service are served first"
+	case spared > 0:
+		return "endpoints asked to be spared"
 	case leaving > 0:
 		return "all endpoints of the host are leaving"
 	}
@@ -105,7 +109,7 @@
 }
 
 // sendQueued refuses the queued requests of a service that are past their
-// deadline, and sends others while there are free slots.
+// deadline, or will be before an endpoint is free, and sends others while there are free slots.
 func (c *Core) sendQueued(service model.ServiceName, now time.Time) []Decision {
 	state := c.services[service]
 	if state.queue.Len() == 0 {
@@ -115,6 +119,7 @@
 	for _, item := range state.queue.Expire(now) {
 		decisions = append(decisions, c.refuse(c.requests[item.ID], "deadline passed in the queue")...)
 	}
+	decisions = append(decisions, c.refuseSpared(service, now)...)
 	for c.hasFreeSlot(service, now) {
 		var candidates []model.Endpoint
 		item, found := state.queue.Pop(func(id RequestID) bool {
@@ -134,7 +139,7 @@
 // as the deadline, because the earliest deadline fits the most borrowed slots.
 func (c *Core) hasFreeSlot(service model.ServiceName, now time.Time) bool {
 	return slices.ContainsFunc(c.deployment.EndpointsOf(service), func(endpoint model.Endpoint) bool {
-		return !c.leaving.has(endpoint.Name()) && c.ledger.Free(endpoint.Name(), now, now) > 0
+		return c.accepts(endpoint.Name(), now) && c.ledger.Free(endpoint.Name(), now, now) > 0
 	})
 }
 
--- a/place/baseline.go
+++ b/place/baseline.go
@@ -11,11 +11,11 @@
 const baselineAttempts = 2
 
 // sendBaseline sends a request in a baseline mode (round robin or random): to
-// the next or a random endpoint that is not leaving, without shares, scores and
+// the next or a random endpoint that is neither leaving nor spared, without shares, scores and
 // hedges. The first attempt of an idempotent request times out after half of the
 // remaining time, so a retry still fits.
 func (c *Core) sendBaseline(open *openRequest, now time.Time) []Decision {
-	endpoint, found := c.chooseBaseline(open.request.Service)
+	endpoint, found := c.chooseBaseline(open.request.Service, now)
 	if !found || open.attempts >= baselineAttempts {
 		return c.refuse(open, "no endpoint took the request")
 	}
@@ -35,9 +35,10 @@
 	}}
 }
 
-// chooseBaseline returns the next or a random endpoint that is not leaving. It
+// chooseBaseline returns the next or a random endpoint that is neither
+// leaving nor spared. It
 // reports false if there is none.
-func (c *Core) chooseBaseline(service model.ServiceName) (model.Endpoint, bool) {
+func (c *Core) chooseBaseline(service model.ServiceName, now time.Time) (model.Endpoint, bool) {
 	endpoints := c.deployment.EndpointsOf(service)
 	state := c.services[service]
 	if c.mode == config.Random && len(endpoints) > 0 {
@@ -46,7 +47,7 @@
 	for range endpoints {
 		endpoint := endpoints[state.nextIndex%len(endpoints)]
 		state.nextIndex++
-		if !c.leaving.has(endpoint.Name()) {
+		if c.accepts(endpoint.Name(), now) {
 			return endpoint, true
 		}
 	}
--- a/place/core.go
+++ b/place/core.go
@@ -42,6 +42,7 @@
 	// removed at its reportDeadline at the latest.
 	attempts     map[AttemptID]*attemptState
 	leaving      *leavingSet
+	spare        spareTimes
 	lastAttempt  AttemptID
 	loanRequests *loanRequests
 }
@@ -135,6 +136,7 @@
 		requests:     make(map[RequestID]*openRequest),
 		attempts:     make(map[AttemptID]*attemptState),
 		leaving:      newLeavingSet(),
+		spare:        make(spareTimes),
 		loanRequests: newLoanRequests(),
 	}
 	for _, option := range options {
@@ -155,6 +157,7 @@
 	var decisions []Decision
 	c.ledger.Expire(now)
 	c.expireRetryCredit(now)
+	c.spare.expire(now)
 	if !now.Before(c.recheckAt) {
 		c.recheckAt = time.Time{}
 	}
--- a/place/events.go
+++ b/place/events.go
@@ -69,6 +69,9 @@
 	Result  Result    `cbor:"result"`
 	// Leaving is true if the upstream reported that it accepts no more requests.
 	Leaving bool `cbor:"leaving"`
+	// SpareFor is the time for which the upstream, which did not start the request, asked
+	// to get no further one from this host, or 0.
+	SpareFor time.Duration `cbor:"spareFor,omitempty" json:",omitempty"`
 	// Progress is true if the attempt passed bytes of an export on to the
 	// caller. The next attempt resumes after them.
 	Progress bool `cbor:"progress"`
--- a/place/finish.go
+++ b/place/finish.go
@@ -25,6 +25,7 @@
 	if event.Leaving {
 		c.leaving.mark(attempt.endpoint, "")
 	}
+	c.spare.add(attempt.endpoint, event.SpareFor, now)
 	c.recordResult(attempt, event.Result, now)
 	open, exists := c.requests[attempt.request]
 	if !exists || attempt.isCancelled {
@@ -170,6 +171,9 @@
 		isQueued = isQueued || state.queue.Len() > 0
 	}
 	if isQueued {
+		for _, until := range c.spare {
+			include(until)
+		}
 		include(c.recheckAt)
 	}
 	if isQueued || c.ledger.HasPendingRelease() {
--- a/place/invariants_test.go
+++ b/place/invariants_test.go
@@ -27,6 +27,8 @@
 	inFlight, running map[place.AttemptID]place.Send
 	requests          map[place.RequestID]*trackedRequest
 	leaving           map[model.EndpointName]bool
+	// sparedUntil holds the ends of the times for which endpoints asked to get no request.
+	sparedUntil map[model.EndpointName]time.Time
 	// These count requests and attempts by service.
 	arrivals, hedges, retries, moved map[model.ServiceName]int
 }
@@ -45,7 +47,8 @@
 		t: t, core: core, now: now,
 		inFlight: make(map[place.AttemptID]place.Send), running: make(map[place.AttemptID]place.Send),
 		requests: make(map[place.RequestID]*trackedRequest), leaving: make(map[model.EndpointName]bool),
-		arrivals: count(), hedges: count(), retries: count(), moved: count(),
+		sparedUntil: make(map[model.EndpointName]time.Time),
+		arrivals:    count(), hedges: count(), retries: count(), moved: count(),
 	}
 }
 
@@ -84,6 +87,9 @@
 	if c.leaving[send.Endpoint] {
 		c.t.Fatalf("leaving endpoint %s got attempt %d", send.Endpoint, send.Attempt)
 	}
+	if c.now.Before(c.sparedUntil[send.Endpoint]) {
+		c.t.Fatalf("spared endpoint %s got attempt %d", send.Endpoint, send.Attempt)
+	}
 	if !c.now.Before(send.Deadline) {
 		c.t.Fatalf("attempt %d was sent at its deadline", send.Attempt)
 	}
@@ -116,7 +122,7 @@
 // reportEnd reports the end of an attempt. After Lost the upstream executes the
 // request until the deadline by its own clock, which may be 1 s behind that of the
 // host.
-func (c *checker) reportEnd(send place.Send, result place.Result, isLeaving bool) {
+func (c *checker) reportEnd(send place.Send, result place.Result, isLeaving bool, spareFor time.Duration) {
 	delete(c.inFlight, send.Attempt)
 	if result != place.Lost {
 		delete(c.running, send.Attempt)
@@ -127,7 +133,10 @@
 	if isLeaving {
 		c.leaving[send.Endpoint] = true
 	}
-	c.apply(place.Finished{Attempt: send.Attempt, Result: result, Leaving: isLeaving})
+	if until := c.now.Add(spareFor); until.After(c.sparedUntil[send.Endpoint]) {
+		c.sparedUntil[send.Endpoint] = until
+	}
+	c.apply(place.Finished{Attempt: send.Attempt, Result: result, Leaving: isLeaving, SpareFor: spareFor})
 }
 
 // inFlightInOrder returns the attempts whose end has not been reported, in order.
@@ -159,7 +168,7 @@
 	}})
 }
 
-// Guards against a new attempt at a leaving endpoint, two requests on one slot,
+// Guards against a new attempt at a leaving or spared endpoint, two requests on one slot,
 // a submit that runs twice, notRun without proof, hedges and retries above
 // their budgets, shifts above the cap, a request that ends twice or never, a
 // NextTick in the past, and an idle core that still needs a tick.
@@ -173,7 +182,7 @@
 			c.arrive("view", "a", 1<<63, time.Second)
 			c.advance(10 * time.Millisecond)
 			for _, send := range c.inFlightInOrder() {
-				c.reportEnd(send, place.Succeeded, false)
+				c.reportEnd(send, place.Succeeded, false, 0)
 			}
 		}
 		drawAttempt := func() (place.Send, bool) {
@@ -197,14 +206,19 @@
 			"report": func(t *rapid.T) {
 				if send, exists := drawAttempt(); exists {
 					result := rapid.SampledFrom([]place.Result{place.Succeeded, place.NotStarted, place.Failed, place.Lost}).Draw(t, "result")
-					c.reportEnd(send, result, result == place.NotStarted && rapid.Bool().Draw(t, "leaving"))
+					isRefused := result == place.NotStarted
+					spareFor := time.Duration(rapid.IntRange(0, 30).Draw(t, "spareFor")) * 100 * time.Millisecond
+					if !isRefused || rapid.Bool().Draw(t, "isPlain") {
+						spareFor = 0
+					}
+					c.reportEnd(send, result, isRefused && rapid.Bool().Draw(t, "leaving"), spareFor)
 				}
 			},
 			"storm": func(*rapid.T) {
 				for range 10 {
 					c.arrive("desk", "a", 1<<63, time.Second)
 					for _, send := range c.inFlightInOrder() {
-						c.reportEnd(send, place.NotStarted, false)
+						c.reportEnd(send, place.NotStarted, false, 0)
 					}
 				}
 			},
@@ -223,6 +237,7 @@
 			"unmark": func(t *rapid.T) {
 				name := endpoint.Draw(t, "endpoint").Name()
 				delete(c.leaving, name)
+				delete(c.sparedUntil, name)
 				c.apply(place.Unmarked{Endpoint: name, Incarnation: fmt.Sprint("new", nextIncarnation())})
 			},
 			"pass": func(t *rapid.T) { c.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
--- a/place/leaving.go
+++ b/place/leaving.go
@@ -56,6 +56,7 @@
 // unmark makes an endpoint available again. Its new incarnation has cold caches,
 // so it gets a slow start.
 func (c *Core) unmark(event Unmarked) {
+	delete(c.spare, event.Endpoint)
 	if !c.leaving.unmark(event.Endpoint, event.Incarnation) || c.deployment == nil {
 		return
 	}
--- a/place/loans.go
+++ b/place/loans.go
@@ -61,7 +61,7 @@
 	for _, endpoint := range c.deployment.EndpointsOf(request.Service) {
 		name := endpoint.Name()
 		isWanted := slices.Contains(regions, c.deployment.RegionOf(endpoint.Zone()))
-		if !isWanted || c.leaving.has(name) || c.tracker.IsFailing(name, now) || now.Before(c.loanRequests.nextAt[name]) {
+		if !isWanted || !c.accepts(name, now) || c.tracker.IsFailing(name, now) || now.Before(c.loanRequests.nextAt[name]) {
 			continue
 		}
 		if owners := c.ledger.OtherOwners(name); len(owners) > 0 {
--- a/place/route.go
+++ b/place/route.go
@@ -77,7 +77,7 @@
 func (c *Core) canSendTo(request Request, region model.RegionName, now time.Time) bool {
 	for _, endpoint := range c.deployment.EndpointsOf(request.Service) {
 		name := endpoint.Name()
-		if c.deployment.RegionOf(endpoint.Zone()) == region && !c.leaving.has(name) &&
+		if c.deployment.RegionOf(endpoint.Zone()) == region && c.accepts(name, now) &&
 			!c.tracker.IsFailing(name, now) && c.ledger.Free(name, request.Deadline, now) > 0 {
 			return true
 		}
@@ -86,11 +86,11 @@
 }
 
 // isServing reports whether a region has an endpoint that this host may use and
-// that is neither leaving nor failing.
+// that is neither leaving, spared nor failing.
 func (c *Core) isServing(service model.ServiceName, region model.RegionName, now time.Time) bool {
 	for _, endpoint := range c.deployment.EndpointsOf(service) {
 		if c.deployment.RegionOf(endpoint.Zone()) == region && c.ledger.Usable(endpoint.Name()) > 0 &&
-			!c.leaving.has(endpoint.Name()) && !c.tracker.IsFailing(endpoint.Name(), now) {
+			c.accepts(endpoint.Name(), now) && !c.tracker.IsFailing(endpoint.Name(), now) {
 			return true
 		}
 	}
@@ -98,7 +98,7 @@
 }
 
 // isReachable reports whether a region has an endpoint that this host may use and
-// that is not leaving, even if the endpoint is failing.
+// that is not leaving, even if the endpoint is spared or failing.
 func (c *Core) isReachable(service model.ServiceName, region model.RegionName) bool {
 	for _, endpoint := range c.deployment.EndpointsOf(service) {
 		if c.deployment.RegionOf(endpoint.Zone()) == region && c.ledger.Usable(endpoint.Name()) > 0 && !c.leaving.has(endpoint.Name()) {
--- a/place/send.go
+++ b/place/send.go
@@ -27,11 +27,11 @@
 	return c.avoidStragglers(open, c.preferHealthy(free, now), now)
 }
 
-// withFreeSlot returns the endpoints in the region of a request that are not
-// leaving and have a slot that the request can take.
+// withFreeSlot returns the endpoints in the region of a request that are neither
+// leaving nor spared, and have a slot that the request can take.
 func (c *Core) withFreeSlot(open *openRequest, now time.Time) []model.Endpoint {
 	return slices.DeleteFunc(slices.Clone(c.inRegion(open)), func(endpoint model.Endpoint) bool {
-		return c.leaving.has(endpoint.Name()) || c.ledger.Free(endpoint.Name(), open.request.Deadline, now) == 0
+		return !c.accepts(endpoint.Name(), now) || c.ledger.Free(endpoint.Name(), open.request.Deadline, now) == 0
 	})
 }
 
--- a/place/stragglers.go
+++ b/place/stragglers.go
@@ -33,13 +33,13 @@
 	return nil
 }
 
-// fastSlots counts the usable slots of endpoints that are neither leaving, failing
-// nor stragglers.
+// fastSlots counts the usable slots of endpoints that are neither leaving, spared,
+// failing nor stragglers.
 func (c *Core) fastSlots(open *openRequest, now time.Time) int {
 	slots := 0
 	for _, endpoint := range c.inRegion(open) {
 		name := endpoint.Name()
-		if !c.leaving.has(name) && !c.tracker.IsFailing(name, now) && !c.tracker.IsStraggling(name, now) {
+		if c.accepts(name, now) && !c.tracker.IsFailing(name, now) && !c.tracker.IsStraggling(name, now) {
 			slots += c.ledger.Usable(name)
 		}
 	}
--- a/upstrm/client.go
+++ b/upstrm/client.go
@@ -28,6 +28,9 @@
 	// LeavingHeader is set by an upstream that is leaving: it accepts no new
 	// requests.
 	LeavingHeader = "Upstream-Leaving"
+	// retryAfterHeader is set by an upstream that did not start a request, and wants no
+	// further one from this host for a number of seconds.
+	retryAfterHeader = "Retry-After"
 )
 
 // Request is one request to an endpoint.
@@ -59,6 +62,8 @@
 type NotStartedError struct {
 	reason  string
 	leaving bool
+	// spareFor is the time for which the upstream asked to get no request.
+	spareFor time.Duration
 }
 
 // Error implements error.
@@ -67,6 +72,9 @@
 // Leaving reports whether the upstream reported that it is leaving.
 func (e *NotStartedError) Leaving() bool { return e.leaving }
 
+// SpareFor returns the time for which the upstream asked to get no further request, or 0.
+func (e *NotStartedError) SpareFor() time.Duration { return e.spareFor }
+
 // Client sends requests to upstream endpoints.
 type Client struct {
 	options    Options
@@ -178,7 +186,7 @@
 		// A faulty upstream may repeat a refusal, and responses have no id: the next
 		// request on the connection would get it as its response.
 		attempt.closeConnections()
-		return nil, &NotStartedError{reason: "upstream said so", leaving: leaving}
+		return nil, newRefusal(response.Header, leaving)
 	}
 	if !isFramed(request.Method, response) {
 		_ = response.Body.Close()
@@ -193,6 +201,16 @@
 	}, nil
 }
 
+// newRefusal returns the error for the refusal of an upstream that did not start the
+// request.
+func newRefusal(header http.Header, leaving bool) *NotStartedError {
+	refusal := &NotStartedError{reason: "upstream said so", leaving: leaving, spareFor: model.ParseRetryAfter(header.Get(retryAfterHeader))}
+	if refusal.spareFor > 0 {
+		refusal.reason += fmt.Sprintf(", and asks to be spared for %s", refusal.spareFor)
+	}
+	return refusal
+}
+
 // wrapBody returns the body of a response with a progress timeout, and paces it if
 // the request is an export. The body of a submit has no timeout but that of ctx: its
 // response is stored even if it is late; see headerTimeout.
