--- a/proxy/held_again_test.go
+++ b/proxy/held_again_test.go
@@ -138,23 +138,29 @@
 // for 10 s.
 func playHeldAndAnswered(t *testing.T, hosts, per10s int) {
 	for _, holdTime := range []int{60, 63, 66, 69} {
-		t.Run(fmt.Sprintf("%d hosts, %d in 10 s, held for %d s", hosts, per10s, holdTime), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				p := newHeldPlay(hosts)
-				for second := range holdTime {
-					p.second(p.cores, requestsIn(second, per10s))
-				}
-				p.continueEndpoints()
-				count := p.held
-				for second := range 10 {
-					count += p.second(p.cores, requestsIn(holdTime+second, per10s))
-				}
-				p.assertWithinLimit(t, count, hosts*per10s)
-			})
-		})
+		playHeldFor(t, hosts, per10s, holdTime)
 	}
 }
 
+// playHeldFor plays endpoints that hold retries for a number of seconds and then answer for
+// 10 s.
+func playHeldFor(t *testing.T, hosts, per10s, holdTime int) {
+	t.Run(fmt.Sprintf("%d hosts, %d in 10 s, held for %d s", hosts, per10s, holdTime), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := newHeldPlay(hosts)
+			for second := range holdTime {
+				p.second(p.cores, requestsIn(second, per10s))
+			}
+			p.continueEndpoints()
+			count := p.held
+			for second := range 10 {
+				count += p.second(p.cores, requestsIn(holdTime+second, per10s))
+			}
+			p.assertWithinLimit(t, count, hosts*per10s)
+		})
+	})
+}
+
 // Guards against hosts that exceed the retry limit together because they are started again
 // several times while endpoints hold what they sent before each start.
 func TestHostsRestartedInSeriesWithHeldRetries(t *testing.T) {
