--- a/proxy/held_again_test.go
+++ b/proxy/held_again_test.go
@@ -21,12 +21,14 @@
 	// cores are those of the hosts.
 	cores []*Core
 	held  int
+	// timeout is how long a host waits for the response to a retry.
+	timeout time.Duration
 	// continued is closed when the endpoints continue.
 	continued chan struct{}
 }
 
 func newHeldPlay(hosts int) *heldPlay {
-	p := &heldPlay{limit: RetryLimit{Ratio: 0.2, Slack: 60}, continued: make(chan struct{})}
+	p := &heldPlay{limit: RetryLimit{Ratio: 0.2, Slack: 60}, timeout: 3 * time.Second, continued: make(chan struct{})}
 	p.cores = newRetryCores(hosts, p.limit)
 	setAlive(p.cores, hosts, time.Second)
 	fillBudgets(p.cores)
@@ -80,9 +82,8 @@
 
 // endHeld ends a retry at its deadline, or when its endpoint continues and answers it.
 func (p *heldPlay) endHeld(core *Core, attempt attemptEnd) {
-	const timeout = 3 * time.Second
 	select {
-	case <-time.After(timeout):
+	case <-time.After(p.timeout):
 		attempt.result = steer.TimedOut
 	case <-p.continued:
 		attempt.result = steer.Answered
