Count the wait for retries of earlier runs by the monotonic clock

What callers would see: no retries at a host for an hour, if it was started twice in two minutes and its clock is then set back by an hour.

Cause: the end of the wait was derived from the time in the host's row, which has no monotonic reading.

Evidence: TestEarlierRunDelayIsIndependentOfClockSteps failed.

Change: the rest of the wait is added to the current time. The test passes.

--- a/proxy/earlier_run.go
+++ b/proxy/earlier_run.go
@@ -15,16 +15,13 @@
 // current one; those of the run before it may still arrive until earlierRetryTime after the
 // earlier run started.
 func (r EarlierRun) retriesFrom(now time.Time) time.Time {
-	startedAt := r.StartedAt
-	if startedAt.After(now) {
-		// The clock was set back.
-		startedAt = now
-	}
-	until := startedAt.Add(earlierRetryTime)
-	if r.IsFirst || !now.Before(until) {
+	// The clock may have been set back since then.
+	sinceStart := max(0, now.Sub(r.StartedAt))
+	if r.IsFirst || sinceStart >= earlierRetryTime {
 		return time.Time{}
 	}
-	return until
+	// Times of the row have no monotonic reading, so the result is not derived from them.
+	return now.Add(earlierRetryTime - sinceStart)
 }
 
 // SetEarlierRun tells the core which run of the host was before the current one. It returns
