Send no retries before the earlier runs of the host are known

What callers saw: 10 hosts are all started again while endpoints hold retries and the store is away: 90 retries arrive where 80 are allowed, 660 of 460 (20 a second, five starts).

Cause: a host that had not read its row acted as if there had been one earlier run.

Evidence: TestHostsRestartedInSeriesWhileStoreIsAway failed with these figures.

Change: a host sends no retries until it has created its row or got the one of its earlier run, for two minutes at most. A row of this run, whose creation seemed to fail, counts as that of a first run.

After: the test passes. Price: a host that starts while the store does not answer sends no retries until it does.

--- a/node/registration.go
+++ b/node/registration.go
@@ -110,6 +110,7 @@
 	switch {
 	case err == nil:
 		own.isEarlierRunKnown, own.isFirstRun = true, true
+		n.core.SetFirstRun()
 		return nil
 	case errors.As(err, &exists):
 		own.isEarlierRunKnown, own.isFirstRun = true, n.learnEarlierRun(exists.Value)
@@ -126,7 +127,8 @@
 		n.log.Warn("row of this host from an earlier run not decoded", "error", err)
 	}
 	if earlier.Incarnation == n.incarnation {
-		return earlier.IsFirstRun
+		n.core.SetFirstRun()
+		return true
 	}
 	run := proxy.EarlierRun{StartedAt: time.UnixMilli(earlier.Incarnation), IsFirst: earlier.IsFirstRun}
 	if until := n.core.SetEarlierRun(run); !until.IsZero() {
--- a/proxy/budget_test.go
+++ b/proxy/budget_test.go
@@ -54,10 +54,12 @@
 // before its start.
 func skipEarlierRetryTime(core *Core) {
 	core.retryHosts.earlierRetriesUntil, core.retryHosts.mayHaveEarlierRetries = time.Time{}, false
+	core.retriesFrom = time.Time{}
 	core.limitBursts(time.Now())
 }
 
-// startRetryCores returns the cores of hosts that have just been started.
+// startRetryCores returns the cores of hosts that have just been started and do not know
+// whether they ran before.
 func startRetryCores(hosts int, limit RetryLimit) []*Core {
 	var cores []*Core
 	for range hosts {
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -27,7 +27,7 @@
 	retryLimit RetryLimit
 	retryHosts sharingHosts
 	// retriesFrom is the time from which retries may be sent, or zero. Those of several
-	// earlier runs of the host may arrive until then.
+	// earlier runs of the host may arrive until then, or the host does not know its runs.
 	retriesFrom time.Time
 	// retryUses counts what was done with the credit of each service.
 	retryUses map[model.ServiceName]*retryUse
@@ -70,6 +70,7 @@
 		retryLimit: retryLimit, retryHosts: newSharingHosts(time.Now()),
 		retryUses: make(map[model.ServiceName]*retryUse), requestRates: make(map[model.ServiceName]*requestRate), retriesInFlight: make(map[model.ServiceName]int),
 		unanswered: make(map[model.ServiceName][]unansweredRetry), peerRetries: newPeerRetries(),
+		retriesFrom: time.Now().Add(earlierRetryTime),
 	}
 }
 
--- a/proxy/earlier_run.go
+++ b/proxy/earlier_run.go
@@ -32,3 +32,11 @@
 	c.retriesFrom = run.retriesFrom(time.Now())
 	return c.retriesFrom
 }
+
+// SetFirstRun tells the core that the host did not run before. Until it knows that, or its
+// earlier run, it sends no retries, for earlierRetryTime at most.
+func (c *Core) SetFirstRun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retriesFrom = time.Time{}
+}
--- a/proxy/ended_endpoint_test.go
+++ b/proxy/ended_endpoint_test.go
@@ -43,6 +43,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				core := startRetryCores(1, RetryLimit{Ratio: 0.2, Slack: 60})[0]
+				core.SetFirstRun()
 				core.ApplyEntry(entry)
 				for !core.request() {
 				}
