Tell other hosts of retries in flight beyond what is allowed

What callers saw: requests move between groups of hosts every 4 s while endpoints hold retries: 144 arrive where 140 are allowed (timeout of 8 s), 170 of 140 (20 s).

Cause: load reports told only of retries that had ended.

Evidence: TestRetriesInFlightWhileRequestsMoveBetweenHosts failed with these figures.

Change: the news contain the retries in flight as well, if some retries ended without an answer, or if the recent requests no longer allow as many as are outstanding. In quiet times there are still no news.

After: the test passes.

--- a/proxy/peer_retries.go
+++ b/proxy/peer_retries.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"filberthold/member"
@@ -67,15 +66,18 @@
 	return count
 }
 
-// RetryNews returns what the other hosts should learn of the retries of this host.
+// RetryNews returns what the other hosts should learn of the retries of this host: those that
+// ended without an answer, and those in flight as soon as they exceed what the host may have.
 func (c *Core) RetryNews() []steer.RetryNews {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	var news []steer.RetryNews
-	for _, service := range slices.Sorted(maps.Keys(c.unanswered)) {
-		if excess := len(c.unanswered[service]) - c.retryBurst(now); excess > 0 {
-			news = append(news, steer.RetryNews{Service: service, Excess: excess, Earned: min(excess, c.earnedRetries(service, now))})
+	for _, service := range c.services {
+		excess := c.outstandingRetries(service) - c.retryBurst(now)
+		earned := c.earnedRetries(service, now)
+		if excess > 0 && (len(c.unanswered[service]) > 0 || excess > earned) {
+			news = append(news, steer.RetryNews{Service: service, Excess: excess, Earned: min(excess, earned)})
 		}
 	}
 	return news
--- a/steer/retries.go
+++ b/steer/retries.go
@@ -7,9 +7,8 @@
 	"filberthold/model"
 )
 
-// RetryNews tells other hosts how many retries to a service this host has sent that ended
-// without an answer and may still arrive. It is sent only if they exceed the host's part of
-// the slack of the retry limit.
+// RetryNews tells other hosts how many retries to a service this host has sent that may still
+// arrive, if they exceed its part of the slack of the retry limit.
 type RetryNews struct {
 	Service model.ServiceName `cbor:"1,keyasint"`
 	// Excess is the number of these retries beyond the host's part of the slack.
