Count all retries that may have been held where hosts outnumber the slack

What callers saw: 120 to 680 hosts with 12 requests in 10 s each, endpoints hold retries for 9 s: 360 arrive where 348 are allowed, 2040 of 1692. And hosts that are all started again once, with runs of 13 s: 360 of 300 (120 hosts), 585 of 450 (195).

Cause: counted a retry for another window only if it had been held for over 10 s, and had ended. A host earns the next one in less, and one that is still in flight arrives as well.

Evidence: TestRetriesHeldShortlyAtMoreHostsThanSlack and TestHostsRestartedOnceAtMoreHostsThanSlack failed with these figures.

Change: where hosts outnumber the slack, each retry that arrives after it ended without an answer, or that is answered after more than a second, counts for 10 s more. Smaller fleets are not concerned any more, also not in the two minutes after a start, in which their slack is reserved.

After: both tests pass.

--- a/proxy/unanswered.go
+++ b/proxy/unanswered.go
@@ -8,6 +8,9 @@
 	"filberthold/steer"
 )
 
+// slowRetryTime is the time after which a retry that is answered may have been held.
+const slowRetryTime = time.Second
+
 // unansweredRetry is a retry that has ended without an answer, or a first attempt on a broken
 // connection whose retry has arrived. It may still arrive, at the same time as others, so it
 // takes the place of the credit of one.
@@ -18,15 +21,11 @@
 	sentAt      time.Time
 	// until is the time from which it can no longer arrive, or no longer counts.
 	until time.Time
-	// hasArrived is true if it counts although it has arrived. It then came late, together
-	// with retries of requests after it.
+	// hasArrived is true if it counts although it has arrived, together with retries of
+	// later requests.
 	hasArrived bool
 }
 
-// arrivesLate reports whether a retry that arrives now was held for so long that another one
-// was earned meanwhile.
-func (r unansweredRetry) arrivesLate(now time.Time) bool { return now.Sub(r.sentAt) > creditTime }
-
 // attemptEnd is the end of an attempt.
 type attemptEnd struct {
 	endpoint    model.EndpointName
@@ -145,21 +144,29 @@
 }
 
 // withoutSettled returns the retries that may still arrive after the end of an attempt, and
-// those that count although they have arrived. Without a burst, a host may have a late retry,
-// the credit of one that it earned meanwhile, and earn another, all in one window of the
-// limit. The late one takes the place of the next one then.
+// those that count although they have arrived.
 func (c *Core) withoutSettled(retries []unansweredRetry, attempt attemptEnd, now time.Time) []unansweredRetry {
-	countsLate := attempt.isAnswered() && c.retryBurst(now) == 0
+	countsArrived := attempt.isAnswered() && c.isCrowded()
 	for i := range retries {
-		if countsLate && attempt.settles(retries[i]) && retries[i].arrivesLate(now) {
+		if countsArrived && attempt.settles(retries[i]) {
 			retries[i].hasArrived, retries[i].until = true, now.Add(creditTime)
 		}
 	}
-	return slices.DeleteFunc(retries, func(retry unansweredRetry) bool {
+	retries = slices.DeleteFunc(retries, func(retry unansweredRetry) bool {
 		return attempt.settles(retry) || !now.Before(retry.until)
 	})
+	if countsArrived && attempt.isRetry && now.Sub(attempt.sentAt) > slowRetryTime {
+		retries = append(retries, unansweredRetry{endpoint: attempt.endpoint, sentAt: attempt.sentAt, until: now.Add(creditTime), hasArrived: true})
+	}
+	return retries
 }
 
+// isCrowded reports whether hosts outnumber the slack of the retry limit. A host may then have
+// a retry that arrives now, the credit of one that it earned while that was held, and earn
+// another, all in one window of the limit, where there is room for two only. The first one
+// therefore counts for the time of a window after its arrival.
+func (c *Core) isCrowded() bool { return c.retryLimit.burst(c.retryHosts.count) == 0 }
+
 // dropEndedRetries drops the retries to earlier incarnations of an endpoint, which cannot
 // arrive any more. The removal of an entry does not show that: the store removes that of an
 // endpoint that is stopped, too.
