Write the row of a host on the version that it has read

What could happen: a write of an earlier run that the store performs some seconds late replaced the row of the later run, so that the run after it knew a wrong earlier run. A row that could not be decoded counted as one of long ago. Both let a host retry beside retries of earlier runs.

Cause: the row was written over an earlier one without a condition, and a row without a start had the start 0.

Change: the host replaces the row only at the version that the refused creation returned. A row that cannot be decoded counts as that of a run which started just before and was not the first.

TestHostLearnsOfItsEarlierRuns checks whether retries are allowed and not only the line. TestHostWithUnknownEarlierRunSendsNoRetries failed before for rows that are valid JSON.

--- a/node/registration.go
+++ b/node/registration.go
@@ -30,8 +30,10 @@
 	isWritten bool
 	// era is the era of the store in which the row was last written, or tried to be.
 	era uint64
-	// isFirstRun is true if the host had no row before this run.
+	// isFirstRun is true if the host had no row before this run. Otherwise earlier was its
+	// row.
 	isFirstRun bool
+	earlier    hostRow
 	// isEarlierRunKnown is true once the store has told whether there was an earlier run.
 	isEarlierRunKnown bool
 }
@@ -101,41 +103,67 @@
 	if own.isEarlierRunKnown {
 		return n.putRow(ctx, own)
 	}
-	value, err := n.encodeRow(true)
-	if err != nil {
-		return err
-	}
-	err = n.store.Create(ctx, platform.HostTable, string(n.settings.Host), value)
-	var exists *platform.RowExistsError
+	err := n.replaceRow(ctx, true, 0)
+	var changed *platform.RowChangedError
 	switch {
 	case err == nil:
 		own.isEarlierRunKnown, own.isFirstRun = true, true
 		n.core.SetFirstRun()
 		return nil
-	case errors.As(err, &exists):
-		own.isEarlierRunKnown, own.isFirstRun = true, n.learnEarlierRun(exists.Value)
-		return n.putRow(ctx, own)
+	case !errors.As(err, &changed):
+		return fmt.Errorf("create row: %w", err)
 	}
-	return fmt.Errorf("create row: %w", err)
+	earlier := n.decodeRow(changed.Value)
+	if earlier.Incarnation == n.incarnation {
+		// The response to an earlier try was lost.
+		own.isEarlierRunKnown, own.isFirstRun = true, earlier.IsFirstRun
+		n.learnEarlierRun(own)
+		return nil
+	}
+	own.earlier = earlier
+	if err := n.replaceRow(ctx, false, changed.Number); err != nil {
+		return fmt.Errorf("replace row: %w", err)
+	}
+	own.isEarlierRunKnown = true
+	n.learnEarlierRun(own)
+	return nil
 }
 
-// learnEarlierRun passes what the host's own row tells of an earlier run to the retry limit,
-// and reports whether the row is from this run: the response to its creation was lost.
-func (n *Node) learnEarlierRun(value []byte) (isOwn bool) {
-	var earlier hostRow
-	if err := json.Unmarshal(value, &earlier); err != nil {
+// replaceRow writes this host's row over the one with a number. A write of an earlier run
+// that the store performs late does not replace it.
+func (n *Node) replaceRow(ctx context.Context, isFirstRun bool, number uint64) error {
+	value, err := n.encodeRow(isFirstRun)
+	if err != nil {
+		return err
+	}
+	if err := n.store.Replace(ctx, platform.HostTable, string(n.settings.Host), value, number); err != nil {
+		return fmt.Errorf("write row: %w", err)
+	}
+	return nil
+}
+
+// decodeRow decodes the row of this host. One that cannot be decoded counts as that of a run
+// which started just before this one and was not the first.
+func (n *Node) decodeRow(value []byte) hostRow {
+	var row hostRow
+	if err := json.Unmarshal(value, &row); err != nil || row.Incarnation <= 0 {
 		n.log.Warn("row of this host from an earlier run not decoded", "error", err)
+		return hostRow{Incarnation: n.incarnation - 1}
 	}
-	if earlier.Incarnation == n.incarnation {
+	return row
+}
+
+// learnEarlierRun passes what this host's row told of an earlier run to the retry limit.
+func (n *Node) learnEarlierRun(own *registration) {
+	if own.isFirstRun {
 		n.core.SetFirstRun()
-		return true
+		return
 	}
-	run := proxy.EarlierRun{StartedAt: time.UnixMilli(earlier.Incarnation), IsFirst: earlier.IsFirstRun}
+	run := proxy.EarlierRun{StartedAt: time.UnixMilli(own.earlier.Incarnation), IsFirst: own.earlier.IsFirstRun}
 	if until := n.core.SetEarlierRun(run); !until.IsZero() {
 		n.log.Info("host sends no retries: those of several earlier runs may still arrive",
 			"earlierRunStartedAt", run.StartedAt, "until", until)
 	}
-	return false
 }
 
 // putRow writes this host's row over an earlier one.
--- a/node/registration_test.go
+++ b/node/registration_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"filberthold/platform"
+	"filberthold/proxy"
 
 	"gotest.tools/v3/assert"
 )
@@ -25,6 +28,7 @@
 			row := c.hostRow("h83")
 			return row.Incarnation == host.node.incarnation && row.IsFirstRun == (start == 0)
 		})
+		assert.Equal(t, host.node.core.MaySendRetries(time.Now()), start < 2)
 		host.stop()
 		assert.NilError(t, <-host.done)
 		host.done <- nil
@@ -32,6 +36,21 @@
 	}
 }
 
+// Guards against a host that takes a row which it cannot decode for one of long ago.
+func TestHostWithUnknownEarlierRunSendsNoRetries(t *testing.T) {
+	for i, value := range []string{"no row", "{}", `{"incarnation":-1}`, `{"incarnation":"1"}`} {
+		t.Run(value, func(t *testing.T) {
+			c := startCluster(t)
+			var output syncBuffer
+			c.output = &output
+			c.store.Put(platform.HostTable, fmt.Sprint("h", 85+i), value)
+			host := c.run(85 + i)
+			c.waitFor("the host sends no retries", func() bool { return strings.Contains(output.String(), noRetriesLine) })
+			assert.Assert(t, c.hostRow(string(host.node.settings.Host)).Incarnation == host.node.incarnation)
+		})
+	}
+}
+
 // hostRow returns a host's row in the store, or an empty one.
 func (c *cluster) hostRow(name string) hostRow {
 	c.t.Helper()
@@ -51,7 +70,9 @@
 	n := c.hosts[0].node
 	c.waitFor("the row is written", func() bool { return c.hostRow("h84").Incarnation == n.incarnation })
 	own := new(registration)
+	n.core.SetEarlierRun(proxy.EarlierRun{StartedAt: time.Now()})
 	assert.NilError(t, n.writeRow(t.Context(), own))
+	assert.Assert(t, n.core.MaySendRetries(time.Now()))
 	assert.Assert(t, own.isFirstRun)
 	assert.Assert(t, c.hostRow("h84").IsFirstRun)
 }
--- a/proxy/earlier_run.go
+++ b/proxy/earlier_run.go
@@ -40,3 +40,10 @@
 	defer c.mu.Unlock()
 	c.retriesFrom = time.Time{}
 }
+
+// MaySendRetries reports whether the retries of earlier runs leave room for those of this one.
+func (c *Core) MaySendRetries(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !now.Before(c.retriesFrom)
+}
