--- a/proxy/peer_retries.go
+++ b/proxy/peer_retries.go
@@ -13,6 +13,9 @@
 // continuing. Load reports are at most 2 s apart.
 const peerNewsTime = 5 * time.Second
 
+// maxRetryNews bounds the services in a load report, which must fit into a datagram.
+const maxRetryNews = 32
+
 // peerRetries are the retries that other hosts have sent beyond their parts of the slack and
 // that may still arrive, by the runs of these hosts. A run that has ended is kept until its
 // retries can no longer arrive.
@@ -74,6 +77,9 @@
 	now := time.Now()
 	var news []steer.RetryNews
 	for _, service := range c.services {
+		if len(news) == maxRetryNews {
+			break
+		}
 		excess := c.outstandingRetries(service) - c.retryBurst(now)
 		earned := c.earnedRetries(service, now)
 		if excess > 0 && (len(c.unanswered[service]) > 0 || excess > earned) {
