--- a/steer/steer.go
+++ b/steer/steer.go
@@ -349,9 +349,10 @@
 	if query.hasObject() {
 		executionTime *= affinityFactor(rank)
 	}
-	executionTime *= candidate.currentSlowness(now)
+	slowness := candidate.expectedSlowness(now)
+	executionTime *= slowness
 	queued := max(0, candidate.load(now)+1-float64(candidate.slots))
-	total := executionTime + float64(median)*candidate.currentSlowness(now)*queued/float64(candidate.slots)
+	total := executionTime + float64(median)*slowness*queued/float64(candidate.slots)
 	total /= max(0.05, 1-candidate.failureRate(now))
 	return time.Duration(total) + s.networkDelay(candidate)
 }
