--- a/steer/condition_test.go
+++ b/steer/condition_test.go
@@ -171,3 +171,17 @@
 	assert.Assert(t, !taken[0].IsConfirmation && !taken[1].IsConfirmation && taken[2].IsConfirmation)
 	assert.Equal(t, len(selector.TakeConditions(8, later)), 3)
 }
+
+// Guards against counts that stay for ever because their host, in a fleet that has grown,
+// reports none any more but sends other news in its reports.
+func TestReportWithoutCountsDoesNotExtendThem(t *testing.T) {
+	single := newFixture(0)
+	single.add("only", "za", 0)
+	first, second := single.selector("h1"), single.selector("h2")
+	for i := range 5 {
+		requireSend(t, first.Choose(query(fmt.Sprintf("o-%d", i)), start()))
+	}
+	second.ApplyLoads("h1", first.Loads(false), false, start())
+	second.ApplyLoads("h1", nil, false, start().Add(loadExpiry/2))
+	requireSend(t, second.Choose(query("o"), start().Add(loadExpiry)))
+}
