Tell all hosts of full and slow endpoints along two trees a region

What callers saw: above 60 hosts no host learns of the load that hosts of other regions put on an endpoint, above 120 in a region no host of the region either. At 200 hosts the load reports inside a region took the control traffic over 4 KB a second.

Cause: each host sends its counts to each other one (gossip/intervals.go), so reports must be rare, and then end, as the fleet grows.

Evidence: TestFullEndpointsAreKnownInTime runs the transports and detectors of all hosts in simulated time.

Change: in fleets of more than 60 hosts each host tells the two relays of its region which endpoints became full, slow or free. The relays, the first and the last host in an order by hash, tell those of the other regions and their own region along a tree; the second tree is the first one in reverse, so no host passes messages on in both. Messages are bounded, changes go first, and each is sent twice. When the list of hosts changes, what was told within 3 s is told again. A host that did not run for more than a second ignores what waited in its socket. Load reports between more than 33 hosts of a region contain no counts any more in such a fleet; limits stay in them. Fleets of up to 60 hosts send what they sent before.

Not measured: the effect on the worth of large sites.

--- a/gossip/bench_test.go
+++ b/gossip/bench_test.go
@@ -84,3 +84,43 @@
 		}
 	}
 }
+
+// BenchmarkTellConditions measures what a host of a large fleet does every conditionInterval
+// while nothing changes.
+func BenchmarkTellConditions(b *testing.B) {
+	for _, count := range []int{70, 200, 700} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			table := member.NewTable("self")
+			for i := range 4 {
+				for _, heartbeat := range regionHosts(fmt.Sprint("r", i), count/4) {
+					heartbeat.IsMonitored = true
+					table.Observe(heartbeat, time.Now())
+				}
+			}
+			transport := newTransport(slog.New(slog.DiscardHandler), netip.AddrPort{}, nil, table, Callbacks{
+				Heartbeat:      func() member.Heartbeat { return member.Heartbeat{Host: "self", Region: "r0"} },
+				TakeConditions: func(int) []steer.EndpointCondition { return nil },
+			})
+			b.ReportAllocs()
+			for b.Loop() {
+				transport.tellConditions()
+			}
+		})
+	}
+}
+
+// BenchmarkBuildTrees measures what a host does when a host is lost.
+func BenchmarkBuildTrees(b *testing.B) {
+	for _, count := range []int{70, 200, 700} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			relay := newConditionRelay("self")
+			relay.own = member.Heartbeat{Host: "self", Region: "r0"}
+			for i := range 4 {
+				relay.others = append(relay.others, regionHosts(fmt.Sprint("r", i), count/4)...)
+			}
+			for b.Loop() {
+				relay.build()
+			}
+		})
+	}
+}
--- a/gossip/intervals.go
+++ b/gossip/intervals.go
@@ -21,8 +21,25 @@
 	// With more hosts a report would be outdated before the next one arrives, so
 	// none are sent.
 	maxLoadReportRounds = 12
+	// maxDirectFleet is the number of hosts, this one included, up to which load reports
+	// are enough: they reach all hosts. In larger fleets conditions of endpoints are told.
+	maxDirectFleet = 60
+	// maxReportedHosts is the number of other hosts of its region up to which a host sends
+	// them load reports although conditions are told. With more, the reports take more
+	// than the traffic that a host may use for control.
+	maxReportedHosts = 32
 )
 
+// tellsConditions reports whether a host tells the conditions of endpoints to a number of
+// other hosts.
+func tellsConditions(others int) bool { return others+1 > maxDirectFleet }
+
+// conditionsReplaceCounts reports whether load reports to the hosts of the own region
+// contain no counts.
+func conditionsReplaceCounts(sameRegion, otherRegions int) bool {
+	return tellsConditions(sameRegion+otherRegions) && sameRegion > maxReportedHosts
+}
+
 // loadReportRounds returns the number of rounds between load reports to a number
 // of hosts, or 0 if none are sent.
 func loadReportRounds(hosts, perRound, minRounds int) int {
--- a/gossip/loads.go
+++ b/gossip/loads.go
@@ -35,7 +35,11 @@
 	}
 	if rounds := loadReportRounds(len(sameRegion), sameRegionPerRound, 1); isDue(round, rounds) {
 		isFull := isFullReportDue(round, rounds)
-		t.sendLoadReport(heartbeat, sameRegion, t.callbacks.Loads(isFull), isFull)
+		loads := t.callbacks.Loads(isFull)
+		if conditionsReplaceCounts(len(sameRegion), len(otherRegions)) {
+			loads, isFull = nil, false
+		}
+		t.sendLoadReport(heartbeat, sameRegion, loads, isFull)
 	}
 	if rounds := loadReportRounds(len(otherRegions), otherRegionsPerRound, minOtherRegionsRounds); isDue(round, rounds) {
 		t.sendLoadReport(heartbeat, otherRegions, t.callbacks.Loads(true), true)
--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -41,6 +41,10 @@
 	Loads func(isFull bool) []steer.Load
 	// ApplyLoads applies the load report of another host.
 	ApplyLoads func(host model.HostName, loads []steer.Load, isFull bool)
+	// TakeConditions returns conditions of endpoints that this host must tell others, at
+	// most a number, and ApplyConditions applies those that another host tells.
+	TakeConditions  func(limit int) []steer.EndpointCondition
+	ApplyConditions func(conditions []steer.EndpointCondition)
 	// IssuePermit answers another host's request for a permit.
 	IssuePermit func(request steer.PermitRequest) steer.Permit
 	// ApplyLimitNews applies what another host knows of an endpoint's limit.
@@ -49,17 +53,26 @@
 	LimitNews func() []steer.LimitNews
 }
 
+// packetConn sends and receives datagrams. It is a *net.UDPConn but in tests.
+type packetConn interface {
+	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(content []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
 // Transport sends and receives heartbeats and load reports. It is safe for
 // concurrent use.
 type Transport struct {
 	log       *slog.Logger
 	port      uint16
-	conn      *net.UDPConn
+	conn      packetConn
 	callbacks Callbacks
 	// address is that of this host, to which it sends no messages.
 	address  netip.Addr
 	mu       sync.Mutex
 	detector *member.Detector
+	// relay passes on the conditions of endpoints.
+	relay *conditionRelay
 	// own is the state of this host at the last tick.
 	own member.Heartbeat
 	// pendingPermits holds the channel for the answer to each permit request that
@@ -78,10 +91,11 @@
 	return newTransport(log, address, conn, table, callbacks), nil
 }
 
-func newTransport(log *slog.Logger, address netip.AddrPort, conn *net.UDPConn, table *member.Table, callbacks Callbacks) *Transport {
+func newTransport(log *slog.Logger, address netip.AddrPort, conn packetConn, table *member.Table, callbacks Callbacks) *Transport {
+	own := callbacks.Heartbeat()
 	return &Transport{
 		log: log, port: address.Port(), conn: conn, callbacks: callbacks, address: address.Addr(), detector: member.NewDetector(table),
-		own: callbacks.Heartbeat(), pendingPermits: make(map[uint64]chan steer.Permit),
+		relay: newConditionRelay(own.Host), own: own, pendingPermits: make(map[uint64]chan steer.Permit),
 	}
 }
 
@@ -121,6 +135,7 @@
 	group.Go(func() error { return t.heartbeatLoop(ctx) })
 	group.Go(func() error { return t.receiveLoop(ctx) })
 	group.Go(func() error { return t.loadReportLoop(ctx) })
+	group.Go(func() error { return t.conditionLoop(ctx) })
 	err := group.Wait()
 	// Wait has cancelled ctx.
 	<-closed
@@ -243,6 +258,9 @@
 	if message.Loads != nil {
 		t.applyLoads(*message.Loads, from)
 	}
+	if message.Conditions != nil {
+		t.applyConditions(*message.Conditions)
+	}
 }
 
 // applyMember applies a message of the failure detection.
--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -124,6 +124,10 @@
 		"beat without a host":           {Beat: &member.Beat{Interval: time.Second}},
 		"beat once a year":              {Beat: &member.Beat{Host: "h", Interval: 365 * 24 * time.Hour}},
 		"suspicion without a sender":    {Suspicion: &member.Suspicion{Hosts: []member.Run{{Host: "h"}}}},
+		"hop is unknown":                {Conditions: &conditionReport{Hop: 9}},
+		"tree is unknown":               {Conditions: &conditionReport{Hop: alongTree, Tree: treeCount}},
+		"conditions are missing":        {Conditions: &conditionReport{Hop: alongTree, Endpoints: []steer.EndpointID{1}}},
+		"too many conditions":           {Conditions: &conditionReport{Hop: alongTree, Endpoints: make([]steer.EndpointID, 99), Conditions: make([]byte, 99)}},
 		"counts are missing":            {Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}}},
 	}
 	for name, message := range messages {
@@ -142,6 +146,9 @@
 	content, err := cbor.Marshal(datagram{Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}, Counts: []byte{2}}})
 	assert.NilError(f, err)
 	f.Add(content)
+	content, err = cbor.Marshal(datagram{Conditions: &conditionReport{Hop: alongTree, Endpoints: []steer.EndpointID{1}, Conditions: []byte{2}}})
+	assert.NilError(f, err)
+	f.Add(content)
 	permit := permitAnswer{ID: 1, Permit: steer.Permit{IsGranted: true, Limit: steer.RateLimit{IsSet: true, PerSecond: 2}}}
 	content, err = cbor.Marshal(datagram{PermitRequest: &permitRequest{ID: 1}, PermitAnswer: &permit})
 	assert.NilError(f, err)
@@ -151,6 +158,9 @@
 		if err == nil && message.Loads != nil && len(message.Loads.Endpoints) != len(message.Loads.Counts) {
 			t.Fatal("invalid message accepted")
 		}
+		if err == nil && message.Conditions != nil && message.Conditions.check() != nil {
+			t.Fatal("invalid conditions accepted")
+		}
 		if err == nil && message.PermitRequest != nil && message.PermitRequest.News.Check() != nil {
 			t.Fatal("invalid permit request accepted")
 		}
