Tell that an endpoint is full only where too many requests wait

What callers would have seen: conditions that arrive late in large fleets under load, because most endpoints change between full and free about once every two seconds.

Cause: an endpoint was full as soon as all slots were taken, which happens all the time at an endpoint that is used well, while at most 48 conditions a second reach all hosts of a region within 4 KB a second.

Change: an endpoint is full if as many requests wait as one host allows (slots + 2), until none waits.

--- a/steer/condition.go
+++ b/steer/condition.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// freeFraction is the load, as a fraction of its slots, below which an endpoint that
-	// was full is free again. Between the two, the load of a busy endpoint varies from one
-	// response to the next.
-	freeFraction = 0.75
 	// slowFrom and usualFrom are the slowness from which an endpoint is slow, and below
 	// which it no longer is. A single long request does not reach slowFrom.
 	slowFrom  = 2.5
@@ -35,7 +31,8 @@
 type Condition uint8
 
 const (
-	// IsFull is set if all slots are taken.
+	// IsFull is set if as many requests wait at the endpoint as a host allows, until none
+	// does. With fewer, the load of a busy endpoint varies from one response to the next.
 	IsFull Condition = 1 << iota
 	// IsSlow is set if responses take much longer than those of the service's other
 	// endpoints.
@@ -129,8 +126,8 @@
 		return
 	}
 	wasFull := e.condition.last()&IsFull != 0
-	isFree := float64(outcome.Busy) < freeFraction*float64(e.slots)
-	e.condition.set(IsFull, outcome.Busy >= e.slots || wasFull && !isFree, now)
+	isOverfull := outcome.Busy >= e.slots+maxEndpointQueue
+	e.condition.set(IsFull, isOverfull || wasFull && outcome.Busy >= e.slots, now)
 }
 
 // toldOthers is the number of other hosts' requests at an endpoint of which hosts tell that
