Merge the conditions of endpoints for large fleets

Load reports without counts are also sent to tell that the retries of a host have ended, up to eight times: in fleets that tell conditions there are no full reports in a region of more than 33 hosts.

--- a/gossip/loads.go
+++ b/gossip/loads.go
@@ -35,7 +35,11 @@
 	}
 	if rounds := loadReportRounds(len(sameRegion), sameRegionPerRound, 1); isDue(round, rounds) {
 		isFull := isFullReportDue(round, rounds)
-		t.sendLoadReport(heartbeat, sameRegion, t.callbacks.Loads(isFull), isFull)
+		loads := t.callbacks.Loads(isFull)
+		if conditionsReplaceCounts(len(sameRegion), len(otherRegions)) {
+			loads, isFull = nil, false
+		}
+		t.sendLoadReport(heartbeat, sameRegion, loads, isFull)
 	}
 	if rounds := loadReportRounds(len(otherRegions), otherRegionsPerRound, minOtherRegionsRounds); isDue(round, rounds) {
 		t.sendLoadReport(heartbeat, otherRegions, t.callbacks.Loads(true), true)
@@ -44,9 +48,16 @@
 
 func (t *Transport) sendLoadReport(heartbeat member.Heartbeat, addresses []netip.Addr, loads []steer.Load, isFull bool) {
 	limits, retries := t.callbacks.LimitNews(), t.callbacks.RetryNews()
-	if len(loads) == 0 && len(limits) == 0 && len(retries) == 0 && !isFull {
+	if len(retries) > 0 {
+		t.endingReports = maxEndingReports
+	}
+	isEnding := len(retries) == 0 && t.endingReports > 0
+	if len(loads) == 0 && len(limits) == 0 && len(retries) == 0 && !isFull && !isEnding {
 		return
 	}
+	if isEnding {
+		t.endingReports--
+	}
 	report := &loadReport{Host: heartbeat.Host, Incarnation: heartbeat.Incarnation, IsFull: isFull, Limits: limits, Retries: retries}
 	for _, load := range loads {
 		report.Endpoints = append(report.Endpoints, load.Endpoint)
