Count only 4 KiB or more as progress of an export

What endpoints saw: one that breaks each response of an export after a few bytes got the next request at once, without a charge, until the deadline: 10,000 requests for 100 kB in parts of ten bytes (by reading; the test's placement stops at 50).

Cause: an attempt that passed on one byte counted as progress, and an attempt with progress costs neither retry credit nor one of the eight attempts of an export.

Change: an attempt makes progress if it passes on place.MinExportProgress bytes, 4 KiB. Other attempts need retry credit and are eight at most, as those without any byte.

--- a/caller/exports.go
+++ b/caller/exports.go
@@ -195,7 +195,7 @@
 	err := c.copy()
 	_ = c.update.opened.Body.Close()
 	close(c.done)
-	c.exchange.sendUpdate(attemptUpdate{attempt: c.update.attempt, leaving: c.update.leaving, progressed: c.next > first, err: err})
+	c.exchange.sendUpdate(attemptUpdate{attempt: c.update.attempt, leaving: c.update.leaving, progressed: c.next-first >= place.MinExportProgress, err: err})
 }
 
 func (c *bodyCopy) copy() error {
--- a/caller/exports_test.go
+++ b/caller/exports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -70,6 +71,25 @@
 	}
 }
 
+// Guards against endpoints that get as many requests as they can break, because each of
+// them passes a few bytes on. Without progress, placement sends an export eight times.
+func TestFewBytesOfExportAreNoProgress(t *testing.T) {
+	for bytes, isProgress := range map[int]bool{1: false, 10: false, place.MinExportProgress - 1: false, place.MinExportProgress: true} {
+		t.Run(fmt.Sprint(bytes, " bytes"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				breaking := fakes.Behaviour{AbortAfterBytes: bytes}
+				h := newHarness(t, model.Export, newExportUpstream(breaking), newExportUpstream(breaking))
+				_, _ = h.call(t.Context(), http.MethodGet, "/s/export/x", nil)
+				synctest.Wait()
+				assert.Assert(t, len(h.progress) > 20)
+				for i, progress := range h.progress[:20] {
+					assert.Equal(t, progress, isProgress, "attempt %d", i)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a resumed response that has the right entity tag and other bytes
 // than the requested range.
 func TestResumedExportMustContinueAtNextByte(t *testing.T) {
--- a/caller/upstream_attempt.go
+++ b/caller/upstream_attempt.go
@@ -31,7 +31,8 @@
 	buffered *bufferedResponse
 	opened   *upstrm.Response
 	leaving  bool
-	// progressed is true if the attempt wrote bytes of an export to the caller.
+	// progressed is true if the attempt wrote place.MinExportProgress bytes of an export
+	// to the caller.
 	progressed bool
 	err        error
 }
--- a/place/core.go
+++ b/place/core.go
@@ -61,8 +61,8 @@
 	request  Request
 	class    model.Class
 	attempts int
-	// progressed counts the attempts of an export that passed bytes on to the
-	// caller.
+	// progressed counts the attempts of an export that made progress, by
+	// Finished.Progress.
 	progressed int
 	inFlight   int
 	// mayHaveRun is true if an attempt has ended or timed out without proof that the
--- a/place/events.go
+++ b/place/events.go
@@ -63,14 +63,19 @@
 	Lost Result = "lost"
 )
 
+// MinExportProgress is the number of bytes that an attempt of an export must pass on to be
+// resumed without a charge. Fewer would let an endpoint that breaks each response get as
+// many requests as it can break.
+const MinExportProgress = 4 << 10
+
 // Finished reports the end of an attempt.
 type Finished struct {
 	Attempt AttemptID `cbor:"attempt"`
 	Result  Result    `cbor:"result"`
 	// Leaving is true if the upstream reported that it accepts no more requests.
 	Leaving bool `cbor:"leaving"`
-	// Progress is true if the attempt passed bytes of an export on to the
-	// caller. The next attempt resumes after them.
+	// Progress is true if the attempt passed at least MinExportProgress bytes of an
+	// export on to the caller. The next attempt resumes after them.
 	Progress bool `cbor:"progress"`
 	// Detail is a short text for logs and records.
 	Detail string `cbor:"detail"`
--- a/place/send.go
+++ b/place/send.go
@@ -92,8 +92,8 @@
 
 // retry sends a request again after an attempt has ended, if the budget, the
 // deadline and the number of attempts allow it. An export that made progress is
-// bounded only by its deadline: the next attempt repeats no work, so it adds no
-// load that the budget has to limit.
+// bounded only by its deadline: the next attempt repeats no work, and
+// MinExportProgress bounds the number of attempts by the size of the export.
 func (c *Core) retry(open *openRequest, detail string, isResumed bool, now time.Time) []Decision {
 	limit := maxAttempts
 	if open.class == model.Export {
