Let a host follow others of its region if the readers deliver nothing

What callers saw: in a deployment with one region, a host without access to the store whose store reader was alive and delivered nothing had no configuration, and no change later, although the other hosts of the region had read the store themselves.

Cause: a follower polls store readers only. Besides its own region's these are those of other regions.

Evidence: TestHostWithUselessReaderFollowsAnotherHost, in simulated time with the sources of member.Sources, failed for all five kinds of reader (silent, trickling, outdated, of an earlier era, with an old version): "0 (uint64) != 2 (uint64)" or "1 (uint64) != 2 (uint64)".

Change: after the readers, Sources names two ready hosts of the region that reach the store, by a hash of both names. They are polled only while no reader may be. With 240 followers no host is named by more than ten (TestStandInsDifferFromHostToHost).

Before: 5 of 5 kinds without a configuration. After: each of 30 configurations is in force within the time to apply it. The tests of member and node pass with and without -race.

--- a/member/reader.go
+++ b/member/reader.go
@@ -99,15 +99,33 @@
 	return min(maxProbeInterval, minProbeInterval*time.Duration(hostsPerProbeStep+preceding)/hostsPerProbeStep)
 }
 
+// maxStandIns bounds the hosts of the own region that Sources returns besides store readers.
+const maxStandIns = 2
+
 // Sources returns the hosts from which a host gets the data of the store, the
 // preferred one first: the store reader of its region, then those of the other
-// regions. The reader of the region itself has no sources.
+// regions, then some other hosts of its region. These read the store themselves if their
+// reader delivers nothing. The reader of the region itself has no sources.
 func Sources(self Heartbeat, others []Heartbeat) []Heartbeat {
 	reader, exists := StoreReader(append(slices.Clone(others), self), self.Region)
 	if exists && reader.Host == self.Host {
 		return nil
 	}
-	return readers(others, self.Region)
+	return append(readers(others, self.Region), standIns(self, others, reader)...)
+}
+
+// standIns returns hosts of the region of a host that can read the store besides the store
+// reader. Which ones differs from host to host, so that many hosts do not ask the same.
+func standIns(self Heartbeat, others []Heartbeat, reader Heartbeat) []Heartbeat {
+	hosts := filter(others, func(host Heartbeat) bool {
+		return host.Region == self.Region && host.IsReady && host.IsStoreReachable && host.Host != reader.Host
+	})
+	ranks := make(map[model.HostName]uint64, len(hosts))
+	for _, host := range hosts {
+		ranks[host.Host] = hashes.Sum(string(self.Host), string(host.Host))
+	}
+	slices.SortFunc(hosts, func(a, b Heartbeat) int { return cmp.Compare(ranks[a.Host], ranks[b.Host]) })
+	return hosts[:min(len(hosts), maxStandIns)]
 }
 
 // Holders returns the hosts from which a host without any data gets that of the store
--- a/member/reader_test.go
+++ b/member/reader_test.go
@@ -46,6 +46,36 @@
 	}
 }
 
+// Guards against a host that follows the same one as all others of its region if their
+// store reader delivers nothing, and against hosts that can tell nothing.
+func TestStandInsDifferFromHostToHost(t *testing.T) {
+	const hosts = 240
+	var others []Heartbeat
+	for i := range hosts {
+		others = append(others, newHeartbeat(fmt.Sprint("h", i), "za", "north"))
+	}
+	reader, _ := StoreReader(others, "north")
+	lost := newHeartbeat("lost", "za", "north")
+	lost.IsStoreReachable = false
+	others = append(others, lost, newHeartbeat("far", "zc", "south"))
+	asked := make(map[model.HostName]int)
+	for i := range hosts {
+		self := newHeartbeat(fmt.Sprint("self", i), "za", "north")
+		self.IsStoreReachable = false
+		sources := Sources(self, others)
+		assert.Equal(t, len(sources), 2+maxStandIns)
+		assert.Equal(t, sources[0].Host, reader.Host)
+		assert.Equal(t, sources[1].Host, model.HostName("far"))
+		for _, source := range sources[2:] {
+			asked[source.Host]++
+		}
+	}
+	assert.Equal(t, asked[reader.Host]+asked["lost"]+asked["far"], 0)
+	for host, count := range asked {
+		assert.Assert(t, count <= 10, "%s is asked by %d hosts", host, count)
+	}
+}
+
 // Guards against a host that starts and hears the hosts that the store names only after
 // the next tick, when it no longer waits for what they know.
 func TestNewAddressesAreContactedAtOnce(t *testing.T) {
--- a/node/slow_source_test.go
+++ b/node/slow_source_test.go
@@ -125,6 +125,30 @@
 	}
 }
 
+// Guards against a host without access to the store whose only store reader is alive and
+// delivers nothing: the other hosts of its region read the store themselves, and have all.
+func TestHostWithUselessReaderFollowsAnotherHost(t *testing.T) {
+	for name, newUseless := range uselessSources() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := newReplicaTest(t)
+				current := rt.newCurrentSource(2)
+				own := member.Heartbeat{Host: "h", Region: "north", IsReady: true}
+				reader := member.Heartbeat{Host: "reader", ControlAddress: "a", Region: "north", IsReady: true, IsStoreReachable: true, LinkMbps: 10}
+				other := member.Heartbeat{Host: "other", ControlAddress: "b", Region: "north", IsReady: true, IsStoreReachable: true}
+				sources := func() []member.Heartbeat { return member.Sources(own, []member.Heartbeat{reader, other}) }
+				rt.followSources(map[string]pollFunc{"a": newUseless(rt), "b": current.poll}, current, sources)
+				for version := 2; version < 8; version++ {
+					time.Sleep(3 * applyTime)
+					current.putConfig(version)
+					time.Sleep(applyTime)
+					assert.Equal(t, rt.configVersion(), uint64(version))
+				}
+			})
+		})
+	}
+}
+
 // Guards against a transfer over a small link that never ends, because other hosts are
 // polled in its place.
 func TestLongTransferIsNotGivenUp(t *testing.T) {
@@ -153,6 +177,12 @@
 	for _, name := range order {
 		sources = append(sources, member.Heartbeat{Host: model.HostName(name), ControlAddress: name})
 	}
+	rt.followSources(polls, announcing, func() []member.Heartbeat { return sources })
+}
+
+// followSources does the same for the hosts that sources returns.
+func (rt *replicaTest) followSources(polls map[string]pollFunc, announcing *currentSource, sources func() []member.Heartbeat) {
+	rt.t.Helper()
 	poll := func(ctx context.Context, address string, operatorAfter, endpointsAfter platform.Version, watched ...string) (relay.Update, error) {
 		return polls[address](ctx, address, operatorAfter, endpointsAfter, watched...)
 	}
@@ -165,5 +195,5 @@
 		}
 		return nil
 	})
-	rt.run(newFollower(log, rt.replica, rt.intervals, func() []member.Heartbeat { return sources }, lags.isBehind, poll).loop)
+	rt.run(newFollower(log, rt.replica, rt.intervals, sources, lags.isBehind, poll).loop)
 }
