--- a/place/events.go
+++ b/place/events.go
@@ -63,6 +63,11 @@
 	Lost Result = "lost"
 )
 
+// MinExportProgress is the number of bytes that an attempt of an export must pass on to be
+// resumed without a charge. Fewer would let an endpoint that breaks each response get as
+// many requests as it can break.
+const MinExportProgress = 4 << 10
+
 // Finished reports the end of an attempt.
 type Finished struct {
 	Attempt AttemptID `cbor:"attempt"`
@@ -72,8 +77,8 @@
 	// SpareFor is the time for which the upstream, which did not start the request, asked
 	// to get no further one from this host, or 0.
 	SpareFor time.Duration `cbor:"spareFor,omitempty" json:",omitempty"`
-	// Progress is true if the attempt passed bytes of an export on to the
-	// caller. The next attempt resumes after them.
+	// Progress is true if the attempt passed at least MinExportProgress bytes of an
+	// export on to the caller. The next attempt resumes after them.
 	Progress bool `cbor:"progress"`
 	// Detail is a short text for logs and records.
 	Detail string `cbor:"detail"`
