Test a cut host's knowledge of its endpoints, and a permit at a stop

TestCutHostHearsItsEndpoints: one host without store and peers sends an endpoint that said so nothing, also after it is in touch again and reads a table that shows the endpoint as usual.

TestStopAnswersRequestThatWaitsForPermit: the request is sent once the permit comes, and refused as not run without one.

--- a/node/leaving_test.go
+++ b/node/leaving_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"filberthold/platform"
+	"filberthold/platform/fake"
 
 	"gotest.tools/v3/assert"
 )
@@ -55,6 +56,42 @@
 	}
 }
 
+// Guards against requests of a host that is cut off from the store and from all other
+// hosts to an endpoint which said that it is leaving, or asked to be spared, and against a
+// table that makes it usable again once the host is in touch.
+func TestCutHostHearsItsEndpoints(t *testing.T) {
+	for name, tell := range map[string]func(endpoint *fake.Endpoint){
+		"leaving": func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) },
+		"spared": func(endpoint *fake.Endpoint) {
+			endpoint.SetBehaviour(fake.Shed)
+			endpoint.SetRetryAfter("60")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t)
+			c.start(49)
+			host := c.hosts[0]
+			c.setStoreAway(true)
+			c.waitFor("store is unreachable", func() bool { return !host.node.reader.isStoreReachable.Load() })
+			tell(c.endpoint)
+			c.status(host, "/v1/x")
+			assert.Equal(t, c.endpoint.RequestCount(), 1)
+			c.endpoint.SetBehaviour(fake.Serve)
+			assert.Equal(t, c.status(host, "/v1/x"), http.StatusServiceUnavailable)
+			c.setStoreAway(false)
+			before := host.node.replica.endpoints.Version()
+			c.store.Put(platform.EndpointTable, "i-1", c.endpoint.Entry("s", "za", "ready", 2))
+			c.store.DropHistory()
+			c.waitFor("table is read", func() bool { return host.node.replica.endpoints.Version().Compare(before) > 0 })
+			assert.Equal(t, c.status(host, "/v1/x"), http.StatusServiceUnavailable)
+			assert.Equal(t, c.endpoint.RequestCount(), 1)
+			c.endpoint.Restart()
+			c.store.Put(platform.EndpointTable, "i-1", c.endpoint.Entry("s", "za", "ready", 1))
+			c.waitFor("endpoint is used", func() bool { return c.status(host, "/v1/x") == http.StatusOK })
+		})
+	}
+}
+
 // setStoreAway sets whether the store refuses all hosts.
 func (c *cluster) setStoreAway(isAway bool) {
 	for _, host := range c.hosts {
--- a/proxy/running_test.go
+++ b/proxy/running_test.go
@@ -82,3 +82,33 @@
 	}
 	assert.NilError(t, <-stopped)
 }
+
+// Guards against a planned stop that cuts a request which waits for a permit of another
+// host: it is sent once the permit comes, and refused as not run without one.
+func TestStopAnswersRequestThatWaitsForPermit(t *testing.T) {
+	for isGranted, want := range map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable} {
+		permits := &fakePermits{isGranted: isGranted}
+		ts := startLimitedServer(t, 1, permits)
+		ts.send(http.MethodPost, "/submit/1", "a1", "")
+		asked, answer := make(chan bool, maxRefusedPermits), make(chan bool)
+		permits.onAsk = func() {
+			asked <- true
+			<-answer
+		}
+		statuses := make(chan int, 1)
+		go func() {
+			status, _, _ := ts.send(http.MethodPost, "/submit/1", "a2", "")
+			statuses <- status
+		}()
+		<-asked
+		ts.server.Leave(time.Now().Add(5 * time.Second))
+		ts.server.Refuse()
+		stopped := make(chan error, 1)
+		go func() { stopped <- ts.server.Stop(t.Context()) }()
+		time.Sleep(200 * time.Millisecond)
+		close(answer)
+		assert.Equal(t, <-statuses, want)
+		assert.Equal(t, ts.runs("a2"), map[bool]int{true: 1, false: 0}[isGranted])
+		assert.NilError(t, <-stopped)
+	}
+}
