Let the soak cut hosts from each other

What was missing: hosts of the soak reached each other directly, so no run showed hosts that hear some of the others and not the rest.

Change: in the soak each host has a port of its own for datagrams. A host sends to its own port at the addresses of the others, so the soak can listen there and carry each direction between two hosts by itself. It announces proxies for the polls between hosts. No setting and no code of the program changes. The fault hostCut cuts one host or a group from the others, in one direction or both, for 50 ms to half of the soak; leavingDuringCut lets an endpoint leave while hosts are cut. Datagrams of a cut are lost, polls are held. Hosts that are cut reach the store and stay in touch, so no check excuses them. The cut is drawn by a pure function.

leavingDuringCut keeps out storeLink and refusedByStore, whose excuses would hide what it finds, as the fault reader does; all other faults overlap, and hostCut overlaps with all.

Evidence: with set of the paths undone, TestCutHostsDoNotHearEachOther fails ("host-0 names 3 hosts, not 2"); without the announced proxies it fails ("hosts poll each other beside the paths").

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -124,6 +124,10 @@
 		{"cold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.becomeColdTwice(targetIndex%len(b.endpoints), random)
 		}},
+		{"hostCut", func(b *testbed, random *rand.Rand, _ int, _ time.Duration) { b.cutHosts(random) }},
+		{"leavingDuringCut", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			b.leaveDuringCut(random, targetIndex%len(b.endpoints))
+		}},
 		{"reader", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			if err := b.changeReader(b.hosts[targetIndex%len(b.hosts)], targetIndex%len(b.endpoints), random, duration); err != nil {
 				b.recordViolation("%v", err)
@@ -275,7 +279,7 @@
 		switch kind.name {
 		case "endpoint":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause", "early", "cold", "reader":
+		case "hold", "endpointPause", "early", "cold", "reader", "leavingDuringCut":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -296,6 +300,8 @@
 	case "reader":
 		// The excuses of the store's other faults would hide what this one finds.
 		return []string{faultName, "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint), b.hosts[targetIndex%len(b.hosts)].settings.Name}
+	case "leavingDuringCut":
+		return []string{"hostCut", "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint)}
 	case "endpointPause", "endpointKill", "cold":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
 	case "endpointLink", "hold":
--- a/soak/reader.go
+++ b/soak/reader.go
@@ -53,6 +53,15 @@
 	}
 	b.waitUntilReader(host)
 	b.sleep(randomBetween(random, 0, maxSettle))
+	leaving := b.startDeparture(index, random)
+	b.sleep(randomBetween(random, 0, maxGrace))
+	err := b.disturbReader(host, random.IntN(4), duration)
+	b.endDeparture(leaving, random)
+	return err
+}
+
+// startDeparture lets an endpoint leave that goes on to serve.
+func (b *testbed) startDeparture(index int, random *rand.Rand) departure {
 	leaving := departure{endpoint: index, id: b.endpoints[index].ID()}
 	if random.IntN(4) == 0 {
 		b.writeEntry(index, "draining")
@@ -60,18 +69,21 @@
 		b.store.Remove(platform.EndpointTable, leaving.id)
 	}
 	leaving.at = time.Now()
-	b.sleep(randomBetween(random, 0, maxGrace))
-	err := b.disturbReader(host, random.IntN(4), duration)
+	return leaving
+}
+
+// endDeparture lets the endpoint return under another id, some time after the hosts must have
+// stopped using it.
+func (b *testbed) endDeparture(leaving departure, random *rand.Rand) {
 	b.sleep(time.Until(leaving.at.Add(drainTime + randomBetween(random, minStay, maxStayBehind))))
 	leaving.end = time.Now()
 	b.mu.Lock()
 	b.departures = append(b.departures, leaving)
 	b.mu.Unlock()
 	b.store.Remove(platform.EndpointTable, leaving.id)
-	newID := fmt.Sprintf("i-%d-%d", index, random.IntN(1_000_000))
-	b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.Rename(newID) })
-	b.writeEntry(index, "ready")
-	return err
+	newID := fmt.Sprintf("i-%d-%d", leaving.endpoint, random.IntN(1_000_000))
+	b.setEndpoint(leaving.endpoint, func(endpoint *fake.Endpoint) { endpoint.Rename(newID) })
+	b.writeEntry(leaving.endpoint, "ready")
 }
 
 func (b *testbed) pauseHost(host *hostProcess, duration time.Duration) error {
--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -45,12 +45,15 @@
 	return startTestbedWith(t, Options{Program: buildProgram(t), Hosts: hosts}, endpoints)
 }
 
-// startTestbedWith does so with options. With an EndpointProgram, the endpoints are
-// processes too.
-func startTestbedWith(t *testing.T, options Options, endpoints int) *testbed {
+// startTestbedWith does so with options, and changes the testbed before the start. With an
+// EndpointProgram, the endpoints are processes too.
+func startTestbedWith(t *testing.T, options Options, endpoints int, changes ...func(*testbed)) *testbed {
 	t.Helper()
 	options.Directory, options.Log = t.TempDir(), io.Discard
 	b := newTestbed(t.Context(), options)
+	for _, change := range changes {
+		change(b)
+	}
 	server := httptest.NewServer(b.store)
 	t.Cleanup(server.Close)
 	t.Cleanup(b.close)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -85,6 +85,10 @@
 	// processes run the endpoints. It is empty if they run in this process.
 	processes []*endpointProcess
 	hosts     []*hostProcess
+	// canCutHosts is true if paths carries what hosts send to each other. Otherwise they reach
+	// each other directly.
+	canCutHosts bool
+	paths       *hostPaths
 	// retrySlack is the slack of the hosts' retry limit. If it is 0, they have the default.
 	retrySlack int
 	// interrupted is closed when the soak must end before its time.
@@ -105,6 +109,7 @@
 		options.EndpointProgram = options.Program
 	}
 	b := newTestbed(ctx, options)
+	b.canCutHosts = true
 	server := httptest.NewServer(b.store)
 	defer server.Close()
 	defer b.close()
@@ -167,10 +172,20 @@
 	for i := range b.options.Hosts {
 		seeds = append(seeds, b.subnet.Address(i+1))
 	}
+	var all []fake.HostSettings
 	for i, ip := range seeds {
 		settings := fake.HostSettings{
 			Name: fmt.Sprint("host-", i), IP: ip, Zone: "za", Region: "north", Seeds: seeds, StopGrace: stopGrace, RetrySlack: b.retrySlack,
 		}
+		if b.canCutHosts {
+			settings.PeerPort = firstPeerPort + i
+		}
+		all = append(all, settings)
+	}
+	if err := b.openPaths(all); err != nil {
+		return err
+	}
+	for _, settings := range all {
 		if err := b.addHost(settings, store); err != nil {
 			return err
 		}
@@ -178,6 +193,13 @@
 	return nil
 }
 
+func (b *testbed) openPaths(hosts []fake.HostSettings) (err error) {
+	if b.canCutHosts {
+		b.paths, err = startPaths(hosts, b.subnet.Address(proxyNumber))
+	}
+	return err
+}
+
 // addHost starts a host with a proxy of its own for the store, which identifies hosts by
 // their IP addresses.
 func (b *testbed) addHost(settings fake.HostSettings, store string) error {
@@ -267,6 +289,9 @@
 		_ = endpoint.Close()
 		b.endpointProxies[i].close()
 	}
+	if b.paths != nil {
+		b.paths.close()
+	}
 	if b.subnet != nil {
 		_ = b.subnet.Release()
 	}
