Check rate limits of endpoints in the soak

A new fault lets an endpoint name a limit of 1 to 8 requests a second for 8 to 10 s. checkLimits judges windows of 4 s from 3 s after the limit was first named: no more arrivals than one and a half times the limit and 5, from hosts that passed on a response with the limit 0.5 s before or earlier. A start, stop, kill or pause excuses a host, and a fault of the endpoint's link the requests of the 3 s behind it.

The tests of soak and platform/fake pass with and without the race detector.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -124,6 +124,9 @@
 		{"cold", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.becomeColdTwice(targetIndex%len(b.endpoints), random)
 		}},
+		{"limited", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			b.limitRate(targetIndex%len(b.endpoints), random)
+		}},
 		{"reader", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			if err := b.changeReader(b.hosts[targetIndex%len(b.hosts)], targetIndex%len(b.endpoints), random, duration); err != nil {
 				b.recordViolation("%v", err)
@@ -275,7 +278,7 @@
 		switch kind.name {
 		case "endpoint":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause", "early", "cold", "reader":
+		case "hold", "endpointPause", "early", "cold", "limited", "reader":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -296,7 +299,7 @@
 	case "reader":
 		// The excuses of the store's other faults would hide what this one finds.
 		return []string{faultName, "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint), b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpointPause", "endpointKill", "cold":
+	case "endpointPause", "endpointKill", "cold", "limited":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
 	case "endpointLink", "hold":
 		return []string{faultName, fmt.Sprint("link ", endpoint)}
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -57,5 +57,10 @@
 // isLeavingPassedOn reports whether the caller got a response of the endpoint which
 // says that it is leaving.
 func (r sentRequest) isLeavingPassedOn() bool {
-	return r.exchange.IsLeaving && r.status == http.StatusOK && r.body == r.exchange.ID
+	return r.exchange.IsLeaving && r.isServedBy(r.exchange.ID)
+}
+
+// isServedBy reports whether the caller got the success of an endpoint.
+func (r endedRequest) isServedBy(id string) bool {
+	return r.status == http.StatusOK && r.body == id
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,10 +92,12 @@
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
-	// departures and coldTimes are those that the endpoints' entries stated.
-	departures []departure
-	coldTimes  []coldTime
-	report     Report
+	// departures and coldTimes are those that the endpoints' entries stated, and limitedTimes
+	// those in which their responses named a rate limit.
+	departures   []departure
+	coldTimes    []coldTime
+	limitedTimes []limitedTime
+	report       Report
 }
 
 // Run runs a soak until its duration has passed. The report lists violated
@@ -140,6 +142,7 @@
 	callers.checkDepartures()
 	callers.checkGivenUp()
 	callers.checkColdTimes()
+	callers.checkLimits()
 	outageGroup.Wait()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/soak/touch.go
+++ b/soak/touch.go
@@ -34,8 +34,13 @@
 	if storeSince.After(from) {
 		storeSince = from
 	}
-	isOther := func(i interruption) bool { return i.signal != syscall.SIGHUP }
-	return !h.hadInterruption(from, at, isOther) && !h.storeProxy.hadFault(storeSince, at)
+	return !h.wasStopped(from, at) && !h.storeProxy.hadFault(storeSince, at)
+}
+
+// wasStopped reports whether a process was started, killed, stopped, paused or continued
+// between two times.
+func (h *hostProcess) wasStopped(from, to time.Time) bool {
+	return h.hadInterruption(from, to, func(i interruption) bool { return i.signal != syscall.SIGHUP })
 }
 
 func (h *hostProcess) hadInterruption(from, to time.Time, isMeant func(interruption) bool) bool {
