See requests of the soak that go on after their callers left

A host that was started, stopped or paused meanwhile, and a link or an endpoint at fault, are excused.

By reading, a repeatable request ends with its caller before its retry could be late, and too few of the others are retried so late.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,10 @@
 	// leavingRatio is the share of requests whose callers leave early, within maxStay.
 	leavingRatio = 0.02
 	maxStay      = 200 * time.Millisecond
+	// impatientRatio is the share of requests whose callers leave if they have no response
+	// after minImpatience to maxImpatience.
+	impatientRatio               = 0.2
+	minImpatience, maxImpatience = 150 * time.Millisecond, 400 * time.Millisecond
 	// lateRunTime is how long after the end of all hosts a request may still run that was
 	// on its way to an endpoint.
 	lateRunTime = 2 * time.Second
@@ -42,6 +46,8 @@
 	host *hostProcess
 	// digest is the digest of the request.
 	digest string
+	// hasLeft is true if the caller closed its connection without a response.
+	hasLeft bool
 	// isLost is true if a host that was not disturbed gave no whole response.
 	isLost bool
 	// isBrokenOff is true if the response began and did not end.
@@ -106,8 +112,11 @@
 			request.lengthen(random)
 		}
 	}
-	if random.Float64() < leavingRatio {
+	switch leaving := random.Float64(); {
+	case leaving < leavingRatio:
 		request.isLeaving, request.patience = true, randomBetween(random, time.Millisecond, maxStay)
+	case leaving < leavingRatio+impatientRatio && !request.isPaced:
+		request.isLeaving, request.patience = true, randomBetween(random, minImpatience, maxImpatience)
 	}
 	return request
 }
@@ -139,6 +148,7 @@
 	c.ended = append(c.ended, endedRequest{
 		attempt: request.attempt, isSubmit: class == "submit", status: result.status, body: body, host: host, digest: request.digest(),
 		isLost:      result.err != nil && !hasLeft && isUndisturbed && !result.isBehindBroken,
+		hasLeft:     result.isGivenUp(),
 		isBrokenOff: result.isBrokenOff(), sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
 	})
 	c.mu.Unlock()
--- a/soak/client.go
+++ b/soak/client.go
@@ -86,8 +86,7 @@
 
 func (c *client) send(request call) callResult {
 	result, err := c.exchange(request)
-	var timeout net.Error
-	if request.isLeaving && errors.As(err, &timeout) && timeout.Timeout() {
+	if request.isLeaving && isTimeout(err) {
 		err = errLeft
 	}
 	if err != nil {
@@ -97,6 +96,11 @@
 	return result
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // connect opens a connection if there is none, and sets its deadline.
 func (c *client) connect(patience time.Duration) error {
 	if c.conn == nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -99,6 +99,7 @@
 			b.setEndpoint(index, misbehaviour{behaviours: []fake.Behaviour{fake.Serve}}.apply)
 		}},
 		{"slowFailure", (*testbed).failSlowly},
+		{"slow", (*testbed).workSlowly},
 		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
@@ -271,12 +272,12 @@
 }
 
 // weighted returns faults with some of them repeated, which are drawn more often: those that
-// have many variants.
+// have many variants or show something in few requests.
 func weighted(kinds []fault) []fault {
 	repeated := slices.Clone(kinds)
 	for _, kind := range kinds {
 		switch kind.name {
-		case "endpoint":
+		case "endpoint", "slow":
 			repeated = append(repeated, kind, kind, kind)
 		case "hold", "endpointPause", "early", "cold", "limited", "reader":
 			repeated = append(repeated, kind)
@@ -294,7 +295,7 @@
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpoint", "slowFailure", "leaving", "spared", "early":
+	case "endpoint", "slowFailure", "slow", "leaving", "spared", "early":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
 	case "reader":
 		// The excuses of the store's other faults would hide what this one finds.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -143,6 +143,7 @@
 	callers.checkGivenUp()
 	callers.checkColdTimes()
 	callers.checkLimits()
+	callers.checkAbandoned()
 	outageGroup.Wait()
 	b.mu.Lock()
 	defer b.mu.Unlock()
