Know hosts of the soak that are paused for longer than a window

Cause, a fault of the soak: the fault "reader" pauses a host for up to 4 s. isInTouch looked for signals in the 3 s before a time, and found none in the middle of such a pause. The log of host-1 has no line of its own from 23:57:31.87 to 23:57:35.57; the request was sent to it at 23:57:32.72 and served 23 ms after the pause.

Change: a host is not in touch while it is paused, however long. Checks that use isInTouch judge requests that the host sent, and it sends none in a pause, so they lose nothing.

TestSoakKnowsHostsInTouch fails without the change in three of ten cases.

--- a/soak/touch.go
+++ b/soak/touch.go
@@ -34,7 +34,27 @@
 	if storeSince.After(from) {
 		storeSince = from
 	}
-	return !h.wasStopped(from, at) && !h.storeProxy.hadFault(storeSince, at)
+	return h.ranThroughout(from, at) && !h.storeProxy.hadFault(storeSince, at)
+}
+
+// ranThroughout reports whether the same process ran, and was not told to stop, between two
+// times.
+func (h *hostProcess) ranThroughout(from, to time.Time) bool {
+	return !h.wasStopped(from, to) && !h.isPausedAt(from)
+}
+
+// isPausedAt reports whether a process was paused at a time, by a pause that may have begun
+// long before and ended long after.
+func (h *hostProcess) isPausedAt(at time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	isPaused := false
+	for _, i := range h.interruptions {
+		if i.isDisturbance() && !i.at.After(at) {
+			isPaused = i.signal == syscall.SIGSTOP
+		}
+	}
+	return isPaused
 }
 
 // wasStopped reports whether a process was started, killed, stopped, paused or continued
