Check versions and route timeouts of configurations in the soak

Each version now has a route of its own, which two callers use beside that of the version before. checkVersions judges requests 2 s after a version was acknowledged, at hosts in touch: none runs on the route of an older version, and none is answered 404 on that of the newest one. The same holds 0.25 s after a host acted on a version, in one process (2 s if it was paused). Routes that were added are served a quarter as often as the first ones or more. One request in five has a timeout of 5 s. checkUnanswered allows that half of those still open after the 2 s of the route have no answer 0.5 s later, a quarter if they are 8 or more. Requests that no route matches no longer count for the retry limit, which makes that check stricter.

The tests of soak and platform/fake pass with and without the race detector.

--- a/soak/ahead.go
+++ b/soak/ahead.go
@@ -32,7 +32,7 @@
 		var requests []call
 		for i := range minAhead + random.IntN(maxAhead-minAhead+1) {
 			requests = append(requests, call{
-				method: http.MethodGet, path: fmt.Sprintf("/read/%d", random.IntN(20)), attempt: fmt.Sprintf("p-%d-%d-%d", number, count, i), patience: maxPatience,
+				method: http.MethodGet, path: fmt.Sprintf("/read/%d", random.IntN(20)), attempt: fmt.Sprintf("p-%d-%d-%d", number, count, i), timeout: callerTimeout, patience: maxPatience,
 			})
 		}
 		startedAt := time.Now()
--- a/soak/ahead_test.go
+++ b/soak/ahead_test.go
@@ -89,7 +89,7 @@
 		b := &testbed{report: Report{Outcomes: make(map[string]int)}}
 		elapsed := callerTimeout + maxLateness + time.Millisecond
 		result := callResult{status: http.StatusOK, body: "i-0", attempt: "a-1", isSigned: true, elapsed: elapsed, behind: behind}
-		newCallers(b).check(&hostProcess{}, call{attempt: "a-1"}, "ahead", time.Now(), result)
+		newCallers(b).check(&hostProcess{}, call{attempt: "a-1", timeout: callerTimeout}, "ahead", time.Now(), result)
 		assert.Equal(t, len(b.report.Violations), violations, "%s: %q", behind, b.report.Violations)
 	}
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -14,7 +14,7 @@
 const (
 	// callerCount is the number of callers. Each has one request in flight.
 	callerCount = 16
-	// callerTimeout is the timeout that a caller sends with a request.
+	// callerTimeout is the timeout that a caller sends with most requests.
 	callerTimeout = 1500 * time.Millisecond
 	// maxLateness is how much later than its timeout a caller may get the
 	// response of a host without a fault.
@@ -52,6 +52,10 @@
 	isLost bool
 	// isBrokenOff is true if the response began and did not end.
 	isBrokenOff bool
+	// version is the version of the configuration that alone has the route, or 0.
+	version int
+	// timeout is the timeout that the caller sent.
+	timeout time.Duration
 	// sentAt and endedAt are the times of the request and of its response.
 	sentAt, endedAt time.Time
 }
@@ -73,6 +77,9 @@
 	for i := range aheadCount {
 		group.Go(func() { c.sendAheadLoop(ctx, rand.New(rand.NewPCG(c.testbed.options.Seed, uint64(i)+200)), i) })
 	}
+	for i := range versionCallers {
+		group.Go(func() { c.sendToVersions(ctx, rand.New(rand.NewPCG(c.testbed.options.Seed, uint64(i)+300)), i) })
+	}
 	group.Wait()
 }
 
@@ -104,7 +111,7 @@
 
 // drawCall draws a request of a class: submits have a body, sent with a length or in chunks.
 func drawCall(random *rand.Rand, class, attempt string) call {
-	request := call{method: http.MethodGet, path: fmt.Sprintf("/%s/%d", class, random.IntN(20)), attempt: attempt, patience: maxPatience}
+	request := call{method: http.MethodGet, path: fmt.Sprintf("/%s/%d", class, random.IntN(20)), attempt: attempt, timeout: callerTimeout, patience: maxPatience}
 	if class == "submit" {
 		request.method, request.isChunked = http.MethodPost, random.IntN(2) == 0
 		request.body = bodyOf(attempt, minBodyBytes+random.IntN(maxBodyBytes-minBodyBytes+1))
@@ -112,6 +119,9 @@
 			request.lengthen(random)
 		}
 	}
+	if random.Float64() < longTimeoutRatio {
+		request.timeout = longTimeout
+	}
 	switch leaving := random.Float64(); {
 	case leaving < leavingRatio:
 		request.isLeaving, request.patience = true, randomBetween(random, time.Millisecond, maxStay)
@@ -149,10 +159,10 @@
 		attempt: request.attempt, isSubmit: class == "submit", status: result.status, body: body, host: host, digest: request.digest(),
 		isLost:      result.err != nil && !hasLeft && isUndisturbed && !result.isBehindBroken,
 		hasLeft:     result.isGivenUp(),
-		isBrokenOff: result.isBrokenOff(), sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
+		isBrokenOff: result.isBrokenOff(), version: request.version, timeout: request.timeout, sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
 	})
 	c.mu.Unlock()
-	if result.elapsed-result.behind > callerTimeout+maxLateness && isUndisturbed {
+	if result.elapsed-result.behind > min(request.timeout, routeTimeout)+maxLateness && isUndisturbed {
 		b.recordViolation("%s: %s after %s from %s, which was not disturbed", request.attempt, outcome, result.elapsed, host.settings.Name)
 	}
 	if result.err != nil {
--- a/soak/client.go
+++ b/soak/client.go
@@ -32,6 +32,10 @@
 	isChunked bool
 	// isPaced is true if the caller sends the body in pieces with pauses between them.
 	isPaced bool
+	// version is the version of the configuration that alone has the route, or 0.
+	version int
+	// timeout is the timeout that the caller sends.
+	timeout time.Duration
 	// patience is how long the caller waits for a response until it closes its connection.
 	patience time.Duration
 	// isLeaving is true if the caller leaves on purpose when its patience ends.
@@ -81,7 +85,7 @@
 	}
 	c := &client{address: host.settings.CallerAddress()}
 	defer c.close()
-	return c.send(call{method: method, path: path, attempt: attempt, patience: maxPatience})
+	return c.send(call{method: method, path: path, attempt: attempt, timeout: callerTimeout, patience: maxPatience})
 }
 
 func (c *client) send(request call) callResult {
@@ -163,7 +167,7 @@
 // write writes a request once: its head and each piece of its body by itself.
 func (c call) write(to io.Writer) error {
 	header := make(http.Header)
-	fake.SetRequestHeader(header, c.attempt, c.path, callerTimeout)
+	fake.SetRequestHeader(header, c.attempt, c.path, c.timeout)
 	var head strings.Builder
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.method, c.path, fake.Domain)
 	_ = header.Write(&head)
--- a/soak/deadlines.go
+++ b/soak/deadlines.go
@@ -60,9 +60,9 @@
 	switch {
 	case arrived.Timeout <= 0:
 		return "arrived without a deadline"
-	case arrived.Timeout > callerTimeout+deadlineMargin:
+	case arrived.Timeout > r.timeout+deadlineMargin:
 		return fmt.Sprintf("arrived with a deadline of %s", arrived.Timeout)
-	case isLate && end.After(firstEnd.Add(deadlineMargin)) && end.After(r.sentAt.Add(callerTimeout+deadlineMargin)):
+	case isLate && end.After(firstEnd.Add(deadlineMargin)) && end.After(r.sentAt.Add(r.timeout+deadlineMargin)):
 		return fmt.Sprintf("arrived again after %s with a deadline that is %s later", arrived.ArrivedAt.Sub(first.ArrivedAt), end.Sub(firstEnd))
 	}
 	return ""
--- a/soak/deadlines_test.go
+++ b/soak/deadlines_test.go
@@ -39,7 +39,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			sentAt := time.Now()
-			request := endedRequest{sentAt: sentAt}
+			request := endedRequest{sentAt: sentAt, timeout: callerTimeout}
 			first := arrivalAt(sentAt.Add(sentLater), test.first)
 			arrived := first
 			if test.after > 0 {
--- a/soak/early.go
+++ b/soak/early.go
@@ -64,7 +64,7 @@
 // mayBreakOff reports whether the response to a request may have ended early although its
 // host was not disturbed: at the deadline, or because of a fault of the endpoint.
 func (c *callers) mayBreakOff(request endedRequest) bool {
-	if request.endedAt.Sub(request.sentAt) >= callerTimeout {
+	if !request.endedAt.Before(request.deadline()) {
 		return true
 	}
 	for i, endpoint := range c.testbed.endpoints {
--- a/soak/early_test.go
+++ b/soak/early_test.go
@@ -84,7 +84,7 @@
 			c := newCallers(&testbed{
 				endpoints: []*fake.Endpoint{endpoint}, endpointProxies: []*faultProxy{{faults: []faultTime{test.fault}}},
 			})
-			request := endedRequest{attempt: "a-1", sentAt: sentAt, endedAt: test.endedAt}
+			request := endedRequest{attempt: "a-1", timeout: callerTimeout, sentAt: sentAt, endedAt: test.endedAt}
 			assert.Equal(t, c.mayBreakOff(request), test.isExcused)
 		})
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -69,12 +69,7 @@
 			b.injectProxyFault(proxies, random, duration)
 		}},
 		{"storeHistory", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) { b.store.DropHistory() }},
-		{"configuration", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) {
-			b.mu.Lock()
-			version := 2 + b.report.Faults["configuration"]
-			b.mu.Unlock()
-			b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(version))
-		}},
+		{"configuration", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) { b.writeConfig() }},
 		{"endpointLink", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			b.injectProxyFault([]*faultProxy{b.endpointProxies[targetIndex%len(b.endpointProxies)]}, random, duration)
 		}},
@@ -279,7 +274,7 @@
 		switch kind.name {
 		case "endpoint", "slow":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause", "early", "cold", "limited", "reader":
+		case "hold", "endpointPause", "early", "cold", "limited", "configuration", "reader":
 			repeated = append(repeated, kind)
 		}
 	}
--- a/soak/given_up.go
+++ b/soak/given_up.go
@@ -27,7 +27,7 @@
 // isGivenUp reports whether a request must not arrive at a time any more. The caller of a
 // submit may leave before its deadline, and the host goes on.
 func (r endedRequest) isGivenUp(at time.Time) bool {
-	end := r.sentAt.Add(callerTimeout)
+	end := r.deadline()
 	if r.endedAt.After(end) {
 		end = r.endedAt
 	}
--- a/soak/given_up_test.go
+++ b/soak/given_up_test.go
@@ -40,7 +40,7 @@
 			b := &testbed{endpoints: []*fake.Endpoint{endpoint}, processes: []*endpointProcess{{interruptions: []interruption{test.endpoint}}}}
 			c := newCallers(b)
 			host := &hostProcess{interruptions: []interruption{test.host}}
-			c.ended = []endedRequest{{attempt: "a-1", host: host, sentAt: sentAt, endedAt: at(test.ended)}}
+			c.ended = []endedRequest{{attempt: "a-1", host: host, timeout: callerTimeout, sentAt: sentAt, endedAt: at(test.ended)}}
 			c.checkGivenUp()
 			assert.Equal(t, len(b.report.Violations) > 0, test.isViolation, "%q", b.report.Violations)
 		})
--- a/soak/held_test.go
+++ b/soak/held_test.go
@@ -44,7 +44,7 @@
 			defer caller.close()
 			result := caller.send(call{
 				method: http.MethodPost, path: fmt.Sprintf("/%s/%d", class, number), attempt: attempt,
-				body: strings.Repeat("x", minBodyBytes+number*1000), patience: maxPatience,
+				body: strings.Repeat("x", minBodyBytes+number*1000), timeout: callerTimeout, patience: maxPatience,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/soak/left_test.go
+++ b/soak/left_test.go
@@ -35,7 +35,7 @@
 	for count := 0; time.Now().Before(end); count++ {
 		class := []string{"read", "submit"}[count%2]
 		attempt := fmt.Sprintf("u-%d-%d", number, count)
-		request := call{method: http.MethodPost, path: "/" + class + "/1", attempt: attempt, body: bodyOf(attempt, maxBodyBytes), patience: maxPatience}
+		request := call{method: http.MethodPost, path: "/" + class + "/1", attempt: attempt, body: bodyOf(attempt, maxBodyBytes), timeout: callerTimeout, patience: maxPatience}
 		startedAt := time.Now()
 		status, err := request.upload(host, count%3 == 0)
 		c.mu.Lock()
--- a/soak/refused_test.go
+++ b/soak/refused_test.go
@@ -42,7 +42,7 @@
 			for count := 0; time.Now().Before(end); count++ {
 				request := call{
 					method: http.MethodPost, path: fmt.Sprint("/submit/", (number*31+count)%40), attempt: fmt.Sprintf("%s-%d-%d", p.name, number, count),
-					body: strings.Repeat("x", minBodyBytes+count*977%(maxBodyBytes-minBodyBytes)), isChunked: count%5 == 4, patience: maxPatience,
+					body: strings.Repeat("x", minBodyBytes+count*977%(maxBodyBytes-minBodyBytes)), isChunked: count%5 == 4, timeout: callerTimeout, patience: maxPatience,
 				}
 				result := caller.send(request)
 				p.mu.Lock()
--- a/soak/retries.go
+++ b/soak/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/http"
 	"slices"
 	"time"
 
@@ -22,6 +23,10 @@
 	var sent []time.Time
 	isSent := make(map[string]bool)
 	for _, request := range c.ended {
+		if request.status == http.StatusNotFound {
+			// It was on no route to the service.
+			continue
+		}
 		sent = append(sent, request.sentAt)
 		isSent[request.attempt] = true
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -97,6 +97,7 @@
 	departures   []departure
 	coldTimes    []coldTime
 	limitedTimes []limitedTime
+	versions     []configVersion
 	report       Report
 }
 
@@ -144,6 +145,8 @@
 	callers.checkColdTimes()
 	callers.checkLimits()
 	callers.checkAbandoned()
+	callers.checkUnanswered()
+	callers.checkVersions()
 	outageGroup.Wait()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -161,7 +164,7 @@
 	if err := b.reserveSubnet(); err != nil {
 		return err
 	}
-	b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(1))
+	b.writeConfig()
 	for i := range endpointCount {
 		if err := b.addEndpoint(fmt.Sprint("i-", i)); err != nil {
 			return err
