Let addresses in the soak pass to endpoints of another service

The configuration has a second service with a route. A new fault lets the address of an endpoint pass to an endpoint of that service, and back, while the entry of the one before stays for up to 1.5 s. Its success is none that a caller may get. checkJoined expects that an endpoint which ran for 8 s after its first entry, with no fault of its link or process, got a request; the soak goes on until then for the last one, 8 s at most.

--- a/soak/early.go
+++ b/soak/early.go
@@ -58,7 +58,7 @@
 // isWhole reports whether the body of a success is one that an endpoint sends.
 func isWhole(body, attempt string) bool {
 	id, _, isPadded := strings.Cut(body, "\n")
-	return strings.HasPrefix(body, "i-") && (!isPadded || body == fake.Body(id, attempt, len(body)-len(id)))
+	return strings.HasPrefix(body, mainPrefix) && (!isPadded || body == fake.Body(id, attempt, len(body)-len(id)))
 }
 
 // mayBreakOff reports whether the response to a request may have ended early although its
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -86,6 +86,11 @@
 				b.recordViolation("%v", err)
 			}
 		}},
+		{"reusedAddress", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			if err := b.reuseAddress(targetIndex%len(b.endpoints), random, duration); err != nil {
+				b.recordViolation("%v", err)
+			}
+		}},
 		{"endpoint", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
 			next := drawMisbehaviour(random)
@@ -274,7 +279,7 @@
 		switch kind.name {
 		case "endpoint", "slow":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause", "early", "cold", "limited", "configuration", "reader":
+		case "hold", "endpointPause", "early", "cold", "limited", "configuration", "reusedAddress", "reader":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -295,7 +300,7 @@
 	case "reader":
 		// The excuses of the store's other faults would hide what this one finds.
 		return []string{faultName, "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint), b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpointPause", "endpointKill", "cold", "limited":
+	case "endpointPause", "endpointKill", "reusedAddress", "cold", "limited":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
 	case "endpointLink", "hold":
 		return []string{faultName, fmt.Sprint("link ", endpoint)}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,12 +92,13 @@
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
-	// departures and coldTimes are those that the endpoints' entries stated, and limitedTimes
-	// those in which their responses named a rate limit.
+	// departures, coldTimes and joins are those that the endpoints' entries stated, and
+	// limitedTimes those in which their responses named a rate limit.
 	departures   []departure
 	coldTimes    []coldTime
 	limitedTimes []limitedTime
 	versions     []configVersion
+	joins        []joined
 	report       Report
 }
 
@@ -128,6 +129,8 @@
 	if !b.waitUntilServing(ctx) {
 		b.recordViolation("a host does not serve %s after the last fault", recoveryTimeout)
 	}
+	b.waitForJoins()
+	callersEnd := time.Now()
 	stopCallers()
 	callerGroup.Wait()
 	for _, host := range b.hosts {
@@ -147,6 +150,7 @@
 	callers.checkAbandoned()
 	callers.checkUnanswered()
 	callers.checkVersions()
+	callers.checkJoined(callersEnd)
 	outageGroup.Wait()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -166,7 +170,7 @@
 	}
 	b.writeConfig()
 	for i := range endpointCount {
-		if err := b.addEndpoint(fmt.Sprint("i-", i)); err != nil {
+		if err := b.addEndpoint(fmt.Sprint(mainPrefix, i)); err != nil {
 			return err
 		}
 	}
@@ -252,8 +256,9 @@
 	endpoint := b.endpoints[index]
 	// The milliseconds of an incarnation increase with each entry.
 	sequence := 1 + max(0, time.Now().UnixMilli()-endpoint.Plan().Incarnation)
-	entry := strings.Replace(endpoint.Entry("s", "za", state, int(sequence)), endpoint.Address(), b.endpointProxies[index].address(), 1)
+	entry := strings.Replace(endpoint.Entry(serviceOf(endpoint.ID()), "za", state, int(sequence)), endpoint.Address(), b.endpointProxies[index].address(), 1)
 	b.store.Put(platform.EndpointTable, endpoint.ID(), entry)
+	b.recordJoin(index)
 }
 
 // close stops all processes, endpoints and proxies that are still running.
