--- a/soak/callers.go
+++ b/soak/callers.go
@@ -14,7 +14,7 @@
 const (
 	// callerCount is the number of callers. Each has one request in flight.
 	callerCount = 16
-	// callerTimeout is the timeout that a caller sends with a request.
+	// callerTimeout is the timeout that a caller sends with most requests.
 	callerTimeout = 1500 * time.Millisecond
 	// maxLateness is how much later than its timeout a caller may get the
 	// response of a host without a fault.
@@ -26,6 +26,10 @@
 	// leavingRatio is the share of requests whose callers leave early, within maxStay.
 	leavingRatio = 0.02
 	maxStay      = 200 * time.Millisecond
+	// impatientRatio is the share of requests whose callers leave if they have no response
+	// after minImpatience to maxImpatience.
+	impatientRatio               = 0.2
+	minImpatience, maxImpatience = 150 * time.Millisecond, 400 * time.Millisecond
 	// lateRunTime is how long after the end of all hosts a request may still run that was
 	// on its way to an endpoint.
 	lateRunTime = 2 * time.Second
@@ -42,10 +46,16 @@
 	host *hostProcess
 	// digest is the digest of the request.
 	digest string
+	// hasLeft is true if the caller closed its connection without a response.
+	hasLeft bool
 	// isLost is true if a host that was not disturbed gave no whole response.
 	isLost bool
 	// isBrokenOff is true if the response began and did not end.
 	isBrokenOff bool
+	// version is the version of the configuration that alone has the route, or 0.
+	version int
+	// timeout is the timeout that the caller sent.
+	timeout time.Duration
 	// sentAt and endedAt are the times of the request and of its response.
 	sentAt, endedAt time.Time
 }
@@ -67,6 +77,9 @@
 	for i := range aheadCount {
 		group.Go(func() { c.sendAheadLoop(ctx, rand.New(rand.NewPCG(c.testbed.options.Seed, uint64(i)+200)), i) })
 	}
+	for i := range versionCallers {
+		group.Go(func() { c.sendToVersions(ctx, rand.New(rand.NewPCG(c.testbed.options.Seed, uint64(i)+300)), i) })
+	}
 	group.Wait()
 }
 
@@ -98,7 +111,7 @@
 
 // drawCall draws a request of a class: submits have a body, sent with a length or in chunks.
 func drawCall(random *rand.Rand, class, attempt string) call {
-	request := call{method: http.MethodGet, path: fmt.Sprintf("/%s/%d", class, random.IntN(20)), attempt: attempt, patience: maxPatience}
+	request := call{method: http.MethodGet, path: fmt.Sprintf("/%s/%d", class, random.IntN(20)), attempt: attempt, timeout: callerTimeout, patience: maxPatience}
 	if class == "submit" {
 		request.method, request.isChunked = http.MethodPost, random.IntN(2) == 0
 		request.body = bodyOf(attempt, minBodyBytes+random.IntN(maxBodyBytes-minBodyBytes+1))
@@ -106,8 +119,14 @@
 			request.lengthen(random)
 		}
 	}
-	if random.Float64() < leavingRatio {
+	if random.Float64() < longTimeoutRatio {
+		request.timeout = longTimeout
+	}
+	switch leaving := random.Float64(); {
+	case leaving < leavingRatio:
 		request.isLeaving, request.patience = true, randomBetween(random, time.Millisecond, maxStay)
+	case leaving < leavingRatio+impatientRatio && !request.isPaced:
+		request.isLeaving, request.patience = true, randomBetween(random, minImpatience, maxImpatience)
 	}
 	return request
 }
@@ -139,10 +158,11 @@
 	c.ended = append(c.ended, endedRequest{
 		attempt: request.attempt, isSubmit: class == "submit", status: result.status, body: body, host: host, digest: request.digest(),
 		isLost:      result.err != nil && !hasLeft && isUndisturbed && !result.isBehindBroken,
-		isBrokenOff: result.isBrokenOff(), sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
+		hasLeft:     result.isGivenUp(),
+		isBrokenOff: result.isBrokenOff(), version: request.version, timeout: request.timeout, sentAt: startedAt, endedAt: startedAt.Add(result.elapsed),
 	})
 	c.mu.Unlock()
-	if result.elapsed-result.behind > callerTimeout+maxLateness && isUndisturbed {
+	if result.elapsed-result.behind > min(request.timeout, routeTimeout)+maxLateness && isUndisturbed {
 		b.recordViolation("%s: %s after %s from %s, which was not disturbed", request.attempt, outcome, result.elapsed, host.settings.Name)
 	}
 	if result.err != nil {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -69,12 +69,7 @@
 			b.injectProxyFault(proxies, random, duration)
 		}},
 		{"storeHistory", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) { b.store.DropHistory() }},
-		{"configuration", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) {
-			b.mu.Lock()
-			version := 2 + b.report.Faults["configuration"]
-			b.mu.Unlock()
-			b.store.Put(platform.OperatorTable, platform.ConfigKey, fake.Config(version))
-		}},
+		{"configuration", func(b *testbed, _ *rand.Rand, _ int, _ time.Duration) { b.writeConfig() }},
 		{"endpointLink", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			b.injectProxyFault([]*faultProxy{b.endpointProxies[targetIndex%len(b.endpointProxies)]}, random, duration)
 		}},
@@ -91,6 +86,11 @@
 				b.recordViolation("%v", err)
 			}
 		}},
+		{"reusedAddress", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
+			if err := b.reuseAddress(targetIndex%len(b.endpoints), random, duration); err != nil {
+				b.recordViolation("%v", err)
+			}
+		}},
 		{"endpoint", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
 			next := drawMisbehaviour(random)
@@ -99,6 +99,7 @@
 			b.setEndpoint(index, misbehaviour{behaviours: []fake.Behaviour{fake.Serve}}.apply)
 		}},
 		{"slowFailure", (*testbed).failSlowly},
+		{"slow", (*testbed).workSlowly},
 		{"leaving", func(b *testbed, _ *rand.Rand, targetIndex int, duration time.Duration) {
 			index := targetIndex % len(b.endpoints)
 			b.setEndpoint(index, func(endpoint *fake.Endpoint) { endpoint.SetLeaving(true) })
@@ -128,6 +129,9 @@
 		{"leavingDuringCut", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
 			b.leaveDuringCut(random, targetIndex%len(b.endpoints))
 		}},
+		{"limited", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			b.limitRate(targetIndex%len(b.endpoints), random)
+		}},
 		{"reader", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			if err := b.changeReader(b.hosts[targetIndex%len(b.hosts)], targetIndex%len(b.endpoints), random, duration); err != nil {
 				b.recordViolation("%v", err)
@@ -272,14 +276,14 @@
 }
 
 // weighted returns faults with some of them repeated, which are drawn more often: those that
-// have many variants.
+// have many variants or show something in few requests.
 func weighted(kinds []fault) []fault {
 	repeated := slices.Clone(kinds)
 	for _, kind := range kinds {
 		switch kind.name {
-		case "endpoint":
+		case "endpoint", "slow":
 			repeated = append(repeated, kind, kind, kind)
-		case "hold", "endpointPause", "early", "cold", "reader", "leavingDuringCut":
+		case "hold", "endpointPause", "early", "cold", "limited", "configuration", "reusedAddress", "reader", "leavingDuringCut":
 			repeated = append(repeated, kind)
 		}
 	}
@@ -295,14 +299,14 @@
 	switch faultName {
 	case "kill", "stop", "pause", "reload":
 		return []string{b.hosts[targetIndex%len(b.hosts)].settings.Name}
-	case "endpoint", "slowFailure", "leaving", "spared", "early":
+	case "endpoint", "slowFailure", "slow", "leaving", "spared", "early":
 		return []string{fmt.Sprint("endpoint ", endpoint)}
 	case "reader":
 		// The excuses of the store's other faults would hide what this one finds.
 		return []string{faultName, "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint), b.hosts[targetIndex%len(b.hosts)].settings.Name}
 	case "leavingDuringCut":
 		return []string{"hostCut", "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint)}
-	case "endpointPause", "endpointKill", "cold":
+	case "endpointPause", "endpointKill", "reusedAddress", "cold", "limited":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
 	case "endpointLink", "hold":
 		return []string{faultName, fmt.Sprint("link ", endpoint)}
