--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -185,7 +185,9 @@
 				h.told[told.Endpoint] = told.Condition
 			}
 		},
-		LimitNews: func() []steer.LimitNews { return nil },
+		LimitNews:      func() []steer.LimitNews { return nil },
+		RetryNews:      func() []steer.RetryNews { return nil },
+		ApplyRetryNews: func(member.Run, []steer.RetryNews) {},
 	}
 }
 
