--- a/proxy/held_again_test.go
+++ b/proxy/held_again_test.go
@@ -147,6 +147,7 @@
 // 10 s.
 func playHeldFor(t *testing.T, hosts, per10s, holdTime int) {
 	t.Run(fmt.Sprintf("%d hosts, %d in 10 s, held for %d s", hosts, per10s, holdTime), func(t *testing.T) {
+		t.Parallel()
 		synctest.Test(t, func(t *testing.T) {
 			p := newHeldPlay(hosts)
 			for second := range holdTime {
@@ -169,6 +170,7 @@
 	for _, rate := range []int{1, 2, 7, 20} {
 		for _, starts := range []int{1, 2, 3, 5} {
 			t.Run(fmt.Sprintf("%d a second, %d starts", rate, starts), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					p := newHeldPlay(hosts)
 					var earlier EarlierRun
@@ -208,6 +210,7 @@
 	for _, groups := range []int{1, 2, 3, 4, 5} {
 		for _, rate := range []int{2, 7, 20} {
 			t.Run(fmt.Sprintf("%d groups, %d a second", groups, rate), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					p := newHeldPlay(groups * perGroup)
 					// All hosts together get the same number of requests at any time.
--- a/proxy/held_long_test.go
+++ b/proxy/held_long_test.go
@@ -18,6 +18,7 @@
 func TestRetriesHeldByManyEndpointsShareTheRetryLimit(t *testing.T) {
 	for _, test := range []struct{ hosts, rate int }{{1, 1}, {1, 50}, {10, 1}, {10, 3}, {10, 7}, {10, 20}, {59, 5}, {195, 5}, {680, 10}} {
 		t.Run(fmt.Sprintf("%d hosts, %d a second", test.hosts, test.rate), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				const window, holdTime = 10, 60
 				const timeout = 3 * time.Second
--- a/proxy/held_moved_test.go
+++ b/proxy/held_moved_test.go
@@ -15,6 +15,7 @@
 	for _, groups := range []int{3, 5, 8} {
 		for _, timeout := range []time.Duration{3 * time.Second, 8 * time.Second, 20 * time.Second} {
 			t.Run(fmt.Sprintf("%d groups, timeout %s", groups, timeout), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					p := newHeldPlay(groups * perGroup)
 					p.timeout = timeout
--- a/proxy/restart_large_test.go
+++ b/proxy/restart_large_test.go
@@ -14,6 +14,7 @@
 	for _, hosts := range []int{59, 61, 120, 195} {
 		for _, runTime := range []int{13, 45} {
 			t.Run(fmt.Sprintf("%d hosts, runs of %d s", hosts, runTime), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					p := newHeldPlay(hosts)
 					earlier := EarlierRun{StartedAt: time.Now(), IsFirst: true}
--- a/proxy/restart_unknown_test.go
+++ b/proxy/restart_unknown_test.go
@@ -14,6 +14,7 @@
 	for _, rate := range []int{1, 20} {
 		for _, starts := range []int{1, 2, 5} {
 			t.Run(fmt.Sprintf("%d a second, %d starts", rate, starts), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					p := newHeldPlay(hosts)
 					for start := range starts + 1 {
--- a/steer/owner.go
+++ b/steer/owner.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"filberthold/hashes"
@@ -27,6 +29,16 @@
 
 // SetHosts replaces the entry hosts that are alive, including this one.
 func (s *Selector) SetHosts(hosts map[model.RegionName][]model.HostName, now time.Time) {
+	// The hosts are set all the time and rarely change.
+	if !maps.EqualFunc(s.hosts, hosts, slices.Equal) {
+		s.updateGone(hosts, now)
+		s.hosts = hosts
+	}
+	maps.DeleteFunc(s.gone, func(_ model.HostName, gone goneHost) bool { return now.Sub(gone.at) > maxSuccession })
+}
+
+// updateGone records which hosts are no longer alive, and which are again.
+func (s *Selector) updateGone(hosts map[model.RegionName][]model.HostName, now time.Time) {
 	for region, names := range s.hosts {
 		for _, name := range names {
 			s.gone[name] = goneHost{region: region, at: now}
@@ -37,12 +49,6 @@
 			delete(s.gone, name)
 		}
 	}
-	for name, gone := range s.gone {
-		if now.Sub(gone.at) > maxSuccession {
-			delete(s.gone, name)
-		}
-	}
-	s.hosts = hosts
 }
 
 // owner returns the host that keeps an endpoint within its rate: the only one that
