Log which endpoints a host tells others to be full or slow

What operators saw: with conditions, a host passes over an endpoint because of what another host observed, and no log names it.

Change: the host that observes a change logs "endpoint condition changed", at most 16 lines a second (4 conditions in 250 ms).

--- a/node/node.go
+++ b/node/node.go
@@ -136,7 +136,7 @@
 	table.AddAddresses(n.settings.Seeds, time.Now())
 	transport, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, gossip.Callbacks{
 		Heartbeat: n.heartbeat, HostsChanged: n.updateHosts, Loads: n.core.Loads, ApplyLoads: n.core.ApplyLoads,
-		TakeConditions: n.core.TakeConditions, ApplyConditions: n.core.ApplyConditions,
+		TakeConditions: n.takeConditions, ApplyConditions: n.core.ApplyConditions,
 		IssuePermit: n.core.IssuePermit, ApplyLimitNews: n.core.ApplyLimitNews, LimitNews: n.core.LimitNews,
 	})
 	if err != nil {
--- a/steer/condition.go
+++ b/steer/condition.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"filberthold/model"
 )
 
 const (
@@ -47,6 +49,9 @@
 	Condition Condition
 	// IsConfirmation is true if the condition was told before and still holds.
 	IsConfirmation bool
+	// Name is that of the endpoint, for the log. It is empty if another host told the
+	// condition.
+	Name model.EndpointName
 }
 
 // conditionState holds the condition of an endpoint that this host observed, and the one
@@ -168,7 +173,9 @@
 	})
 	taken := make([]EndpointCondition, 0, min(limit, len(news)))
 	for _, target := range news[:cap(taken)] {
-		told := EndpointCondition{Endpoint: target.id(), Condition: target.condition.observed, IsConfirmation: !target.condition.isChange(now)}
+		told := EndpointCondition{
+			Endpoint: target.id(), Condition: target.condition.observed, IsConfirmation: !target.condition.isChange(now), Name: target.name,
+		}
 		target.condition.tell(told.Condition, now)
 		taken = append(taken, told)
 	}
--- a/steer/condition_test.go
+++ b/steer/condition_test.go
@@ -139,7 +139,7 @@
 	assert.Assert(t, !isTold)
 	answer(t, observer, 0, 3*time.Second, start())
 	conditions := observer.TakeConditions(8, start())
-	assert.DeepEqual(t, conditions, []EndpointCondition{{Endpoint: observer.endpoints["only"].id(), Condition: IsSlow}})
+	assert.DeepEqual(t, conditions, []EndpointCondition{{Endpoint: observer.endpoints["only"].id(), Condition: IsSlow, Name: "only"}})
 	target := selector.endpoints["only"]
 	state := selector.services["s"]
 	before := selector.expectedTime(state, target, 0, query("o"), start())
