--- a/gossip/conditions.go
+++ b/gossip/conditions.go
@@ -258,7 +258,7 @@
 func (t *Transport) tellConditions() {
 	own, others := t.callbacks.Heartbeat(), t.Alive()
 	var observed []steer.EndpointCondition
-	if tellsConditions(len(others)) {
+	if tellsConditions(regionSizes(own, others)) {
 		observed = t.callbacks.TakeConditions(maxObserved)
 	} else {
 		others = nil
--- a/gossip/loads.go
+++ b/gossip/loads.go
@@ -24,9 +24,9 @@
 }
 
 func (t *Transport) sendLoadReports(round int) {
-	heartbeat := t.callbacks.Heartbeat()
+	heartbeat, others := t.callbacks.Heartbeat(), t.Alive()
 	var sameRegion, otherRegions []netip.Addr
-	for _, alive := range t.Alive() {
+	for _, alive := range others {
 		if alive.Region == heartbeat.Region {
 			sameRegion = append(sameRegion, alive.IP)
 			continue
@@ -36,7 +36,7 @@
 	if rounds := loadReportRounds(len(sameRegion), sameRegionPerRound, 1); isDue(round, rounds) {
 		isFull := isFullReportDue(round, rounds)
 		loads := t.callbacks.Loads(isFull)
-		if conditionsReplaceCounts(len(sameRegion), len(otherRegions)) {
+		if conditionsReplaceCounts(regionSizes(heartbeat, others), heartbeat.Region) {
 			loads, isFull = nil, false
 		}
 		t.sendLoadReport(heartbeat, sameRegion, loads, isFull)
