--- a/gossip/loads.go
+++ b/gossip/loads.go
@@ -24,9 +24,9 @@
 }
 
 func (t *Transport) sendLoadReports(round int) {
-	heartbeat, others := t.callbacks.Heartbeat(), t.Alive()
+	heartbeat := t.callbacks.Heartbeat()
 	var sameRegion, otherRegions []netip.Addr
-	for _, alive := range others {
+	for _, alive := range t.Alive() {
 		if alive.Region == heartbeat.Region {
 			sameRegion = append(sameRegion, alive.IP)
 			continue
@@ -35,11 +35,7 @@
 	}
 	if rounds := loadReportRounds(len(sameRegion), sameRegionPerRound, 1); isDue(round, rounds) {
 		isFull := isFullReportDue(round, rounds)
-		loads := t.callbacks.Loads(isFull)
-		if conditionsReplaceCounts(regionSizes(heartbeat, others), heartbeat.Region) {
-			loads, isFull = nil, false
-		}
-		t.sendLoadReport(heartbeat, sameRegion, loads, isFull)
+		t.sendLoadReport(heartbeat, sameRegion, t.callbacks.Loads(isFull), isFull)
 	}
 	if rounds := loadReportRounds(len(otherRegions), otherRegionsPerRound, minOtherRegionsRounds); isDue(round, rounds) {
 		t.sendLoadReport(heartbeat, otherRegions, t.callbacks.Loads(true), true)
@@ -48,16 +44,9 @@
 
 func (t *Transport) sendLoadReport(heartbeat member.Heartbeat, addresses []netip.Addr, loads []steer.Load, isFull bool) {
 	limits, retries := t.callbacks.LimitNews(), t.callbacks.RetryNews()
-	if len(retries) > 0 {
-		t.endingReports = maxEndingReports
-	}
-	isEnding := len(retries) == 0 && t.endingReports > 0
-	if len(loads) == 0 && len(limits) == 0 && len(retries) == 0 && !isFull && !isEnding {
+	if len(loads) == 0 && len(limits) == 0 && len(retries) == 0 && !isFull {
 		return
 	}
-	if isEnding {
-		t.endingReports--
-	}
 	report := &loadReport{Host: heartbeat.Host, Incarnation: heartbeat.Incarnation, IsFull: isFull, Limits: limits, Retries: retries}
 	for _, load := range loads {
 		report.Endpoints = append(report.Endpoints, load.Endpoint)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -23,7 +23,6 @@
 	PermitAnswer      *permitAnswer     `cbor:"5,keyasint,omitempty"`
 	Beat              *member.Beat      `cbor:"6,keyasint,omitempty"`
 	Suspicion         *member.Suspicion `cbor:"7,keyasint,omitempty"`
-	Conditions        *conditionReport  `cbor:"8,keyasint,omitempty"`
 }
 
 // loadReport holds the number of requests that a host has in flight at
@@ -116,11 +115,6 @@
 			return datagram{}, fmt.Errorf("decode load report: %w", err)
 		}
 	}
-	if message.Conditions != nil {
-		if err := message.Conditions.check(); err != nil {
-			return datagram{}, fmt.Errorf("decode conditions: %w", err)
-		}
-	}
 	if message.PermitRequest != nil {
 		if err := message.PermitRequest.News.Check(); err != nil {
 			return datagram{}, fmt.Errorf("decode permit request: %w", err)
--- a/gossip/transport.go
+++ b/gossip/transport.go
@@ -41,10 +41,6 @@
 	Loads func(isFull bool) []steer.Load
 	// ApplyLoads applies the load report of another host.
 	ApplyLoads func(host model.HostName, loads []steer.Load, isFull bool)
-	// TakeConditions returns conditions of endpoints that this host must tell others, at
-	// most a number, and ApplyConditions applies those that another host tells.
-	TakeConditions  func(limit int) []steer.EndpointCondition
-	ApplyConditions func(conditions []steer.EndpointCondition)
 	// IssuePermit answers another host's request for a permit.
 	IssuePermit func(request steer.PermitRequest) steer.Permit
 	// ApplyLimitNews applies what another host knows of an endpoint's limit.
@@ -57,35 +53,23 @@
 	ApplyRetryNews func(run member.Run, news []steer.RetryNews)
 }
 
-// packetConn sends and receives datagrams. It is a *net.UDPConn but in tests.
-type packetConn interface {
-	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
-	WriteToUDPAddrPort(content []byte, to netip.AddrPort) (int, error)
-	Close() error
-}
-
 // Transport sends and receives heartbeats and load reports. It is safe for
 // concurrent use.
 type Transport struct {
 	log       *slog.Logger
 	port      uint16
-	conn      packetConn
+	conn      *net.UDPConn
 	callbacks Callbacks
 	// address is that of this host, to which it sends no messages.
 	address  netip.Addr
 	mu       sync.Mutex
 	detector *member.Detector
-	// relay passes on the conditions of endpoints.
-	relay *conditionRelay
 	// own is the state of this host at the last tick.
 	own member.Heartbeat
 	// pendingPermits holds the channel for the answer to each permit request that
 	// waits for it, by the request's ID.
 	pendingPermits map[uint64]chan steer.Permit
 	lastPermitID   uint64
-	// endingReports is how many more load reports are sent only because the last retries of
-	// this host ended that the others take into account. Only loadReportLoop uses it.
-	endingReports int
 }
 
 // Listen opens the UDP port on an address. The transport sends to the same port
@@ -98,11 +82,10 @@
 	return newTransport(log, address, conn, table, callbacks), nil
 }
 
-func newTransport(log *slog.Logger, address netip.AddrPort, conn packetConn, table *member.Table, callbacks Callbacks) *Transport {
-	own := callbacks.Heartbeat()
+func newTransport(log *slog.Logger, address netip.AddrPort, conn *net.UDPConn, table *member.Table, callbacks Callbacks) *Transport {
 	return &Transport{
 		log: log, port: address.Port(), conn: conn, callbacks: callbacks, address: address.Addr(), detector: member.NewDetector(table),
-		relay: newConditionRelay(own.Host), own: own, pendingPermits: make(map[uint64]chan steer.Permit),
+		own: callbacks.Heartbeat(), pendingPermits: make(map[uint64]chan steer.Permit),
 	}
 }
 
@@ -142,7 +125,6 @@
 	group.Go(func() error { return t.heartbeatLoop(ctx) })
 	group.Go(func() error { return t.receiveLoop(ctx) })
 	group.Go(func() error { return t.loadReportLoop(ctx) })
-	group.Go(func() error { return t.conditionLoop(ctx) })
 	err := group.Wait()
 	// Wait has cancelled ctx.
 	<-closed
@@ -265,9 +247,6 @@
 	if message.Loads != nil {
 		t.applyLoads(*message.Loads, from)
 	}
-	if message.Conditions != nil {
-		t.applyConditions(*message.Conditions)
-	}
 }
 
 // applyMember applies a message of the failure detection.
--- a/gossip/transport_test.go
+++ b/gossip/transport_test.go
@@ -138,10 +138,6 @@
 		"more retries earned than sent": {Loads: &loadReport{Host: "h", Retries: []steer.RetryNews{{Service: "s", Excess: 1, Earned: 2}}}},
 		"retries are negative":          {Loads: &loadReport{Host: "h", Retries: []steer.RetryNews{{Service: "s", Excess: -1, Earned: -1}}}},
 		"retries without a service":     {Loads: &loadReport{Host: "h", Retries: []steer.RetryNews{{Excess: 1}}}},
-		"hop is unknown":                {Conditions: &conditionReport{Hop: 9}},
-		"tree is unknown":               {Conditions: &conditionReport{Hop: alongTree, Tree: treeCount}},
-		"conditions are missing":        {Conditions: &conditionReport{Hop: alongTree, Endpoints: []steer.EndpointID{1}}},
-		"too many conditions":           {Conditions: &conditionReport{Hop: alongTree, Endpoints: make([]steer.EndpointID, 99), Conditions: make([]byte, 99)}},
 		"counts are missing":            {Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}}},
 	}
 	for name, message := range messages {
@@ -160,9 +156,6 @@
 	content, err := cbor.Marshal(datagram{Loads: &loadReport{Host: "h", Endpoints: []steer.EndpointID{1}, Counts: []byte{2}}})
 	assert.NilError(f, err)
 	f.Add(content)
-	content, err = cbor.Marshal(datagram{Conditions: &conditionReport{Hop: alongTree, Endpoints: []steer.EndpointID{1}, Conditions: []byte{2}}})
-	assert.NilError(f, err)
-	f.Add(content)
 	permit := permitAnswer{ID: 1, Permit: steer.Permit{IsGranted: true, Limit: steer.RateLimit{IsSet: true, PerSecond: 2}}}
 	content, err = cbor.Marshal(datagram{PermitRequest: &permitRequest{ID: 1}, PermitAnswer: &permit})
 	assert.NilError(f, err)
@@ -172,9 +165,6 @@
 		if err == nil && message.Loads != nil && len(message.Loads.Endpoints) != len(message.Loads.Counts) {
 			t.Fatal("invalid message accepted")
 		}
-		if err == nil && message.Conditions != nil && message.Conditions.check() != nil {
-			t.Fatal("invalid conditions accepted")
-		}
 		if err == nil && message.PermitRequest != nil && message.PermitRequest.News.Check() != nil {
 			t.Fatal("invalid permit request accepted")
 		}
--- a/node/lag_test.go
+++ b/node/lag_test.go
@@ -28,6 +28,7 @@
 		Heartbeat: func() member.Heartbeat { return heartbeat }, HostsChanged: func() {},
 		Loads: func(bool) []steer.Load { return nil }, LimitNews: func() []steer.LimitNews { return nil },
 		ApplyLoads: func(model.HostName, []steer.Load, bool) {}, ApplyLimitNews: func(steer.LimitNews) {},
+		RetryNews: func() []steer.RetryNews { return nil }, ApplyRetryNews: func(member.Run, []steer.RetryNews) {},
 	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/node.go
+++ b/node/node.go
@@ -138,7 +138,6 @@
 	table.AddAddresses(n.settings.Seeds, time.Now())
 	transport, err := gossip.Listen(n.log, netip.AddrPortFrom(n.settings.IP, n.settings.PeerPort), table, gossip.Callbacks{
 		Heartbeat: n.heartbeat, HostsChanged: n.updateHosts, Loads: n.core.Loads, ApplyLoads: n.core.ApplyLoads,
-		TakeConditions: n.takeConditions, ApplyConditions: n.core.ApplyConditions,
 		IssuePermit: n.core.IssuePermit, ApplyLimitNews: n.core.ApplyLimitNews, LimitNews: n.core.LimitNews,
 		RetryNews: n.core.RetryNews, ApplyRetryNews: n.core.ApplyRetryNews,
 	})
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -242,24 +242,6 @@
 	c.admitWaiting(now)
 }
 
-// TakeConditions returns conditions of endpoints that this host must tell other hosts, at
-// most a number.
-func (c *Core) TakeConditions(limit int) []steer.EndpointCondition {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.selector.TakeConditions(limit, time.Now())
-}
-
-// ApplyConditions applies the conditions of endpoints that another host tells.
-func (c *Core) ApplyConditions(conditions []steer.EndpointCondition) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	c.updateSelector()
-	c.selector.ApplyConditions(conditions, now)
-	c.admitWaiting(now)
-}
-
 // updateSelector passes changes to the selector before it is used. It does not
 // run after every change, because reading the whole table changes every
 // endpoint and each update iterates over all of them.
--- a/steer/bench_test.go
+++ b/steer/bench_test.go
@@ -55,48 +55,13 @@
 	}
 }
 
-// BenchmarkChoose measures the choice for a request: the slope shows what an endpoint costs.
 func BenchmarkChoose(b *testing.B) {
-	for _, endpoints := range []int{40, 400, largeEndpoints, 4000} {
-		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
-			selector, _ := newLargeSelector(endpoints, largeHosts)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				decision := selector.Choose(query(fmt.Sprint("o-", i%1000)), start())
-				if chosen, isSent := decision.(Send); isSent {
-					selector.Done(Outcome{Endpoint: chosen.Endpoint.Name, Result: Answered, Elapsed: 100 * time.Millisecond}, start())
-				}
-			}
-		})
-	}
-}
-
-// BenchmarkRanking measures the ranking of the endpoints for an object, of which a choice
-// reads the first few.
-func BenchmarkRanking(b *testing.B) {
-	for _, endpoints := range []int{40, 400, 4000} {
-		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
-			selector, _ := newLargeSelector(endpoints, 0)
-			candidates := selector.services["s"].endpoints
-			for i := 0; b.Loop(); i++ {
-				selector.ranking.start(uint64(i), candidates)
-				for range maxAffinityEndpoints {
-					selector.ranking.next()
-				}
-			}
-		})
-	}
-}
-
-// BenchmarkTakeConditions measures what a host of a large fleet does every 250 ms while
-// nothing changes.
-func BenchmarkTakeConditions(b *testing.B) {
-	for _, endpoints := range []int{40, 400, 4000} {
-		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
-			selector, _ := newLargeSelector(endpoints, 0)
-			for b.Loop() {
-				selector.TakeConditions(4, start())
-			}
-		})
+	selector, _ := newLargeSelector(largeEndpoints, largeHosts)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		decision := selector.Choose(query(fmt.Sprint("o-", i%1000)), start())
+		if chosen, isSent := decision.(Send); isSent {
+			selector.Done(Outcome{Endpoint: chosen.Endpoint.Name, Result: Answered, Elapsed: 100 * time.Millisecond}, start())
+		}
 	}
 }
--- a/steer/endpoint.go
+++ b/steer/endpoint.go
@@ -43,8 +43,6 @@
 	rate rateState
 	// spare is the time for which the endpoint asked to be spared.
 	spare spareState
-	// condition is what hosts of a large fleet tell each other of the endpoint.
-	condition conditionState
 
 	// isUsable is true while the endpoint is one of those that Update got and is not
 	// leaving. Requests may still be in flight when it is false.
@@ -100,8 +98,7 @@
 
 // load is the expected number of requests at the endpoint.
 func (e *endpoint) load(now time.Time) float64 {
-	reportedOthers := e.reportedOthers * decay(now.Sub(e.reportedAt), reportDecay)
-	return float64(e.inFlight) + max(float64(e.peerInFlight), reportedOthers, e.toldOthers(now))
+	return float64(e.inFlight) + max(float64(e.peerInFlight), e.reportedOthers*decay(now.Sub(e.reportedAt), reportDecay))
 }
 
 // applyLoadReport applies a load report of the endpoint. Its busy count
--- a/steer/loads.go
+++ b/steer/loads.go
@@ -49,12 +49,8 @@
 func (e *endpoint) id() EndpointID { return EndpointID(e.hash >> 32) }
 
 // ApplyLoads applies a load report of another host. A full report lists every
-// endpoint at which the host has requests in flight. Another one without counts says nothing
-// of them: hosts of a large fleet report no counts, and earlier ones must expire.
+// endpoint at which the host has requests in flight.
 func (s *Selector) ApplyLoads(host model.HostName, loads []Load, isFull bool, now time.Time) {
-	if len(loads) == 0 && !isFull {
-		return
-	}
 	reported := s.loadsByHost[host]
 	if reported == nil {
 		reported = &hostLoads{counts: make(map[*endpoint]uint8)}
--- a/steer/result.go
+++ b/steer/result.go
@@ -115,7 +115,6 @@
 	if outcome.HasLoad {
 		target.applyLoadReport(outcome.Busy, now)
 	}
-	target.observeCondition(outcome, now)
 	return target.applyLimit(outcome, now)
 }
 
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -335,10 +335,9 @@
 	if query.hasObject() {
 		executionTime *= affinityFactor(rank)
 	}
-	slowness := candidate.expectedSlowness(now)
-	executionTime *= slowness
+	executionTime *= candidate.currentSlowness(now)
 	queued := max(0, candidate.load(now)+1-float64(candidate.slots))
-	total := executionTime + float64(median)*slowness*queued/float64(candidate.slots)
+	total := executionTime + float64(median)*candidate.currentSlowness(now)*queued/float64(candidate.slots)
 	total /= max(0.05, 1-candidate.failureRate(now))
 	return time.Duration(total) + s.networkDelay(candidate)
 }
