Break writes of the soak off in the middle

Three of ten submits have a body of 56 to 63 KiB, which a host writes at once. A new fault lets the link of an endpoint take 2 KiB of a connection, with a small receive buffer and small segments, so that the kernel of a host takes about 45 KiB. The endpoint runs requests before it has read their bodies, and after 0.3 to 1.2 s the link resets its connections.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -115,8 +115,11 @@
 	if class == "submit" {
 		request.method, request.isChunked = http.MethodPost, random.IntN(2) == 0
 		request.body = bodyOf(attempt, minBodyBytes+random.IntN(maxBodyBytes-minBodyBytes+1))
-		if random.Float64() < longBodyRatio {
+		switch length := random.Float64(); {
+		case length < longBodyRatio:
 			request.lengthen(random)
+		case length < longBodyRatio+wideRatio:
+			request.body = bodyOf(attempt, minWideBytes+random.IntN(maxWideBytes-minWideBytes+1))
 		}
 	}
 	if random.Float64() < longTimeoutRatio {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -119,6 +119,9 @@
 				endpoint.SetRetryAfter("")
 			})
 		}},
+		{"clogged", func(b *testbed, random *rand.Rand, targetIndex int, _ time.Duration) {
+			b.clogLink(targetIndex%len(b.endpoints), random)
+		}},
 		{"early", func(b *testbed, random *rand.Rand, targetIndex int, duration time.Duration) {
 			b.answerEarly(targetIndex%len(b.endpoints), random, duration)
 		}},
@@ -277,7 +280,7 @@
 	repeated := slices.Clone(kinds)
 	for _, kind := range kinds {
 		switch kind.name {
-		case "endpoint", "slow":
+		case "endpoint", "slow", "clogged":
 			repeated = append(repeated, kind, kind, kind)
 		case "hold", "endpointPause", "early", "cold", "limited", "configuration", "reusedAddress", "reader":
 			repeated = append(repeated, kind)
@@ -302,6 +305,8 @@
 		return []string{faultName, "storeLink", "refusedByStore", fmt.Sprint("endpoint ", endpoint), b.hosts[targetIndex%len(b.hosts)].settings.Name}
 	case "endpointPause", "endpointKill", "reusedAddress", "cold", "limited":
 		return []string{faultName, fmt.Sprint("endpoint ", endpoint)}
+	case "clogged":
+		return []string{faultName, fmt.Sprint("endpoint ", endpoint), fmt.Sprint("link ", endpoint)}
 	case "endpointLink", "hold":
 		return []string{faultName, fmt.Sprint("link ", endpoint)}
 	}
--- a/soak/link.go
+++ b/soak/link.go
@@ -74,13 +74,20 @@
 	// current one.
 	passed  int
 	limited <-chan struct{}
+	// taken counts the bytes that were read.
+	taken int
 }
 
 // read reads chunks until the source ends.
 func (d *direction) read(chunks chan<- chunk) {
 	for {
-		buffer := make([]byte, chunkBytes)
+		size, isOpen := d.waitToRead()
+		if !isOpen {
+			return
+		}
+		buffer := make([]byte, size)
 		count, err := d.source.Read(buffer)
+		d.taken += count
 		if count > 0 && !d.enqueue(chunks, buffer[:count]) {
 			return
 		}
@@ -95,6 +102,25 @@
 	}
 }
 
+// waitToRead waits until data may be read, and returns how much. It returns false if the link
+// was reset.
+func (d *direction) waitToRead() (size int, isOpen bool) {
+	for {
+		now, changed := d.proxy.current()
+		if now.mode != clogged || d.isResponse {
+			return chunkBytes, true
+		}
+		if d.taken < now.bytes {
+			return min(chunkBytes, now.bytes-d.taken), true
+		}
+		select {
+		case <-changed:
+		case <-d.link.aborted:
+			return 0, false
+		}
+	}
+}
+
 // enqueue reports false if the link was reset.
 func (d *direction) enqueue(chunks chan<- chunk, data []byte) bool {
 	select {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -39,6 +39,9 @@
 	// resetAfter resets a connection when a number of bytes has passed in one
 	// direction.
 	resetAfter
+	// clogged reads a number of bytes of the requests of a connection, and no more until the
+	// mode changes.
+	clogged
 )
 
 // readDelay is the delay of a slow proxy for each chunk of data.
@@ -49,7 +52,7 @@
 	mode mode
 	// delay applies to late.
 	delay time.Duration
-	// bytes applies to resetAfter.
+	// bytes applies to resetAfter and clogged.
 	bytes int
 }
 
@@ -147,6 +150,11 @@
 // close closes the listener and resets all connections.
 func (p *faultProxy) close() {
 	_ = p.listener.Close()
+	p.abortLinks()
+}
+
+// abortLinks resets all connections.
+func (p *faultProxy) abortLinks() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for open := range p.links {
