Let the retry limit's restart test wait until hosts have credit

What was seen: TestRetryLimitHoldsWhileHostsRestartInSeries failed in 2 of 12 runs ("nothing was retried"), four at once of ./node and ./soak at load 12 to 27; the other 10 passed.

Cause, a fault of the test: it required a retry of one of the first three failing requests. A host has no part of the slack in its first two minutes, loses its credit every 10 s (creditTime) and earns that of one retry in 8.3 s of the test's rate. So these requests are retried only if the endpoints begin to fail in the last 1.7 s of the 10. On a busy machine they begin later.

Change: the endpoints fail for 10 s before the first restart, so that each host can retry once at any phase, and at least half as many retries as hosts must arrive of all failing requests. The limit is checked as before.

--- a/soak/restart_test.go
+++ b/soak/restart_test.go
@@ -90,8 +90,11 @@
 	for _, endpoint := range b.endpoints {
 		endpoint.SetBehaviour(fake.Fail)
 	}
-	group.Go(func() { c.sendEvenly(&group, "failing", slowRate, 13*time.Second) })
-	time.Sleep(5 * time.Second)
+	const failingFor = 18 * time.Second
+	group.Go(func() { c.sendEvenly(&group, "failing", slowRate, failingFor) })
+	// A host without a part of the slack loses its credit every 10 s and earns that of a
+	// retry in 8.3 s of slowRate, so each host can retry once in this time.
+	time.Sleep(retryWindow)
 	for range 5 {
 		for _, host := range b.hosts {
 			assert.NilError(t, host.kill())
@@ -104,5 +107,11 @@
 	group.Wait()
 	c.checkRetries()
 	assert.Equal(t, len(b.report.Violations), 0, "%q", b.report.Violations)
-	assert.Assert(t, len(c.repeats(map[string]bool{"failing-1": true, "failing-2": true, "failing-3": true})) > 0, "nothing was retried")
+	failing := make(map[string]bool)
+	for number := range slowRate * int(failingFor/time.Second) {
+		failing[fmt.Sprintf("failing-%d", number)] = true
+	}
+	retries := len(c.repeats(failing))
+	t.Logf("%d retries of failing requests", retries)
+	assert.Assert(t, retries >= len(b.hosts)/2, "%d retries by %d hosts", retries, len(b.hosts))
 }
