Let the test of sends that time out pass over requests that were not sent

Cause, a fault of the test: the whole request has 20 ms. If the process gets no processor between the dial and the first write, nothing is written, and NotSentError is right.

Change: a round whose request was not sent is played again, at most 20 times.

--- a/conns/stalled_test.go
+++ b/conns/stalled_test.go
@@ -31,11 +31,18 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			target := netip.MustParseAddrPort(listenSlowly(t).Addr().String())
-			broken := 0
-			for range rounds {
+			broken, unsent := 0, 0
+			for round := 0; round < rounds; round++ {
 				request := slowRequest(20 * time.Millisecond)
 				prepare(&request)
 				_, err := NewPool(memory.NewLimit(16<<20)).Exchange(context.Background(), target, request)
+				// On a busy machine the deadline may pass before the first byte is written.
+				var notSent *NotSentError
+				if errors.As(err, &notSent) && unsent < rounds {
+					unsent++
+					round--
+					continue
+				}
 				var incomplete *IncompleteError
 				assert.Assert(t, errors.As(err, &incomplete), "%v", err)
 				if !incomplete.IsTimeout() {
