--- a/soak/soak.go
+++ b/soak/soak.go
@@ -96,13 +96,12 @@
 	// activeFaults counts the faults that have not ended.
 	activeFaults sync.WaitGroup
 	mu           sync.Mutex
-	// departures, coldTimes and joins are those that the endpoints' entries stated, and
+	// departures and coldTimes are those that the endpoints' entries stated, and
 	// limitedTimes those in which their responses named a rate limit.
 	departures   []departure
 	coldTimes    []coldTime
 	limitedTimes []limitedTime
 	versions     []configVersion
-	joins        []joined
 	report       Report
 }
 
@@ -134,8 +133,6 @@
 	if !b.waitUntilServing(ctx) {
 		b.recordViolation("a host does not serve %s after the last fault", recoveryTimeout)
 	}
-	b.waitForJoins()
-	callersEnd := time.Now()
 	stopCallers()
 	callerGroup.Wait()
 	for _, host := range b.hosts {
@@ -155,7 +152,6 @@
 	callers.checkAbandoned()
 	callers.checkUnanswered()
 	callers.checkVersions()
-	callers.checkJoined(callersEnd)
 	outageGroup.Wait()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -280,7 +276,6 @@
 	sequence := 1 + max(0, time.Now().UnixMilli()-endpoint.Plan().Incarnation)
 	entry := strings.Replace(endpoint.Entry(serviceOf(endpoint.ID()), "za", state, int(sequence)), endpoint.Address(), b.endpointProxies[index].address(), 1)
 	b.store.Put(platform.EndpointTable, endpoint.ID(), entry)
-	b.recordJoin(index)
 }
 
 // close stops all processes, endpoints and proxies that are still running.
