--- a/review/standin2/lost.go
+++ b/review/standin2/lost.go
@@ -61,6 +61,16 @@
 	return strconv.Itoa(response.StatusCode)
 }
 
+// status reads an answer and returns its status or an error.
+func (a *answerReader) status() string {
+	response, err := http.ReadResponse(a.reader, nil)
+	if err != nil {
+		return "no answer: " + err.Error()
+	}
+	_ = response.Body.Close()
+	return strconv.Itoa(response.StatusCode)
+}
+
 // playLost sends reads ahead behind an export whose endpoint may break off its answer.
 func playLost(d *deployment, hasTrouble bool) (bool, error) {
 	d.addRoute("diary-view", "safe", 2500)
