--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -45,17 +45,18 @@
 	attempt := fmt.Sprintf("r%06d", d.sent)
 	d.sentMu.Unlock()
 	done := request{attempt: attempt, host: to.name, path: path, sentAt: time.Now()}
-	done.outcome = exchange(client, "http://"+to.front()+path+attempt, attempt)
+	done.outcome, done.limit = exchange(client, "http://"+to.front()+path+attempt, attempt)
 	done.answeredAt = time.Now()
 	d.record.addRequest(done)
 	return done.outcome == "200"
 }
 
-// exchange sends a request and returns the status of the answer, or an error.
-func exchange(client *http.Client, url, attempt string) string {
+// exchange sends a request and returns the status of the answer, or an error, and the limit that
+// the answer names.
+func exchange(client *http.Client, url, attempt string) (outcome, limit string) {
 	sent, err := http.NewRequest(http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return err.Error()
+		return err.Error(), ""
 	}
 	sent.Host = domain
 	sent.Header.Set("Attempt-Id", attempt)
@@ -63,12 +64,12 @@
 	sent.Header.Set("Deadline-Ms", strconv.FormatInt(clientTime.Milliseconds(), 10))
 	response, err := client.Do(sent)
 	if err != nil {
-		return err.Error()
+		return err.Error(), ""
 	}
 	_, err = io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
 	if err != nil {
-		return err.Error()
+		return err.Error(), ""
 	}
-	return strconv.Itoa(response.StatusCode)
+	return strconv.Itoa(response.StatusCode), response.Header.Get(limitField)
 }
--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -35,6 +35,8 @@
 	exports, breaks bool
 	exported        int
 	due             chan struct{}
+	// limit is the limit that answers name, or empty.
+	limit string
 }
 
 func startEndpoint(ip, id, service, zone string, work time.Duration, kept *record) (*endpoint, error) {
@@ -132,6 +134,7 @@
 	e.record.addArrival(came)
 	header := writer.Header()
 	header.Set("Attempt-Id", came.attempt)
+	e.setLimit(header)
 	switch came.status {
 	case http.StatusOK:
 		header.Set("Server-Seal", "s."+e.id)
@@ -179,6 +182,17 @@
 	return http.StatusOK
 }
 
+// limitField is the field of an answer by which an endpoint in need names its limit.
+const limitField = "Server-Limit"
+
+func (e *endpoint) setLimit(header http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit != "" {
+		header.Set(limitField, e.limit)
+	}
+}
+
 func (e *endpoint) setLoad(header http.Header) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -13,8 +13,8 @@
 type request struct {
 	attempt, host, path string
 	sentAt, answeredAt  time.Time
-	// outcome is the status of the answer, or an error.
-	outcome string
+	// outcome is the status of the answer, or an error. limit is the limit that it names.
+	outcome, limit string
 }
 
 // record is what was sent, answered and run, and what else happened.
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -74,6 +74,14 @@
 	return true
 }
 
+// remove removes a row for the operator.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.apply(row{Table: table, Key: key, Ver: s.ver, Removed: true})
+}
+
 // apply stores a row. s.mu is held.
 func (s *store) apply(changed row) {
 	if s.rows[changed.Table] == nil {
