--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -37,6 +37,8 @@
 	due             chan struct{}
 	// limit is the limit that answers name, or empty.
 	limit string
+	// isLeaving is true once the endpoint leaves. It serves on and says so in all answers.
+	isLeaving bool
 }
 
 func startEndpoint(ip, id, service, zone string, work time.Duration, kept *record) (*endpoint, error) {
@@ -64,13 +66,24 @@
 
 func (e *endpoint) coldMs() int64 { return max(0, time.Until(e.coldUntil).Milliseconds()) }
 
+// leave removes the endpoint's entry. It is not written again.
+func (e *endpoint) leave(s *store) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isLeaving = true
+	s.remove(endpointTable, e.id)
+}
+
 // writeEntry writes the endpoint's entry to the store and reports whether that worked.
 func (e *endpoint) writeEntry(s *store) bool {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isLeaving {
+		return true
+	}
 	e.sequence++
 	value := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","coldRemainingMs":%d,"sequence":%d,"born":%d}`,
 		e.service, e.address, e.zone, e.slots, e.coldMs(), e.sequence, e.born)
-	e.mu.Unlock()
 	return s.put(endpointTable, e.id, value)
 }
 
@@ -191,6 +204,9 @@
 	if e.limit != "" {
 		header.Set(limitField, e.limit)
 	}
+	if e.isLeaving {
+		header.Set("Server-Leaving", "1")
+	}
 }
 
 func (e *endpoint) setLoad(header http.Header) {
--- a/review/standin2/host.go
+++ b/review/standin2/host.go
@@ -137,6 +137,12 @@
 	return h, nil
 }
 
+// useStore gives the host another address of the store, from its next start on.
+func (h *host) useStore(address string) error {
+	h.store = address
+	return os.WriteFile(h.settingsPath, []byte(h.text()), 0o600)
+}
+
 func (h *host) front() string { return fmt.Sprintf("%s:%d", h.ip, frontPort) }
 
 // start starts the process with the command of the deploy file.
