--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -35,6 +35,8 @@
 	exports, breaks bool
 	exported        int
 	due             chan struct{}
+	// answerBytes is the size of an answer, or 0 for a short one.
+	answerBytes int
 	// limit is the limit that answers name, or empty.
 	limit string
 	// isLeaving is true once the endpoint leaves. It serves on and says so in all answers.
@@ -156,6 +158,10 @@
 			e.answerExport(writer)
 			return
 		}
+		if e.answerBytes > 0 {
+			_, _ = writer.Write(make([]byte, e.answerBytes))
+			return
+		}
 		_, _ = fmt.Fprintf(writer, "%s %s %d\n", e.id, came.attempt, len(body))
 	case http.StatusServiceUnavailable:
 		header.Set("Not-Executed", "1")
--- a/review/standin2/host.go
+++ b/review/standin2/host.go
@@ -19,6 +19,9 @@
 	healthPath    = "/health"
 )
 
+// memoryMb is the memory of each host in MB, as in the site file of hluk-eu.
+const memoryMb = 284
+
 // hostSettings are those settings of a host that differ between hosts.
 type hostSettings struct {
 	name, ip, zone string
@@ -70,7 +73,7 @@
 [limits]
 cpuShare = 0.32
 cores = 1
-memoryMb = 284
+memoryMb = %[14]d
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -113,7 +116,7 @@
 blobMs = 25.0
 blobMbS = 80.0
 `, s.name, s.ip, s.zone, zones()[s.zone], internalPort, internalPort+9, strings.Join(seeds, ", "), regions.String(),
-		frontPort, readyPort, controlPort, directoryPort, s.store)
+		frontPort, readyPort, controlPort, directoryPort, s.store, memoryMb)
 }
 
 // host is a host that runs as a process of its own.
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,7 +24,7 @@
 		os.Exit(exitNotRun)
 	}
 	plays := map[string]func(d *deployment, hasTrouble bool) (bool, error){
-		"gone": playGone, "lost": playLost, "cold-outage": playColdOutage, "crowd": playCrowd, "fields": playFields, "limit": playLimit, "removal": playRemoval,
+		"gone": playGone, "lost": playLost, "cold-outage": playColdOutage, "crowd": playCrowd, "memory": playMemory, "fields": playFields, "limit": playLimit, "removal": playRemoval,
 	}
 	play, exists := plays[os.Args[1]]
 	if !exists {
