--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 	// aheadInterval is the time between two clients, and aheadTime how long they stay.
 	aheadInterval = 5 * time.Millisecond
 	aheadTime     = 30 * time.Second
+	// aheadDescriptors is the number of descriptors that the host and this process need.
+	aheadDescriptors = 4100
 	// readBytes is the length of an answer to a read.
 	readBytes = 5000
 	// sampleInterval is the time between two looks at the memory, and noteInterval the number of
@@ -81,6 +84,10 @@
 
 // playMemory measures the memory of a host while clients send reads of many short fields ahead.
 func playMemory(d *deployment, hasTrouble bool) (bool, error) {
+	var descriptors syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil || descriptors.Cur < aheadDescriptors {
+		return false, fmt.Errorf("the case needs %d descriptors, allowed are %d", aheadDescriptors, descriptors.Cur)
+	}
 	d.hosts = d.hosts[:2]
 	d.addRoute("diary-view", "safe", 2500)
 	d.configure()
